--- /dev/null
+++ b/tarragonshelf/control/_node.py
@@ -0,0 +1,420 @@
+"""One control: a replica, the state machine behind it, and the calls that it answers."""
+
+from dataclasses import replace
+from random import Random
+
+from ..base import Codec, Effect, Message, StateMachine
+from ..consensus import (
+    Commit,
+    EntryKind,
+    HardState,
+    InstallSnapshot,
+    Log,
+    LogEntry,
+    Member,
+    Membership,
+    ReadReady,
+    Replica,
+    Role,
+    RoleChanged,
+    SaveSnapshot,
+    Snapshot,
+    Timing,
+)
+from ._machine import ControlMachine, ControlSnapshot
+from ._messages import (
+    COMMANDS,
+    AdvanceClock,
+    AttachedEntry,
+    CallReceived,
+    Chunks,
+    ConfigurationRequest,
+    ControlStatus,
+    Done,
+    FetchChunks,
+    Follow,
+    Followed,
+    Initialize,
+    Join,
+    PeerReceived,
+    Refused,
+    RefusedReason,
+    Reply,
+    Retire,
+    StatusRequest,
+    StopRequested,
+    Trace,
+    UnresolvedOrders,
+    UnresolvedRequest,
+)
+from ._waiters import FollowWaiter, Waiters
+
+FOLLOW_SECONDS = 1.0
+CATCH_UP_ENTRIES = 16
+MAXIMUM_VOTERS = 8
+ATTACHED_SECONDS = 30.0
+CLOCK_SECONDS = 0.5
+
+
+class ControlNode(StateMachine):
+    """The decisions of a control process.
+
+    Parameters
+    ----------
+    vm, incarnation, address : str
+        Who this control is and where its peers reach it.
+    codec : Codec
+        Encodes commands and snapshots.
+    random : Random
+        Spreads election timeouts.
+    hard_state, snapshot, entries
+        What the data folder held.
+    timing : Timing
+        Times of replication.
+    snapshot_entries : int
+        How many applied entries a snapshot takes the place of.
+    """
+
+    def __init__(
+        self,
+        *,
+        vm: str,
+        incarnation: str,
+        address: str,
+        codec: Codec,
+        random: Random,
+        hard_state: HardState = HardState(),
+        snapshot: Snapshot | None = None,
+        entries: tuple[LogEntry, ...] = (),
+        timing: Timing = Timing(),
+        snapshot_entries: int = 2000,
+    ):
+        self.vm = vm
+        self.identity = f"{vm}/{incarnation}"
+        self.address = address
+        self.codec = codec
+        self.snapshot_entries = snapshot_entries
+        self.replica = Replica(
+            identity=self.identity,
+            log=Log(snapshot=snapshot, entries=entries),
+            hard_state=hard_state,
+            random=random,
+            timing=timing,
+        )
+        self.machine = ControlMachine()
+        if snapshot is not None:
+            self.machine.restore(codec.decode(snapshot.data))
+        self._waiters = Waiters()
+        self._attached: dict[str, tuple[Follow, float]] = {}
+        self._effects: list[Effect] = []
+        self._clock_at = 0.0
+        self._was_current = False
+
+    # Queries
+
+    @property
+    def is_initialized(self) -> bool:
+        """Whether this control holds any part of the replicated log."""
+        return self.replica.log.last_index > 0
+
+    @property
+    def leader_address(self) -> str:
+        """Where the leader is reached, or an empty text if none is known."""
+        member = self.replica.membership.get_member(self.replica.leader)
+        return member.address if member else ""
+
+    def describe(self, now: float) -> ControlStatus:
+        """Return what this control sees."""
+        replica, machine = self.replica, self.machine
+        return ControlStatus(
+            identity=self.identity,
+            vm=self.vm,
+            role=str(replica.role),
+            term=replica.term,
+            leader=replica.leader,
+            is_current=replica.is_current(now),
+            is_initialized=self.is_initialized,
+            commit=replica.commit,
+            log_entries=len(replica.log.entries),
+            membership=replica.membership,
+            configuration=replace(machine.register.current, manifest=()),
+            ejections=machine.grants.list_ejections(),
+            drained=tuple(sorted(machine.drained)),
+            unresolved=len(machine.ledger.list_unresolved()),
+            keys=machine.ledger.size,
+            entries=self._list_attached(now),
+        )
+
+    # Commands
+
+    def handle(self, now: float, message: Message) -> list[Effect]:
+        """Take a replication message, a call or a request to stop in."""
+        if isinstance(message, PeerReceived):
+            self._carry(now, self.replica.handle(now, message.message))
+        elif isinstance(message, CallReceived):
+            self._handle_call(now, message)
+        elif isinstance(message, StopRequested):
+            self._carry(now, self.replica.transfer_leadership(now))
+        return self._take_effects()
+
+    def tick(self, now: float) -> list[Effect]:
+        """Let time pass."""
+        self._carry(now, self.replica.tick(now))
+        self._answer_followers(now)
+        if self.replica.has_committed_in_term:
+            self._admit_learners(now)
+            self._advance_clock(now)
+        self._notice_isolation(now)
+        return self._take_effects()
+
+    def flush(self, now: float) -> list[Effect]:
+        """End a batch of inputs."""
+        self._carry(now, self.replica.flush(now))
+        self._compact()
+        return self._take_effects()
+
+    # Effects of the replica
+
+    def _carry(self, now: float, effects: list[Effect]) -> None:
+        for effect in effects:
+            if isinstance(effect, Commit):
+                self._apply(now, effect.entries)
+            elif isinstance(effect, InstallSnapshot):
+                self.machine.restore(self.codec.decode(effect.snapshot.data))
+            elif isinstance(effect, ReadReady):
+                self._answer_read(effect)
+            elif isinstance(effect, RoleChanged):
+                self._change_role(effect)
+            else:
+                self._effects.append(effect)
+
+    def _apply(self, now: float, entries: tuple[LogEntry, ...]) -> None:
+        revision = self.machine.revision
+        for entry in entries:
+            if entry.kind != EntryKind.COMMAND:
+                self.machine.skip(entry.index, entry.time)
+                result = Done(entry.index)
+            else:
+                command = self.codec.decode(entry.payload)
+                result = self.machine.apply(entry.index, entry.time, command)
+            call = self._waiters.take_proposal(entry.index, entry.term)
+            if call is not None:
+                self._effects.append(Reply(call, result))
+        if self.machine.revision != revision:
+            self._answer_followers(now, force=True)
+
+    def _change_role(self, effect: RoleChanged) -> None:
+        fields = {"replica_role": effect.role, "term": effect.term, "leader": effect.leader}
+        self._effects.append(Trace("replica_role_changed", fields))
+        if effect.role != Role.LEADER:
+            refused = Refused(RefusedReason.LEADERSHIP_LOST, self.leader_address)
+            for call in self._waiters.take_all_of_leader():
+                self._effects.append(Reply(call, refused))
+
+    def _compact(self) -> None:
+        applied = self.machine.index
+        if applied - self.replica.log.base_index >= self.snapshot_entries:
+            data = self.codec.encode(self.machine.capture())
+            self._effects.extend(self.replica.compact(applied, data))
+            self._effects.append(Trace("snapshot_taken", {"index": applied, "bytes": len(data)}))
+
+    # Calls
+
+    def _handle_call(self, now: float, received: CallReceived) -> None:
+        message = received.message
+        if isinstance(message, COMMANDS):
+            self._propose(now, received.call, message)
+            return
+        handler = {
+            ConfigurationRequest: self._start_read,
+            FetchChunks: self._fetch_chunks,
+            Follow: self._follow,
+            Initialize: self._initialize,
+            Join: self._join,
+            Retire: self._retire,
+            StatusRequest: self._answer_status,
+            UnresolvedRequest: self._start_read,
+        }.get(type(message))
+        if handler is None:
+            detail = f"a control does not answer {type(message).__name__}"
+            self._reply(received.call, Refused(RefusedReason.UNKNOWN_NAME, detail=detail))
+            return
+        handler(now, received.call, message)
+
+    def _propose(self, now: float, call: int, command: Message) -> None:
+        index = self.replica.propose(now, self.codec.encode(command))
+        if index is None:
+            self._refuse_as_follower(call)
+            return
+        self._waiters.add_proposal(index, self.replica.term, call)
+
+    def _start_read(self, now: float, call: int, message: Message) -> None:
+        if not self.replica.has_committed_in_term:
+            self._refuse_as_follower(call)
+            return
+        number = self._waiters.add_read(call, message)
+        self._carry(now, self.replica.start_read(now, number))
+
+    def _answer_read(self, ready: ReadReady) -> None:
+        call, message = self._waiters.take_read(ready.number)
+        if call is None:
+            return
+        if isinstance(message, ConfigurationRequest):
+            self._reply(call, self._describe_followed(is_stale=False))
+        else:
+            records = self.machine.ledger.list_unresolved()
+            self._reply(call, UnresolvedOrders(self.machine.time, records))
+
+    def _follow(self, now: float, call: int, message: Follow) -> None:
+        self._attached[message.vm] = (message, now)
+        is_stale = not self.replica.is_current(now)
+        if is_stale or not message.is_patient or message.revision != self.machine.revision:
+            self._reply(call, self._describe_followed(is_stale=is_stale))
+            return
+        self._waiters.add_follower(FollowWaiter(call, now + FOLLOW_SECONDS))
+
+    def _answer_followers(self, now: float, *, force: bool = False) -> None:
+        is_stale = not self.replica.is_current(now)
+        for waiter in self._waiters.take_followers(now, all_of_them=force or is_stale):
+            self._reply(waiter.call, self._describe_followed(is_stale=is_stale))
+
+    def _describe_followed(self, *, is_stale: bool) -> Followed:
+        machine = self.machine
+        return Followed(
+            machine.cluster,
+            machine.revision,
+            machine.register.current,
+            machine.grants.list_ejections(),
+            tuple(sorted(machine.drained)),
+            is_stale,
+            self.leader_address,
+        )
+
+    def _fetch_chunks(self, now: float, call: int, message: FetchChunks) -> None:
+        held = self.machine.register.capture().chunks
+        wanted = set(message.digests)
+        self._reply(call, Chunks(tuple(chunk for chunk in held if chunk.digest in wanted)))
+
+    def _answer_status(self, now: float, call: int, message: StatusRequest) -> None:
+        self._reply(call, self.describe(now))
+
+    def _initialize(self, now: float, call: int, message: Initialize) -> None:
+        if self.is_initialized:
+            is_same = self.machine.cluster == message.cluster
+            refused = Refused(RefusedReason.ALREADY_INITIALIZED, detail=self.machine.cluster)
+            self._reply(call, Done() if is_same else refused)
+            return
+        state = ControlSnapshot(cluster=message.cluster, index=1, revision=0)
+        snapshot = Snapshot(1, 1, message.membership, self.codec.encode(state))
+        self.replica.log.compact(snapshot)
+        self.replica.commit = 1
+        self.replica.membership_index, self.replica.membership = 1, message.membership
+        self.machine.restore(state)
+        self._effects.append(SaveSnapshot(snapshot))
+        self._effects.append(Trace("initialized", {"cluster": message.cluster}))
+        self._reply(call, Done(1))
+
+    # Replicas that come and go
+
+    def _join(self, now: float, call: int, message: Join) -> None:
+        """Add a learner; only once it has caught up does it replace its old incarnation."""
+        membership = self.replica.membership
+        if not self.replica.has_committed_in_term:
+            self._refuse_as_follower(call)
+            return
+        if message.identity in membership.identities:
+            self._reply(call, Done(self.replica.commit))
+            return
+        if len(membership.voters) >= MAXIMUM_VOTERS and not _find_by_vm(membership, message.vm):
+            detail = f"there are {MAXIMUM_VOTERS} voters already"
+            self._reply(call, Refused(RefusedReason.BUSY, detail=detail))
+            return
+        learner = Member(message.identity, message.vm, message.address, voting=False)
+        stale = [item for item in _find_by_vm(membership, message.vm) if not item.voting]
+        members = tuple(item for item in membership.members if item not in stale)
+        self._propose_membership(now, call, Membership((*members, learner)))
+
+    def _retire(self, now: float, call: int, message: Retire) -> None:
+        membership = self.replica.membership
+        if not _find_by_vm(membership, message.vm):
+            detail = f"VM {message.vm!r} holds no replica"
+            self._reply(call, Refused(RefusedReason.UNKNOWN_NAME, detail=detail))
+            return
+        kept = tuple(item for item in membership.members if item.vm != message.vm)
+        self._propose_membership(now, call, Membership(kept))
+
+    def _propose_membership(self, now: float, call: int | None, membership: Membership) -> None:
+        index = self.replica.propose_membership(now, membership)
+        if call is None:
+            return
+        if index is None:
+            self._refuse_as_follower(call)
+            return
+        self._waiters.add_proposal(index, self.replica.term, call)
+
+    def _admit_learners(self, now: float) -> None:
+        """Take the next step for a learner that has caught up, one voter at a time.
+
+        The old incarnation is removed before the new one is added: a majority of a set that
+        swaps two voters at once need not meet a majority of the set before.
+        """
+        replica = self.replica
+        if replica.membership_index > replica.commit:
+            return
+        for learner in replica.membership.members:
+            behind = replica.commit - replica.get_match_index(learner.identity)
+            if learner.voting or behind > CATCH_UP_ENTRIES:
+                continue
+            lost = [item for item in _find_by_vm(replica.membership, learner.vm) if item.voting]
+            members = tuple(item for item in replica.membership.members if item not in lost)
+            if not lost:
+                admitted = replace(learner, voting=True)
+                members = tuple(admitted if item == learner else item for item in members)
+            self._propose_membership(now, None, Membership(members))
+            fields = {"learner": learner.identity, "removed": [item.identity for item in lost]}
+            self._effects.append(Trace("voters_changing", fields))
+            return
+
+    # Time
+
+    def _advance_clock(self, now: float) -> None:
+        due = self.machine.ledger.find_next_expiry() <= self.replica.compute_log_time(now)
+        if due and now - self._clock_at >= CLOCK_SECONDS:
+            self._clock_at = now
+            self.replica.propose(now, self.codec.encode(AdvanceClock()))
+
+    def _notice_isolation(self, now: float) -> None:
+        is_current = self.replica.is_current(now)
+        if is_current != self._was_current and self.is_initialized:
+            event = "control_rejoined" if is_current else "control_isolated"
+            self._effects.append(Trace(event, {"term": self.replica.term}))
+        self._was_current = is_current
+
+    def _list_attached(self, now: float) -> tuple[AttachedEntry, ...]:
+        return tuple(
+            AttachedEntry(
+                item.vm, item.http, item.peer, item.data_centre, item.version, now - heard_at
+            )
+            for item, heard_at in self._attached.values()
+            if now - heard_at < ATTACHED_SECONDS
+        )
+
+    def _refuse_as_follower(self, call: int) -> None:
+        reason = RefusedReason.NOT_LEADER
+        if not self.is_initialized:
+            reason = RefusedReason.NOT_INITIALIZED
+        elif self.replica.is_leader:
+            reason = RefusedReason.BUSY
+        self._reply(call, Refused(reason, self.leader_address))
+
+    def _reply(self, call: int, message: Message) -> None:
+        self._effects.append(Reply(call, message))
+
+    def _take_effects(self) -> list[Effect]:
+        effects = self._effects
+        self._effects = []
+        return effects
+
+
+def _find_by_vm(membership: Membership, vm: str) -> list[Member]:
+    return [member for member in membership.members if member.vm == vm]
--- /dev/null
+++ b/tarragonshelf/daemons/_administration.py
@@ -0,0 +1,86 @@
+"""Health and metrics on the administration port."""
+
+from collections.abc import Callable
+
+from aiohttp import web
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+
+LATENCY_BUCKETS = [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0]
+
+
+class Metrics:
+    """The metrics of one process."""
+
+    def __init__(self):
+        self.registry = Registry()
+        self._metrics: dict[str, object] = {}
+
+    def count(self, name: str, labels: dict[str, str] | None = None, value: int = 1) -> None:
+        """Add to a counter."""
+        self._get(Counter, name).add(labels or {}, value)
+
+    def set(self, name: str, value: float, labels: dict[str, str] | None = None) -> None:
+        """Set a gauge."""
+        self._get(Gauge, name).set(labels or {}, value)
+
+    def observe(self, name: str, value: float, labels: dict[str, str] | None = None) -> None:
+        """Add a value in seconds to a histogram."""
+        self._get(Histogram, name).observe(labels or {}, value)
+
+    def _get(self, kind: type, name: str):
+        if name not in self._metrics:
+            options = {"buckets": LATENCY_BUCKETS} if kind is Histogram else {}
+            document = name.replace("_", " ")
+            full_name = f"tarragonshelf_{name}"
+            self._metrics[name] = kind(full_name, document, registry=self.registry, **options)
+        return self._metrics[name]
+
+
+class AdministrationServer:
+    """Serves ``/health/live``, ``/health/ready`` and ``/metrics``.
+
+    Parameters
+    ----------
+    metrics : Metrics
+        What ``/metrics`` shows.
+    is_ready : callable
+        Tells whether the process can do its work.
+    refresh : callable
+        Sets the gauges before they are shown.
+    """
+
+    def __init__(
+        self, *, metrics: Metrics, is_ready: Callable[[], bool], refresh: Callable[[], None]
+    ):
+        self.metrics = metrics
+        self.is_ready = is_ready
+        self.refresh = refresh
+        self._runner: web.AppRunner | None = None
+
+    async def start(self, address: str) -> None:
+        """Listen on ``HOST:PORT``."""
+        application = web.Application()
+        application.router.add_get("/health/live", self._answer_live)
+        application.router.add_get("/health/ready", self._answer_ready)
+        application.router.add_get("/metrics", self._answer_metrics)
+        self._runner = web.AppRunner(application, access_log=None)
+        await self._runner.setup()
+        host, _, port = address.rpartition(":")
+        await web.TCPSite(self._runner, host, int(port)).start()
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _answer_live(self, request: web.Request) -> web.Response:
+        return web.json_response({"live": True})
+
+    async def _answer_ready(self, request: web.Request) -> web.Response:
+        ready = self.is_ready()
+        return web.json_response({"ready": ready}, status=200 if ready else 503)
+
+    async def _answer_metrics(self, request: web.Request) -> web.Response:
+        self.refresh()
+        content, headers = render(self.metrics.registry, request.headers.getall("Accept", []))
+        return web.Response(body=content, headers=headers)
--- /dev/null
+++ b/tarragonshelf/daemons/_control.py
@@ -0,0 +1,228 @@
+"""The control process."""
+
+import asyncio
+import secrets
+from random import SystemRandom
+
+from mode import Service
+
+from ..base import Effect, Message
+from ..consensus import SaveEntries, SaveHardState, SaveSnapshot, Send, Timing
+from ..control import (
+    CallReceived,
+    ControlNode,
+    Join,
+    PeerReceived,
+    Reply,
+    StopRequested,
+    Trace,
+)
+from ..settings import ControlSettings
+from ..storage import ReplicaStore, create_local_file_system
+from ..transport import CallTimeoutError, Connection, Frame, PeerServer, UnreachableError
+from ._administration import AdministrationServer, Metrics
+from ._logs import create_clock, create_logger
+from ._peers import PeerLinks
+
+TICK_SECONDS = 0.02
+JOIN_SECONDS = 1.0
+HANDOVER_SECONDS = 2.0
+INCARNATION_BYTES = 6
+SAVES = (SaveHardState, SaveEntries, SaveSnapshot)
+
+
+class ControlService(Service):
+    """Feeds a control's state machine with frames and time, and carries out its effects."""
+
+    def __init__(self, settings: ControlSettings, secret: bytes):
+        super().__init__()
+        self.settings = settings
+        self.clock = create_clock()
+        self.logger = create_logger(vm=settings.vm, role="control", clock=self.clock)
+        self.metrics = Metrics()
+        self.links = PeerLinks(
+            vm=settings.vm,
+            role="control",
+            secret=secret,
+            clock=self.clock,
+            handler=self._receive,
+        )
+        self.server = PeerServer(
+            vm=settings.vm,
+            secret=secret,
+            frames=self.links.frames,
+            clock=self.clock,
+            handler=self._receive,
+            report=self._report,
+        )
+        self.administration = AdministrationServer(
+            metrics=self.metrics, is_ready=self._is_ready, refresh=self._refresh
+        )
+        self.store: ReplicaStore | None = None
+        self.node: ControlNode | None = None
+        self._inbox: list[Message] = []
+        self._is_scheduled = False
+        self._calls: dict[int, tuple[Connection, int]] = {}
+        self._number = 0
+
+    async def on_start(self) -> None:
+        """Restore the data folder and listen."""
+        self.node = self._restore()
+        host, _, port = self.settings.peer.rpartition(":")
+        await self.server.start(host, int(port))
+        await self.administration.start(self.settings.administration)
+        self.logger.msg("control_started", identity=self.node.identity)
+
+    async def on_stop(self) -> None:
+        """Hand leadership over, then stop."""
+        await self._hand_over()
+        await self.server.stop()
+        await self.administration.stop()
+        self.links.close()
+        self.logger.msg("control_stopped")
+
+    @Service.task
+    async def _tick(self) -> None:
+        while not self.should_stop:
+            self._carry_out(self.node.tick(self._read_time()))
+            self._process()
+            await asyncio.sleep(TICK_SECONDS)
+
+    @Service.task
+    async def _join(self) -> None:
+        """Ask to be let in while the data folder is empty; a folder never forms a system."""
+        own = Join(self.node.identity, self.settings.vm, self.settings.peer)
+        while not self.should_stop:
+            is_member = self.node.identity in self.node.replica.membership.identities
+            if not is_member:
+                for control in self.settings.controls:
+                    await self._ask_to_join(control.address, own)
+            await asyncio.sleep(JOIN_SECONDS)
+
+    async def _ask_to_join(self, address: str, own: Join) -> None:
+        if address == self.settings.peer:
+            return
+        try:
+            await self.links.get(address).call(own, JOIN_SECONDS)
+        except (UnreachableError, CallTimeoutError):
+            return
+
+    def _restore(self) -> ControlNode:
+        settings = self.settings
+        self.store = ReplicaStore(
+            create_local_file_system(settings.data_folder), self.links.frames.codec
+        )
+        restored = self.store.restore(lambda: secrets.token_hex(INCARNATION_BYTES))
+        if restored.torn is not None:
+            torn = restored.torn
+            self._report(
+                "journal_torn_tail_cut", file=torn.name, offset=torn.offset, dropped=torn.dropped
+            )
+        return ControlNode(
+            vm=settings.vm,
+            incarnation=restored.incarnation,
+            address=settings.peer,
+            codec=self.links.frames.codec,
+            random=SystemRandom(),
+            hard_state=restored.hard_state,
+            snapshot=restored.snapshot,
+            entries=restored.entries,
+            timing=Timing(
+                heartbeat=settings.heartbeat_seconds, election=settings.election_seconds
+            ),
+            snapshot_entries=settings.snapshot_entries,
+        )
+
+    def _receive(self, connection: Connection, frame: Frame) -> None:
+        if frame.call:
+            self._number += 1
+            self._calls[self._number] = (connection, frame.call)
+            self._inbox.append(CallReceived(self._number, frame.message))
+        else:
+            self._inbox.append(PeerReceived(frame.message))
+        if not self._is_scheduled:
+            self._is_scheduled = True
+            asyncio.get_running_loop().call_soon(self._process)
+
+    def _process(self) -> None:
+        """Handle everything that arrived as one batch with one sync."""
+        self._is_scheduled = False
+        now = self._read_time()
+        inbox, self._inbox = self._inbox, []
+        effects: list[Effect] = []
+        for message in inbox:
+            effects += self.node.handle(now, message)
+        effects += self.node.flush(now)
+        self._carry_out(effects)
+
+    def _carry_out(self, effects: list[Effect]) -> None:
+        saves = [effect for effect in effects if isinstance(effect, SAVES)]
+        if saves:
+            self._save(saves)
+        for effect in effects:
+            if isinstance(effect, Send):
+                self._send(effect)
+            elif isinstance(effect, Reply):
+                self._reply(effect)
+            elif isinstance(effect, Trace):
+                self._report(effect.event, **effect.fields)
+
+    def _save(self, saves: list[Effect]) -> None:
+        try:
+            self.store.save(saves)
+        except OSError as error:
+            # What is not saved must not be acknowledged, and memory is ahead of the disk now.
+            self._report("storage_failed", problem=str(error))
+            raise SystemExit(1) from error
+
+    def _send(self, effect: Send) -> None:
+        address = effect.address or self._find_address(effect.identity)
+        if address:
+            self.links.get(address).post(effect.message)
+
+    def _find_address(self, identity: str) -> str:
+        vm = identity.partition("/")[0]
+        return next((item.address for item in self.settings.controls if item.vm == vm), "")
+
+    def _reply(self, effect: Reply) -> None:
+        connection, call = self._calls.pop(effect.call, (None, 0))
+        if connection is not None:
+            connection.send(effect.message, call=call, is_reply=True)
+
+    async def _hand_over(self) -> None:
+        if not self.node.replica.is_leader:
+            return
+        self._carry_out(self.node.handle(self._read_time(), StopRequested()))
+        deadline = self._read_time() + HANDOVER_SECONDS
+        while self.node.replica.is_leader and self._read_time() < deadline:
+            await asyncio.sleep(TICK_SECONDS)
+            self._carry_out(self.node.tick(self._read_time()))
+            self._process()
+
+    def _report(self, event: str, **fields) -> None:
+        self.metrics.count("events_total", {"event": event})
+        self.logger.msg(event, **fields)
+
+    def _is_ready(self) -> bool:
+        return self.node.is_initialized and self.node.replica.is_current(self._read_time())
+
+    def _refresh(self) -> None:
+        status = self.node.describe(self._read_time())
+        self.metrics.set("control_is_leader", int(status.leader == status.identity))
+        self.metrics.set("control_is_current", int(status.is_current))
+        self.metrics.set("control_term", status.term)
+        self.metrics.set("control_commit_index", status.commit)
+        self.metrics.set("control_log_entries", status.log_entries)
+        self.metrics.set("configuration_version", status.configuration.version)
+        self.metrics.set("ejections", len(status.ejections))
+        self.metrics.set("orders_unresolved", status.unresolved)
+        self.metrics.set("order_keys", status.keys)
+        self.metrics.set("entries_attached", len(status.entries))
+
+    def _read_time(self) -> float:
+        return asyncio.get_running_loop().time()
+
+
+def create_control_service(settings: ControlSettings, secret: bytes) -> ControlService:
+    """Return the service of a control process."""
+    return ControlService(settings, secret)
--- /dev/null
+++ b/tarragonshelf/daemons/_entry.py
@@ -0,0 +1,265 @@
+"""The entry process."""
+
+import asyncio
+from random import SystemRandom
+
+from mode import Service
+
+from ..base import Effect
+from ..control import Chunks, Done, FetchChunks, Follow, Followed, StatusRequest
+from ..entry import CallControl, ChunksWanted, EntryNode, InForce, SendEvidence
+from ..health import EvidenceDigest
+from ..membership import EntryRecord, EntryState, Gossip, GossipDue
+from ..settings import EntrySettings
+from ..transport import CallTimeoutError, Connection, Frame, PeerServer, UnreachableError
+from ..utils import rank_by_rendezvous
+from ._administration import AdministrationServer, Metrics
+from ._callers import CallerServer, read_incarnation
+from ._courier import Courier
+from ._logs import create_clock, create_logger
+from ._peers import LeaderClient, PeerLinks
+from ._runner import RequestRunner
+from ._upstream import Upstream
+
+TICK_SECONDS = 0.05
+FOLLOW_SECONDS = 3.0
+SURVEY_SECONDS = 1.0
+PAUSE_SECONDS = 0.2
+CHUNKS_PER_CALL = 64
+GOSSIP_SECONDS = 1.0
+
+
+class EntryService(Service):
+    """Feeds an entry's state machines with frames, requests and time."""
+
+    def __init__(self, settings: EntrySettings, secret: bytes):
+        super().__init__()
+        self.settings = settings
+        self.clock = create_clock()
+        self.logger = create_logger(vm=settings.vm, role="entry", clock=self.clock)
+        self.metrics = Metrics()
+        self.node = EntryNode(
+            own=_create_record(settings), seeds=settings.entries, random=SystemRandom()
+        )
+        self.links = PeerLinks(
+            vm=settings.vm, role="entry", secret=secret, clock=self.clock, handler=self._receive
+        )
+        self.server = PeerServer(
+            vm=settings.vm,
+            secret=secret,
+            frames=self.links.frames,
+            clock=self.clock,
+            handler=self._receive,
+            report=self._report,
+        )
+        addresses = [control.address for control in settings.controls]
+        self.controls = rank_by_rendezvous(settings.vm, addresses)
+        self.courier = Courier(LeaderClient(self.links, addresses))
+        self.upstream = Upstream(maximum_answer=settings.maximum_answer)
+        self.callers = CallerServer(
+            node=self.node,
+            runner=RequestRunner(
+                context=self.node,
+                balancer=self.node.balancer,
+                upstream=self.upstream,
+                courier=self.courier,
+                kept_answer=settings.kept_answer,
+                report=self._trace,
+            ),
+            carry_out=self._carry_out,
+            report=self._report,
+            metrics=self.metrics,
+            maximum_body=settings.maximum_body,
+            maximum_requests=settings.maximum_requests,
+            body_seconds=settings.body_seconds,
+        )
+        self.administration = AdministrationServer(
+            metrics=self.metrics, is_ready=self._is_ready, refresh=self._refresh
+        )
+        self._tasks: set[asyncio.Task] = set()
+        self._fetching: set[str] = set()
+
+    async def on_start(self) -> None:
+        """Listen for peers, callers and the platform."""
+        await self.upstream.start()
+        host, _, port = self.settings.peer.rpartition(":")
+        await self.server.start(host, int(port))
+        await self.callers.start(self.settings.http)
+        await self.administration.start(self.settings.administration)
+        self.logger.msg("entry_started", http=self.settings.http)
+
+    async def on_stop(self) -> None:
+        """Finish what is under way, then stop."""
+        await self.courier.finish(self.settings.stop_seconds)
+        await self.server.stop()
+        await self.administration.stop()
+        await self.upstream.stop()
+        self.links.close()
+        self.logger.msg("entry_stopped")
+
+    async def stop(self) -> None:
+        """Withdraw, wait until every answer that names this entry has run out, then stop."""
+        self._carry_out(self.node.stop(self._read_time()))
+        self._report("entry_withdrawn")
+        document = self.node.document
+        ttl = document.address_ttl_seconds if document else 0.0
+        await asyncio.sleep(ttl + GOSSIP_SECONDS)
+        await self.callers.stop(self.settings.stop_seconds)
+        await super().stop()
+
+    @Service.task
+    async def _tick(self) -> None:
+        while not self.should_stop:
+            self._carry_out(self.node.tick(self._read_time()))
+            await asyncio.sleep(TICK_SECONDS)
+
+    @Service.task
+    async def _follow(self) -> None:
+        """Follow one control, and move on from one that is silent or stale."""
+        await self._survey()
+        place = 0
+        while not self.should_stop:
+            address = self.controls[place % len(self.controls)]
+            followed = await self._ask(address, is_patient=True, timeout=FOLLOW_SECONDS)
+            if followed is None or followed.is_stale or not followed.cluster:
+                place += 1
+                await asyncio.sleep(PAUSE_SECONDS)
+
+    async def _survey(self) -> None:
+        """Ask all controls and seeds once, so that the highest version is taken first."""
+        addresses = [*self.controls, *self.settings.entries]
+        await asyncio.gather(
+            *(
+                self._ask(address, is_patient=False, timeout=SURVEY_SECONDS)
+                for address in addresses
+            )
+        )
+
+    async def _ask(self, address: str, *, is_patient: bool, timeout: float) -> Followed | None:
+        own = self.node.own
+        request = Follow(
+            vm=own.vm,
+            incarnation=str(own.incarnation),
+            revision=self.node.revision,
+            version=self.node.follower.version,
+            http=own.http,
+            peer=own.peer,
+            data_centre=own.data_centre,
+            is_patient=is_patient,
+        )
+        try:
+            answer = await self.links.get(address).call(request, timeout)
+        except (UnreachableError, CallTimeoutError):
+            return None
+        if not isinstance(answer, Followed):
+            return None
+        self._carry_out(self.node.follow(self._read_time(), address, answer))
+        return answer
+
+    async def _fetch(self, effect: ChunksWanted) -> None:
+        try:
+            for first in range(0, len(effect.digests), CHUNKS_PER_CALL):
+                wanted = FetchChunks(effect.digests[first : first + CHUNKS_PER_CALL])
+                chunks = await self.links.get(effect.source).call(wanted, FOLLOW_SECONDS)
+                if isinstance(chunks, Chunks):
+                    now = self._read_time()
+                    self._carry_out(self.node.receive_chunks(now, effect.source, chunks))
+        except (UnreachableError, CallTimeoutError):
+            self._report("chunks_not_fetched", source=effect.source)
+        finally:
+            self._fetching.discard(effect.source)
+
+    def _receive(self, connection: Connection, frame: Frame) -> None:
+        message = frame.message
+        now = self._read_time()
+        if isinstance(message, Gossip):
+            self._carry_out(self.node.handle(now, message))
+            self._catch_up(now, message)
+        elif isinstance(message, EvidenceDigest):
+            self._carry_out(self.node.handle(now, message))
+        elif frame.call:
+            connection.send(self._answer(now, message), call=frame.call, is_reply=True)
+
+    def _answer(self, now: float, message):
+        if isinstance(message, Follow):
+            return self.node.describe_followed()
+        if isinstance(message, FetchChunks):
+            return self.node.follower.list_chunks(message.digests)
+        if isinstance(message, StatusRequest):
+            return self.node.describe(now)
+        return Done()
+
+    def _catch_up(self, now: float, gossip: Gossip) -> None:
+        """Ask a peer that has a newer version in force, while no control tells of it."""
+        is_newer = gossip.revision > self.node.follower.in_force.revision
+        if is_newer and not self.node.is_control_reached(now):
+            address = gossip.source.peer
+            self._spawn(self._ask(address, is_patient=False, timeout=SURVEY_SECONDS))
+
+    def _carry_out(self, effects: list[Effect]) -> None:
+        for effect in effects:
+            if isinstance(effect, GossipDue):
+                self.links.get(effect.address).post(effect.message)
+            elif isinstance(effect, SendEvidence):
+                self.links.get(effect.address).post(effect.digest)
+            elif isinstance(effect, CallControl):
+                self.courier.post_once(effect.message)
+            elif isinstance(effect, ChunksWanted):
+                if effect.source not in self._fetching:
+                    self._fetching.add(effect.source)
+                    self._spawn(self._fetch(effect))
+            elif isinstance(effect, InForce):
+                version = effect.version
+                self._report(
+                    "configuration_in_force", version=version.version, author=version.author
+                )
+
+    def _spawn(self, work) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _report(self, event: str, **fields) -> None:
+        self.metrics.count("events_total", {"event": event})
+        self.logger.msg(event, **fields)
+
+    def _trace(self, event: str, **fields) -> None:
+        self.logger.msg(event, **fields)
+
+    def _is_ready(self) -> bool:
+        return self.node.document is not None and not self.node.is_stopping
+
+    def _refresh(self) -> None:
+        now = self._read_time()
+        status = self.node.describe(now)
+        self.metrics.set("configuration_version", status.version)
+        self.metrics.set("control_is_reached", int(status.is_control_reached))
+        self.metrics.set("requests_under_way", self.callers.under_way)
+        self.metrics.set("commands_under_way", self.courier.under_way)
+        alive = sum(1 for item in status.entries if item.state == EntryState.ALIVE)
+        self.metrics.set("entries_alive", alive)
+        for view in status.services:
+            labels = {"service": view.name}
+            self.metrics.set("targets_ready", view.ready, labels)
+            self.metrics.set("targets_healthy", view.healthy, labels)
+            self.metrics.set("targets_floor", view.floor, labels)
+
+    def _read_time(self) -> float:
+        return asyncio.get_running_loop().time()
+
+
+def _create_record(settings: EntrySettings) -> EntryRecord:
+    return EntryRecord(
+        vm=settings.vm,
+        incarnation=read_incarnation(),
+        sequence=0,
+        state=EntryState.ALIVE,
+        http=settings.http,
+        peer=settings.peer,
+        data_centre=settings.data_centre,
+    )
+
+
+def create_entry_service(settings: EntrySettings, secret: bytes) -> EntryService:
+    """Return the service of an entry process."""
+    return EntryService(settings, secret)
--- /dev/null
+++ b/tarragonshelf/daemons/_upstream.py
@@ -0,0 +1,138 @@
+"""Attempts at targets over HTTP."""
+
+import asyncio
+
+from aiohttp import (
+    ClientConnectorError,
+    ClientError,
+    ClientResponse,
+    ClientSession,
+    ClientTimeout,
+    ConnectionTimeoutError,
+    TCPConnector,
+)
+from multidict import CIMultiDict
+from yarl import URL
+
+from ..execution import Attempt, AttemptEnded, EndKind, Request
+from ..ledger import Answer, Header
+
+CONNECT_SECONDS = 1.0
+KEEPALIVE_SECONDS = 15.0
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+NOT_PASSED_ON = HOP_BY_HOP | {"content-length", "host"}
+
+
+class OversizedAnswerError(Exception):
+    """A target's answer exceeds what an entry takes."""
+
+
+class Upstream:
+    """Sends requests to targets.
+
+    Parameters
+    ----------
+    maximum_answer : int
+        Bytes that an answer's body may have.
+
+    Notes
+    -----
+    An answer belongs to its request by connection. One that was cancelled, timed out or broke
+    off is closed and never used again. Orders get a new connection each: on one that was used
+    before, a target may close just as the order is written, and nothing would prove then that
+    it did not run.
+    """
+
+    def __init__(self, *, maximum_answer: int):
+        self.maximum_answer = maximum_answer
+        self._shared: ClientSession | None = None
+        self._single: ClientSession | None = None
+
+    async def start(self) -> None:
+        """Create the sessions."""
+        shared = TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_SECONDS)
+        single = TCPConnector(limit=0, force_close=True)
+        self._shared = _create_session(shared)
+        self._single = _create_session(single)
+
+    async def stop(self) -> None:
+        """Close the sessions."""
+        for session in (self._shared, self._single):
+            if session is not None:
+                await session.close()
+
+    async def run(
+        self, request: Request, attempt: Attempt, headers: CIMultiDict, body: bytes
+    ) -> AttemptEnded:
+        """Carry out one attempt and tell how it ended."""
+        session = self._single if request.route.not_repeatable else self._shared
+        url = URL(f"http://{attempt.target.address}{request.path}", encoded=True)
+        try:
+            async with asyncio.timeout(attempt.timeout):
+                async with session.request(
+                    request.method, url, headers=headers, data=body or None, allow_redirects=False
+                ) as response:
+                    answer = await self._read(request, response)
+        except (ClientConnectorError, ConnectionTimeoutError):
+            return AttemptEnded(attempt.number, EndKind.NOT_SENT)
+        except TimeoutError:
+            return AttemptEnded(attempt.number, EndKind.TIMED_OUT)
+        except (ClientError, OSError, OversizedAnswerError, ValueError):
+            return AttemptEnded(attempt.number, EndKind.BROKEN)
+        is_refusal = answer.status in request.service.refusal_statuses
+        kind = EndKind.REFUSED if is_refusal else EndKind.ANSWERED
+        return AttemptEnded(attempt.number, kind, answer)
+
+    async def _read(self, request: Request, response: ClientResponse) -> Answer:
+        if not _is_delimited(request, response):
+            raise OversizedAnswerError("the answer's end cannot be told from a broken connection")
+        if (response.content_length or 0) > self.maximum_answer and request.method != "HEAD":
+            raise OversizedAnswerError(f"the answer exceeds {self.maximum_answer} bytes")
+        body = bytearray()
+        async for part in response.content.iter_any():
+            body += part
+            if len(body) > self.maximum_answer:
+                raise OversizedAnswerError(f"the answer exceeds {self.maximum_answer} bytes")
+        return Answer(response.status, _filter_headers(response.headers), bytes(body))
+
+
+def filter_request_headers(headers) -> CIMultiDict:
+    """Return a caller's headers without those that concern only one connection."""
+    named = {name.strip().lower() for name in headers.get("Connection", "").split(",")}
+    dropped = NOT_PASSED_ON | named
+    return CIMultiDict(
+        (name, value) for name, value in headers.items() if name.lower() not in dropped
+    )
+
+
+def _filter_headers(headers) -> tuple[Header, ...]:
+    return tuple(Header(name, value) for name, value in filter_request_headers(headers).items())
+
+
+def _is_delimited(request: Request, response: ClientResponse) -> bool:
+    """Tell whether a broken connection can be told from the answer's end."""
+    if request.method == "HEAD" or response.status in (204, 304):
+        return True
+    is_chunked = "chunked" in response.headers.get("Transfer-Encoding", "").lower()
+    return is_chunked or response.content_length is not None
+
+
+def _create_session(connector: TCPConnector) -> ClientSession:
+    return ClientSession(
+        connector=connector,
+        auto_decompress=False,
+        timeout=ClientTimeout(total=None, sock_connect=CONNECT_SECONDS),
+        skip_auto_headers=("Accept", "Accept-Encoding", "User-Agent", "Content-Type"),
+    )
--- /dev/null
+++ b/tarragonshelf/entry/_intake.py
@@ -0,0 +1,100 @@
+"""Checks of a request before its body is read."""
+
+from dataclasses import dataclass
+
+from expression import Error, Ok, Result
+
+from ..configuration import Route, Service
+from ..execution import CertainOutcome, Reject
+from ..limits import Priority
+from ._node import EntryNode
+
+HTTP_METHODS_WITHOUT_BODY = ("GET", "HEAD", "OPTIONS")
+ANONYMOUS = "anonymous"
+MAXIMUM_KEY_LENGTH = 200
+RETRY_AFTER_SECONDS = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class RequestHead:
+    """What is known of a request before its body; ``deadline`` in seconds from now."""
+
+    method: str
+    path: str
+    account: str
+    key: str
+    deadline: float | None
+    size: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class Admitted:
+    """A request that may go on, with its route, service and seconds left."""
+
+    route: Route
+    service: Service
+    seconds: float
+    priority: Priority
+
+
+class Intake:
+    """Refuses requests that must not run, before anything is spent on them.
+
+    Parameters
+    ----------
+    node : EntryNode
+        What the entry knows.
+    maximum_body : int
+        Bytes that a request's body may have.
+    """
+
+    def __init__(self, node: EntryNode, *, maximum_body: int):
+        self.node = node
+        self.maximum_body = maximum_body
+
+    def check(self, now: float, head: RequestHead) -> Result[Admitted, Reject]:
+        """Return how a request goes on, or the answer that refuses it."""
+        node = self.node
+        if node.routes is None:
+            reason = "no configuration is in force in this entry yet"
+            return _refuse(503, reason, RETRY_AFTER_SECONDS)
+        route = node.routes.match(head.method, head.path)
+        if route is None:
+            version = node.follower.version
+            reason = f"no route for {head.method} {head.path!r} in configuration {version}"
+            return _refuse(404, reason)
+        if head.size is not None and head.size > self.maximum_body:
+            return self.refuse_body(head.size)
+        if route.not_repeatable:
+            problem = _find_key_fault(route, head.key)
+            if problem:
+                return _refuse(400, problem)
+        entries = len(node.gossip.entries.list_alive())
+        wait = node.rates.take(now, head.account, entries)
+        if wait:
+            return _refuse(429, f"account {head.account!r} exceeds its rate", wait)
+        seconds = route.deadline_seconds
+        if head.deadline is not None:
+            seconds = min(seconds, head.deadline)
+        node.budget.earn()
+        priority = Priority.ORDER if route.not_repeatable else Priority.LOOKUP
+        return Ok(Admitted(route, node.get_service(route.service), seconds, priority))
+
+    def refuse_body(self, size: int) -> Result[Admitted, Reject]:
+        """Return the answer to a body that is too large."""
+        reason = f"a body of {size} bytes exceeds {self.maximum_body}"
+        return _refuse(413, reason)
+
+
+def _find_key_fault(route: Route, key: str) -> str:
+    if not key and route.key_required:
+        return f"route {route.name!r} requires the header Idempotency-Key"
+    if len(key) > MAXIMUM_KEY_LENGTH:
+        return f"the header Idempotency-Key exceeds {MAXIMUM_KEY_LENGTH} characters"
+    return ""
+
+
+def _refuse(
+    status: int, reason: str, retry_after: float | None = None
+) -> Result[Admitted, Reject]:
+    return Error(Reject(status, CertainOutcome.NOT_RUN, reason, retry_after))
--- /dev/null
+++ b/tarragonshelf/entry/_node.py
@@ -0,0 +1,309 @@
+"""One entry: what it knows, whom it tells, and the context of its requests."""
+
+from random import Random
+
+from ..base import Effect, Message, StateMachine
+from ..configuration import Document, Service
+from ..control import Chunks, Followed
+from ..execution import RequestContext
+from ..health import (
+    EvidenceBook,
+    EvidenceDigest,
+    HangBound,
+    Outcome,
+    PoisonNote,
+    ReadyTarget,
+    Watcher,
+)
+from ..ledger import ClaimId
+from ..limits import AccountRates, RetryBudget
+from ..membership import (
+    Announcement,
+    EntryRecord,
+    Gossip,
+    GossipNode,
+    TargetRecord,
+)
+from ..routing import AddressBook, Balancer, Choice, RouteTable
+from ..utils import rank_by_rendezvous
+from ._follower import ConfigurationFollower
+from ._messages import (
+    CallControl,
+    EntryStatus,
+    InForce,
+    SendEvidence,
+    ServiceView,
+    TargetView,
+)
+
+WATCHERS_PER_SERVICE = 2
+EVIDENCE_SECONDS = 0.25
+CONTROL_SILENCE_SECONDS = 3.0
+
+
+class EntryNode(StateMachine, RequestContext):
+    """The decisions of an entry process.
+
+    Parameters
+    ----------
+    own : EntryRecord
+        The record of this entry.
+    seeds : tuple of str
+        Peer addresses of other entries.
+    random : Random
+        Chooses peers and targets.
+    """
+
+    def __init__(self, *, own: EntryRecord, seeds: tuple[str, ...], random: Random):
+        self.own_vm = own.vm
+        self.gossip = GossipNode(own=own, seeds=seeds, random=random)
+        self.follower = ConfigurationFollower()
+        self.balancer = Balancer(
+            data_centre=own.data_centre, targets=self.gossip.targets, random=random
+        )
+        self.routes: RouteTable | None = None
+        self.rates: AccountRates | None = None
+        self.budget = RetryBudget(0.1)
+        self.revision = -1
+        self.is_stopping = False
+        self._addresses: AddressBook | None = None
+        self._services: dict[str, Service] = {}
+        self._ejections = ()
+        self._evidence = EvidenceBook()
+        self._hang_bounds: dict[str, HangBound] = {}
+        self._watchers: dict[str, Watcher] = {}
+        self._evidence_at = float("-inf")
+        self._control_heard_at = float("-inf")
+        self._claims = 0
+        self._pending: list[Effect] = []
+
+    # Queries
+
+    @property
+    def own(self) -> EntryRecord:
+        """The record of this entry."""
+        return self.gossip.entries.own
+
+    @property
+    def document(self) -> Document | None:
+        """The document in force."""
+        return self.follower.document
+
+    def get_service(self, name: str) -> Service:
+        """Return a service of the document in force; raises ``KeyError``."""
+        return self._services[name]
+
+    def is_control_reached(self, now: float) -> bool:
+        """Tell whether a control that is current answered of late."""
+        return now - self._control_heard_at < CONTROL_SILENCE_SECONDS
+
+    def list_addresses(self, caller: str, data_centre: str) -> tuple[str, ...]:
+        """Return the entry addresses for a caller, best first."""
+        if self._addresses is None:
+            return (self.own.http,)
+        records = self.gossip.entries.list_records()
+        return self._addresses.choose(caller=caller, data_centre=data_centre, records=records)
+
+    def describe(self, now: float) -> EntryStatus:
+        """Return what this entry sees."""
+        return EntryStatus(
+            vm=self.own_vm,
+            version=self.follower.version,
+            revision=self.revision,
+            is_control_reached=self.is_control_reached(now),
+            entries=self.gossip.entries.list_records(),
+            targets=tuple(self._view_target(item) for item in self.gossip.targets.list_records()),
+            services=tuple(self._view_service(item) for item in self._services.values()),
+        )
+
+    def describe_followed(self) -> Followed:
+        """Return the state that this entry has in force, for another entry."""
+        return Followed(
+            cluster=self.follower.cluster,
+            revision=self.revision,
+            configuration=self.follower.in_force,
+            ejections=self._ejections,
+        )
+
+    # Commands
+
+    def handle(self, now: float, message: Message) -> list[Effect]:
+        """Take gossip, evidence or an announcement in."""
+        if isinstance(message, Gossip):
+            return self.gossip.handle(now, message)
+        if isinstance(message, Announcement):
+            return self.gossip.announce(now, message)
+        if isinstance(message, EvidenceDigest):
+            self._take_evidence(now, message)
+        return []
+
+    def tick(self, now: float) -> list[Effect]:
+        """Let time pass."""
+        self.gossip.revision = self.follower.in_force.revision
+        effects = self.gossip.tick(now)
+        if now - self._evidence_at >= EVIDENCE_SECONDS:
+            self._evidence_at = now
+            effects += self._send_evidence(now)
+            effects += self._report_health(now)
+        effects += self._pending
+        self._pending = []
+        return effects
+
+    def follow(self, now: float, source: str, followed: Followed) -> list[Effect]:
+        """Take the word of a control, or of another entry while no control is reached."""
+        is_newer = followed.revision > self.revision
+        if not followed.is_stale and followed.cluster in ("", self.follower.cluster):
+            self._control_heard_at = now
+        effects = self._put_in_force(now, self.follower.follow(source, followed))
+        if is_newer and followed.cluster == self.follower.cluster:
+            self.revision = followed.revision
+            self._ejections = followed.ejections
+            self.balancer.set_ejections(now, followed.ejections)
+            if not self.is_stopping:
+                self.gossip.entries.set_drained(self.own_vm in followed.drained)
+        return effects
+
+    def receive_chunks(self, now: float, source: str, chunks: Chunks) -> list[Effect]:
+        """Take chunks of a configuration in."""
+        return self._put_in_force(now, self.follower.receive(source, chunks))
+
+    def stop(self, now: float) -> list[Effect]:
+        """Withdraw from callers."""
+        self.is_stopping = True
+        return self.gossip.leave(now)
+
+    # The context of requests
+
+    def choose_target(self, now: float, service: str, tried: frozenset[str]) -> Choice | None:
+        """Return a target that was not tried, or None."""
+        return self.balancer.choose(now, service, tried)
+
+    def spend_retry(self) -> bool:
+        """Take a retry from the budget, or return False."""
+        return self.budget.spend()
+
+    def compute_hang_seconds(self, service: Service) -> float:
+        """Return after how many seconds an unanswered attempt counts as hung."""
+        bound = self._hang_bounds.setdefault(service.name, HangBound())
+        return bound.compute(service.detection.hang_seconds)
+
+    def mint_claim(self) -> ClaimId:
+        """Return a claim that was never used before."""
+        self._claims += 1
+        return ClaimId(self.own_vm, str(self.own.incarnation), self._claims)
+
+    def is_quarantined(self, now: float, digest: str) -> bool:
+        """Tell whether a request crashed too many targets."""
+        return self.gossip.poison.is_quarantined(now, digest)
+
+    def record_outcome(
+        self, now: float, service: str, target: TargetRecord, outcome: Outcome
+    ) -> None:
+        """Take an attempt's outcome in as evidence about the target."""
+        self._evidence.record(service, target.address, str(target.incarnation), outcome)
+        if outcome in (Outcome.FAILED, Outcome.HUNG):
+            self.balancer.note_failure(now, target.address)
+        elif outcome == Outcome.SHED:
+            self.balancer.note_full(now, target.address)
+        else:
+            self.balancer.note_answer(target.address)
+
+    def record_seconds(self, service: str, seconds: float) -> None:
+        """Take the time of a whole answer in."""
+        self._hang_bounds.setdefault(service, HangBound()).record(seconds)
+
+    def record_crash(self, now: float, digest: str, target: TargetRecord) -> None:
+        """Take in that a target's connection broke under a request."""
+        note = PoisonNote(digest, target.address, str(target.incarnation))
+        self._pending += self.gossip.record_crash(now, note)
+
+    # Steps
+
+    def _put_in_force(self, now: float, effects: list[Effect]) -> list[Effect]:
+        for effect in effects:
+            if isinstance(effect, InForce):
+                self._configure(effect.document)
+        return effects
+
+    def _configure(self, document: Document) -> None:
+        self.routes = RouteTable(document)
+        self.rates = AccountRates(document)
+        self.budget.ratio = document.retry_ratio
+        self.balancer.configure(document)
+        self._addresses = AddressBook(document)
+        self._services = {service.name: service for service in document.services}
+        self._watchers = {
+            name: watcher
+            for name, watcher in self._watchers.items()
+            if name in self._services and self._services[name].detection == watcher.detection
+        }
+
+    def _list_watchers(self, service: str) -> list[str]:
+        alive = self.gossip.entries.list_alive()
+        return rank_by_rendezvous(f"watch {service}", alive)[:WATCHERS_PER_SERVICE]
+
+    def _send_evidence(self, now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        by_service: dict[str, list] = {}
+        for item in self._evidence.take():
+            by_service.setdefault(item.service, []).append(item)
+        for service, items in by_service.items():
+            digest = EvidenceDigest(self.own_vm, tuple(items))
+            for vm in self._list_watchers(service):
+                record = self.gossip.entries.get_record(vm)
+                if vm == self.own_vm:
+                    self._take_evidence(now, digest)
+                elif record is not None:
+                    effects.append(SendEvidence(record.peer, digest))
+        return effects
+
+    def _take_evidence(self, now: float, digest: EvidenceDigest) -> None:
+        for service in {item.service for item in digest.items}:
+            watcher = self._get_watcher(service)
+            if watcher is not None:
+                watcher.record(now, digest)
+
+    def _report_health(self, now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        entries = len(self.gossip.entries.list_alive())
+        for service in self._services:
+            if self.own_vm not in self._list_watchers(service):
+                self._watchers.pop(service, None)
+                continue
+            ready = tuple(
+                ReadyTarget(item.address, str(item.incarnation))
+                for item in self.gossip.targets.list_ready(service)
+            )
+            ejections = tuple(item for item in self._ejections if item.service == service)
+            report = self._get_watcher(service).report(
+                now, ready=ready, ejections=ejections, entries=entries
+            )
+            if report is not None:
+                effects.append(CallControl(report))
+        return effects
+
+    def _get_watcher(self, service: str) -> Watcher | None:
+        if service not in self._services:
+            return None
+        if service not in self._watchers:
+            detection = self._services[service].detection
+            self._watchers[service] = Watcher(self.own_vm, service, detection)
+        return self._watchers[service]
+
+    def _view_target(self, record: TargetRecord) -> TargetView:
+        is_ejected = self.balancer.is_ejected(record)
+        reasons = {item.target: item.reason for item in self._ejections}
+        return TargetView(
+            record.service,
+            record.address,
+            record.data_centre,
+            str(record.state),
+            self.balancer.get_outstanding(record.address),
+            is_ejected,
+            reasons.get(record.address, "") if is_ejected else "",
+        )
+
+    def _view_service(self, service: Service) -> ServiceView:
+        ready = self.gossip.targets.list_ready(service.name)
+        ejected = sum(1 for item in ready if self.balancer.is_ejected(item))
+        return ServiceView(service.name, len(ready), len(ready) - ejected, service.floor)
--- /dev/null
+++ b/tarragonshelf/execution/_lookup.py
@@ -0,0 +1,69 @@
+"""A request that may run more than once."""
+
+from ..base import Effect, Message
+from ..membership import TargetRecord
+from ._messages import (
+    AttemptEnded,
+    Cancel,
+    CertainOutcome,
+    EndKind,
+    Respond,
+    Started,
+)
+from ._request import RequestMachine
+
+_PROOF_OF_NOT_RUN = (EndKind.NOT_SENT, EndKind.REFUSED)
+
+
+class LookupMachine(RequestMachine):
+    """Tries targets until one answers, within the deadline and the retry budget.
+
+    A route that is not repeatable, but taken without a key, gets no second attempt unless the
+    first provably did not run.
+    """
+
+    def __init__(self, request, context):
+        super().__init__(request, context)
+        self._may_have_run = False
+
+    def handle(self, now: float, message: Message) -> list[Effect]:
+        """Take the start or an event of the attempt under way in."""
+        if not isinstance(message, Started):
+            return super().handle(now, message)
+        if self.context.is_quarantined(now, self.request.digest):
+            return [self._reject_poison()]
+        attempt = self._start_attempt(now)
+        return [attempt or self._reject_without_target()]
+
+    def _handle_slow(self, now: float) -> list[Effect]:
+        slow = self._attempt
+        if self.request.route.not_repeatable or not self.context.spend_retry():
+            return []
+        attempt = self._start_attempt(now)
+        if attempt is None:
+            self._attempt = slow
+            return []
+        self._may_have_run = True
+        return [Cancel(slow.number), attempt]
+
+    def _handle_end(self, now: float, target: TargetRecord, ended: AttemptEnded) -> list[Effect]:
+        if ended.kind == EndKind.ANSWERED:
+            self.is_done = True
+            return [Respond(ended.answer, CertainOutcome.RAN)]
+        if ended.kind not in _PROOF_OF_NOT_RUN:
+            self._may_have_run = True
+        if self._may_retry(now, ended):
+            attempt = self._start_attempt(now)
+            if attempt is not None:
+                return [attempt]
+        if not self._may_have_run:
+            return [self._reject_without_target()]
+        status = 504 if ended.kind == EndKind.TIMED_OUT else 502
+        reason = f"target {target.address} gave no whole answer"
+        return [self._reject(status, CertainOutcome.UNKNOWN, reason)]
+
+    def _may_retry(self, now: float, ended: AttemptEnded) -> bool:
+        is_safe = ended.kind in _PROOF_OF_NOT_RUN or not self.request.route.not_repeatable
+        if not is_safe or self.context.is_quarantined(now, self.request.digest):
+            return False
+        return self.context.spend_retry()
--- /dev/null
+++ b/tarragonshelf/execution/_order.py
@@ -0,0 +1,152 @@
+"""A request that must run at most once."""
+
+from ..base import Effect, Message
+from ..ledger import (
+    AbandonKey,
+    Answer,
+    ClaimId,
+    ClaimKey,
+    ClaimResult,
+    ClaimState,
+    OrderKey,
+    SettleKey,
+    SuspendKey,
+)
+from ..membership import TargetRecord
+from ._messages import (
+    AttemptEnded,
+    CertainOutcome,
+    ClaimAnswered,
+    Command,
+    EndKind,
+    Respond,
+    SettleAnswered,
+    Started,
+    SubmitClaim,
+    SubmitSettle,
+    Wait,
+    WaitEnded,
+)
+from ._request import RequestMachine
+
+CLAIM_SECONDS = 2.0
+SETTLE_SECONDS = 2.0
+PENDING_SECONDS = 0.1
+REPORT_MARGIN_SECONDS = 10.0
+RETRY_AFTER_SECONDS = 1.0
+
+
+class OrderMachine(RequestMachine):
+    """Claims the order's key, runs it at one target, and settles the claim with the answer.
+
+    Notes
+    -----
+    Nothing is sent to a target without a claim that was granted in time. Another target is
+    tried only with proof that the one before did not run the order.
+    """
+
+    def __init__(self, request, context):
+        super().__init__(request, context)
+        self.key = OrderKey(request.account, request.route.name, request.key)
+        self._claim: ClaimId | None = None
+        self._claim_sent_at = 0.0
+        self._answer: Answer | None = None
+
+    def handle(self, now: float, message: Message) -> list[Effect]:
+        """Take the start, the ledger's word or an event of the attempt under way in."""
+        if self.is_done:
+            return []
+        if isinstance(message, Started | WaitEnded):
+            return self._start_claim(now)
+        if isinstance(message, ClaimAnswered):
+            return self._handle_claim(now, message.result)
+        if isinstance(message, SettleAnswered):
+            return self._finish(message)
+        return super().handle(now, message)
+
+    def _start_claim(self, now: float) -> list[Effect]:
+        request = self.request
+        if self.context.is_quarantined(now, request.digest):
+            return [self._reject_poison()]
+        remaining = request.deadline - now
+        if remaining <= 0:
+            reason = "the order is being run for another request that has not ended"
+            return [self._reject(504, CertainOutcome.UNKNOWN, reason, RETRY_AFTER_SECONDS)]
+        self._claim = self.context.mint_claim()
+        self._claim_sent_at = now
+        command = ClaimKey(
+            claim=self._claim,
+            key=self.key,
+            digest=request.digest,
+            service=request.service.name,
+            patience=remaining + SETTLE_SECONDS + REPORT_MARGIN_SECONDS,
+            window=request.service.resend_window,
+        )
+        return [SubmitClaim(command, min(CLAIM_SECONDS, remaining))]
+
+    def _handle_claim(self, now: float, result: ClaimResult | None) -> list[Effect]:
+        is_late = now - self._claim_sent_at > CLAIM_SECONDS
+        if result is None or (result.state == ClaimState.GRANTED and is_late):
+            # The claim may still be granted, so it is given back until that is acknowledged.
+            reason = "the order could not be claimed in time"
+            rejected = self._reject(503, CertainOutcome.NOT_RUN, reason, RETRY_AFTER_SECONDS)
+            return [Command(AbandonKey(self._claim, self.key)), rejected]
+        if result.state == ClaimState.GRANTED:
+            return self._try_target(now)
+        return [self._answer_without_run(now, result)]
+
+    def _answer_without_run(self, now: float, result: ClaimResult) -> Effect:
+        if result.state == ClaimState.SETTLED:
+            self.is_done = True
+            return Respond(result.answer, CertainOutcome.REPLAYED)
+        if result.state == ClaimState.PENDING:
+            remaining = max(0.0, self.request.deadline - now)
+            return Wait(min(PENDING_SECONDS, remaining))
+        if result.state == ClaimState.CONFLICT:
+            reason = f"key {self.key.key!r} was used for another request"
+            return self._reject(422, CertainOutcome.NOT_RUN, reason)
+        if result.state == ClaimState.UNRESOLVED:
+            reason = "an earlier run of this order has no known outcome; an operator settles it"
+            return self._reject(409, CertainOutcome.UNKNOWN, reason)
+        reason = "the claim was given back"
+        return self._reject(503, CertainOutcome.NOT_RUN, reason, RETRY_AFTER_SECONDS)
+
+    def _try_target(self, now: float) -> list[Effect]:
+        attempt = self._start_attempt(now)
+        if attempt is not None:
+            return [attempt]
+        return [Command(AbandonKey(self._claim, self.key)), self._reject_without_target()]
+
+    def _handle_slow(self, now: float) -> list[Effect]:
+        return []
+
+    def _handle_end(self, now: float, target: TargetRecord, ended: AttemptEnded) -> list[Effect]:
+        if ended.kind == EndKind.ANSWERED:
+            self._answer = ended.answer
+            return [SubmitSettle(self._create_settle(ended.answer), SETTLE_SECONDS)]
+        if ended.kind in (EndKind.NOT_SENT, EndKind.REFUSED):
+            if self.context.spend_retry():
+                return self._try_target(now)
+            return [Command(AbandonKey(self._claim, self.key)), self._reject_without_target()]
+        reason = f"target {target.address} gave no whole answer ({ended.kind})"
+        status = 504 if ended.kind == EndKind.TIMED_OUT else 502
+        suspend = SuspendKey(self._claim, self.key, reason, target.address)
+        return [Command(suspend), self._reject(status, CertainOutcome.UNKNOWN, reason)]
+
+    def _create_settle(self, answer: Answer) -> SettleKey:
+        request = self.request
+        return SettleKey(
+            claim=self._claim,
+            key=self.key,
+            answer=answer,
+            digest=request.digest,
+            service=request.service.name,
+            window=request.service.resend_window,
+        )
+
+    def _finish(self, settled: SettleAnswered) -> list[Effect]:
+        self.is_done = True
+        effects: list[Effect] = [Respond(self._answer, CertainOutcome.RAN)]
+        if not settled.is_kept:
+            effects.insert(0, Command(self._create_settle(self._answer)))
+        return effects
--- /dev/null
+++ b/tarragonshelf/execution/_request.py
@@ -0,0 +1,124 @@
+"""What lookups and orders have in common."""
+
+from abc import abstractmethod
+
+from ..base import Effect, Message, StateMachine
+from ..health import Outcome
+from ..membership import TargetRecord
+from ._messages import (
+    Attempt,
+    AttemptEnded,
+    AttemptSlow,
+    CertainOutcome,
+    EndKind,
+    Reject,
+    Request,
+    RequestContext,
+)
+
+RETRY_AFTER_SECONDS = 1.0
+MAXIMUM_ATTEMPTS = 4
+
+
+class RequestMachine(StateMachine):
+    """One request, from the moment it was read to its answer.
+
+    Parameters
+    ----------
+    request : Request
+        What the caller asked for.
+    context : RequestContext
+        What the entry knows and keeps.
+
+    Notes
+    -----
+    At most one attempt is under way. An answer to any other attempt is ignored, so a late
+    answer can never become this request's.
+    """
+
+    def __init__(self, request: Request, context: RequestContext):
+        self.request = request
+        self.context = context
+        self.is_done = False
+        self._attempt: Attempt | None = None
+        self._attempts = 0
+        self._tried: frozenset[str] = frozenset()
+        self._started_at = 0.0
+
+    @abstractmethod
+    def _handle_slow(self, now: float) -> list[Effect]:
+        """Decide about an attempt without an answer by its hang bound."""
+
+    @abstractmethod
+    def _handle_end(self, now: float, target: TargetRecord, ended: AttemptEnded) -> list[Effect]:
+        """Decide what follows the end of the attempt under way."""
+
+    def tick(self, now: float) -> list[Effect]:
+        """Do nothing: all times of a request are bounds of its effects."""
+        return []
+
+    def handle(self, now: float, message: Message) -> list[Effect]:
+        """Take an event of the attempt under way in."""
+        attempt = self._attempt
+        if self.is_done or attempt is None or message.number != attempt.number:
+            return []
+        if isinstance(message, AttemptSlow):
+            self._record(now, attempt.target, Outcome.HUNG)
+            return self._handle_slow(now)
+        self._attempt = None
+        self._note_end(now, attempt, message)
+        return self._handle_end(now, attempt.target, message)
+
+    def _start_attempt(self, now: float) -> Attempt | None:
+        """Return an attempt at a target that was not tried, or None."""
+        remaining = self.request.deadline - now
+        if remaining <= 0 or self._attempts >= MAXIMUM_ATTEMPTS:
+            return None
+        choice = self.context.choose_target(now, self.request.service.name, self._tried)
+        if choice is None:
+            return None
+        self._attempts += 1
+        self._tried |= {choice.target.address}
+        hang = self.context.compute_hang_seconds(self.request.service)
+        self._started_at = now
+        self._attempt = Attempt(
+            self._attempts, choice.target, remaining, min(hang, remaining), choice.is_remote
+        )
+        return self._attempt
+
+    def _note_end(self, now: float, attempt: Attempt, ended: AttemptEnded) -> None:
+        service = self.request.service.name
+        if ended.kind == EndKind.ANSWERED:
+            self.context.record_seconds(service, now - self._started_at)
+            is_failure = ended.answer.status >= 500
+            outcome = Outcome.FAILED if is_failure else Outcome.ANSWERED
+        else:
+            outcome = _OUTCOMES[ended.kind]
+        self._record(now, attempt.target, outcome)
+        if ended.kind == EndKind.BROKEN:
+            self.context.record_crash(now, self.request.digest, attempt.target)
+
+    def _record(self, now: float, target: TargetRecord, outcome: Outcome) -> None:
+        self.context.record_outcome(now, self.request.service.name, target, outcome)
+
+    def _reject(
+        self, status: int, outcome: CertainOutcome, reason: str, retry_after: float | None = None
+    ) -> Reject:
+        self.is_done = True
+        return Reject(status, outcome, reason, retry_after)
+
+    def _reject_poison(self) -> Reject:
+        reason = "this request is quarantined: targets crashed as they ran it"
+        return self._reject(422, CertainOutcome.NOT_RUN, reason)
+
+    def _reject_without_target(self) -> Reject:
+        reason = f"no target of service {self.request.service.name!r} can take the request"
+        return self._reject(503, CertainOutcome.NOT_RUN, reason, RETRY_AFTER_SECONDS)
+
+
+_OUTCOMES = {
+    EndKind.NOT_SENT: Outcome.FAILED,
+    EndKind.REFUSED: Outcome.SHED,
+    EndKind.BROKEN: Outcome.FAILED,
+    EndKind.TIMED_OUT: Outcome.HUNG,
+}
--- /dev/null
+++ b/tarragonshelf/health/__init__.py
@@ -0,0 +1,39 @@
+"""Evidence about targets, detection of failing ones, and ejections above the floor."""
+
+from ._detector import Detector, TargetScore
+from ._evidence import EvidenceBook, HangBound, Outcome
+from ._grants import EjectionGrants
+from ._messages import (
+    Ejection,
+    Evidence,
+    EvidenceDigest,
+    GrantsState,
+    HealthResult,
+    ReadyTarget,
+    ReportHealth,
+    Suspect,
+    WatcherReport,
+)
+from ._poison import PoisonNote, PoisonRegister
+from ._watcher import Watcher
+
+__all__ = [
+    "Detector",
+    "Ejection",
+    "EjectionGrants",
+    "Evidence",
+    "EvidenceBook",
+    "EvidenceDigest",
+    "GrantsState",
+    "HangBound",
+    "HealthResult",
+    "Outcome",
+    "PoisonNote",
+    "PoisonRegister",
+    "ReadyTarget",
+    "ReportHealth",
+    "Suspect",
+    "TargetScore",
+    "Watcher",
+    "WatcherReport",
+]
--- /dev/null
+++ b/tarragonshelf/membership/__init__.py
@@ -0,0 +1,30 @@
+"""Which entries and targets there are, learnt by announcements and gossip."""
+
+from ._entries import EntryTable
+from ._gossip import GossipNode
+from ._messages import (
+    Announcement,
+    EntryRecord,
+    EntryState,
+    Gossip,
+    GossipDue,
+    TargetRecord,
+    TargetState,
+)
+from ._rumors import RumorQueue
+from ._targets import LEASE_SECONDS, TargetTable
+
+__all__ = [
+    "Announcement",
+    "EntryRecord",
+    "EntryState",
+    "EntryTable",
+    "Gossip",
+    "GossipDue",
+    "GossipNode",
+    "LEASE_SECONDS",
+    "RumorQueue",
+    "TargetRecord",
+    "TargetState",
+    "TargetTable",
+]
--- /dev/null
+++ b/tarragonshelf/membership/_entries.py
@@ -0,0 +1,137 @@
+"""The entries of the fleet, as one of them knows them."""
+
+from dataclasses import replace
+
+from ._messages import EntryRecord, EntryState
+from ._rumors import RumorQueue, compute_record_digest
+
+SUSPECT_SECONDS = 1.5
+FAIL_SECONDS = 3.0
+FORGET_SECONDS = 600.0
+
+
+class EntryTable:
+    """Entries by VM, with suspicion that the suspected entry itself can refute.
+
+    Parameters
+    ----------
+    own : EntryRecord
+        The record of the entry that holds the table.
+    """
+
+    def __init__(self, own: EntryRecord):
+        self.own = own
+        self.rumors = RumorQueue()
+        self.digest = 0
+        self._records: dict[str, EntryRecord] = {}
+        self._changed_at: dict[str, float] = {}
+        self._unanswered_since: dict[str, float] = {}
+        self._set_own(own)
+
+    # Queries
+
+    def list_records(self) -> tuple[EntryRecord, ...]:
+        """Return all records, one's own included."""
+        return tuple(self._records.values())
+
+    def list_peers(self) -> list[EntryRecord]:
+        """Return the other entries that may be reached."""
+        usable = (EntryState.ALIVE, EntryState.SUSPECTED, EntryState.LEAVING)
+        records = self._records.values()
+        return [item for item in records if item.vm != self.own.vm and item.state in usable]
+
+    def list_alive(self) -> list[str]:
+        """Return the VMs of entries that are neither suspected nor leaving, sorted."""
+        records = self._records.values()
+        return sorted(item.vm for item in records if item.state == EntryState.ALIVE)
+
+    def get_record(self, vm: str) -> EntryRecord | None:
+        """Return the record of a VM."""
+        return self._records.get(vm)
+
+    def has_failed_since(self, vm: str, now: float) -> float:
+        """Return for how many seconds a VM has been known as failed, or 0."""
+        record = self._records.get(vm)
+        if record is None or record.state != EntryState.FAILED:
+            return 0.0
+        return now - self._changed_at.get(vm, now)
+
+    # Commands
+
+    def merge(self, now: float, record: EntryRecord) -> bool:
+        """Take a record in and return whether it changed anything."""
+        if record.vm == self.own.vm:
+            self._refute(record)
+            return False
+        known = self._records.get(record.vm)
+        if known is not None and record.rank <= known.rank:
+            return False
+        self._put(now, record)
+        return True
+
+    def leave(self) -> None:
+        """Withdraw this entry for the rest of its incarnation."""
+        self._set_own(replace(self.own, state=EntryState.LEAVING, sequence=self.own.sequence + 1))
+
+    def set_drained(self, drained: bool) -> None:
+        """Withdraw this entry, or bring it back, by an operator's word."""
+        state = EntryState.LEAVING if drained else EntryState.ALIVE
+        if self.own.state != state:
+            self._set_own(replace(self.own, state=state, sequence=self.own.sequence + 1))
+
+    def note_sent(self, now: float, vm: str) -> None:
+        """Remember that an entry owes an answer."""
+        self._unanswered_since.setdefault(vm, now)
+
+    def note_heard(self, vm: str) -> None:
+        """Remember that an entry answered."""
+        self._unanswered_since.pop(vm, None)
+
+    def tick(self, now: float) -> None:
+        """Suspect entries that owe an answer, and give up on long suspected ones."""
+        for vm, since in list(self._unanswered_since.items()):
+            record = self._records.get(vm)
+            if record is None or now - since < SUSPECT_SECONDS:
+                continue
+            del self._unanswered_since[vm]
+            if record.state == EntryState.ALIVE:
+                self._put(now, replace(record, state=EntryState.SUSPECTED))
+        for record in list(self._records.values()):
+            age = now - self._changed_at.get(record.vm, now)
+            if record.state == EntryState.SUSPECTED and age >= FAIL_SECONDS:
+                self._put(now, replace(record, state=EntryState.FAILED))
+            elif record.state == EntryState.LEAVING and record.vm != self.own.vm:
+                self._fail_silent_leaver(now, record)
+            elif record.state == EntryState.FAILED and age >= FORGET_SECONDS:
+                self._replace(record.vm, None)
+
+    def _fail_silent_leaver(self, now: float, record: EntryRecord) -> None:
+        since = self._unanswered_since.get(record.vm)
+        if since is not None and now - since >= FAIL_SECONDS:
+            self._put(now, replace(record, state=EntryState.FAILED))
+
+    def _refute(self, record: EntryRecord) -> None:
+        """Outdo a record about this entry that it did not make itself."""
+        if record.rank <= self.own.rank:
+            return
+        incarnation = max(self.own.incarnation, record.incarnation)
+        sequence = max(self.own.sequence, record.sequence) + 1
+        self._set_own(replace(self.own, incarnation=incarnation, sequence=sequence))
+
+    def _set_own(self, record: EntryRecord) -> None:
+        self.own = record
+        self._replace(record.vm, record)
+        self.rumors.add(record.vm, record)
+
+    def _put(self, now: float, record: EntryRecord) -> None:
+        self._replace(record.vm, record)
+        self._changed_at[record.vm] = now
+        self.rumors.add(record.vm, record)
+
+    def _replace(self, vm: str, record: EntryRecord | None) -> None:
+        known = self._records.pop(vm, None)
+        if known is not None:
+            self.digest ^= compute_record_digest(vm, known.rank)
+        if record is not None:
+            self.digest ^= compute_record_digest(vm, record.rank)
+            self._records[vm] = record
--- /dev/null
+++ b/tarragonshelf/membership/_targets.py
@@ -0,0 +1,186 @@
+"""The targets, as one entry knows them."""
+
+from dataclasses import replace
+from hashlib import blake2b
+
+from ._messages import Announcement, TargetRecord, TargetState
+from ._rumors import RumorQueue, compute_record_digest
+
+LEASE_SECONDS = 3.0
+FORGET_SECONDS = 300.0
+BUCKETS = 16
+
+
+class TargetTable:
+    """Targets by address, with a lease for those that announce themselves here.
+
+    Renewals of a lease stay with the registrar. Only changes of state travel, and a registrar
+    that heard a later announcement than the one that made another call the target silent
+    refutes that.
+    """
+
+    def __init__(self, name: str):
+        self.name = name
+        self.rumors = RumorQueue()
+        self._records: dict[str, TargetRecord] = {}
+        self._renewed: dict[str, tuple[float, Announcement]] = {}
+        self._changed_at: dict[str, float] = {}
+        self._digests = [0] * BUCKETS
+
+    # Queries
+
+    def list_records(self) -> tuple[TargetRecord, ...]:
+        """Return all records."""
+        return tuple(self._records.values())
+
+    def list_ready(self, service: str) -> list[TargetRecord]:
+        """Return the targets of a service that take new work, sorted by address."""
+        found = (
+            item
+            for item in self._records.values()
+            if item.service == service and item.state == TargetState.READY
+        )
+        return sorted(found, key=lambda item: item.address)
+
+    def get_record(self, address: str) -> TargetRecord | None:
+        """Return the record of an address."""
+        return self._records.get(address)
+
+    def get_ready_since(self, address: str) -> float:
+        """Return when an address last changed its state, in seconds of the entry's clock."""
+        return self._changed_at.get(address, float("-inf"))
+
+    def list_buckets(self) -> tuple[int, ...]:
+        """Return a digest of each bucket of records."""
+        return tuple(self._digests)
+
+    def list_bucket(self, number: int) -> tuple[TargetRecord, ...]:
+        """Return the records of one bucket."""
+        records = self._records.values()
+        return tuple(item for item in records if _find_bucket(item.address) == number)
+
+    # Commands
+
+    def announce(self, now: float, announcement: Announcement) -> bool:
+        """Renew a target's lease and return whether the fleet is to be told of a change."""
+        known = self._renewed.get(announcement.address)
+        if known is not None and _get_order(known[1]) >= _get_order(announcement):
+            return False
+        self._renewed[announcement.address] = (now, announcement)
+        record = _create_record(announcement)
+        current = self._records.get(announcement.address)
+        if current is not None and record.rank <= current.rank:
+            return False
+        if current is not None and _is_same_but_sequence(current, record):
+            return False
+        self._put(now, record)
+        return True
+
+    def merge(self, now: float, record: TargetRecord) -> bool:
+        """Take a record of another entry in and return whether it changed anything."""
+        current = self._records.get(record.address)
+        if current is not None and record.rank <= current.rank:
+            return False
+        renewed = self._renewed.get(record.address)
+        if renewed is not None:
+            own = _create_record(renewed[1])
+            if own.rank > record.rank:
+                is_change = current is None or not _is_same_but_sequence(current, own)
+                if is_change or record.state == TargetState.SILENT:
+                    self._put(now, own)
+                return False
+        elif self.name in record.registrars and record.state == TargetState.READY:
+            self._renewed[record.address] = (now, _create_announcement(record))
+        self._put(now, record)
+        return True
+
+    def tick(self, now: float, failed_seconds) -> list[TargetRecord]:
+        """End leases that were not renewed and return the targets that fell silent.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        failed_seconds : callable
+            Returns for how many seconds an entry VM has been known as failed, or 0.
+        """
+        silent = []
+        for address, (renewed_at, announcement) in list(self._renewed.items()):
+            if now - renewed_at >= LEASE_SECONDS:
+                del self._renewed[address]
+                silent += self._silence(now, address, announcement.sequence)
+        for record in list(self._records.values()):
+            is_orphaned = record.registrars and all(
+                failed_seconds(vm) >= LEASE_SECONDS for vm in record.registrars
+            )
+            if is_orphaned and record.address not in self._renewed:
+                silent += self._silence(now, record.address, record.sequence)
+            elif record.state in (TargetState.SILENT, TargetState.LEAVING):
+                self._forget(now, record)
+        return silent
+
+    def _silence(self, now: float, address: str, sequence: int) -> list[TargetRecord]:
+        record = self._records.get(address)
+        if record is None or record.state not in (TargetState.READY, TargetState.STARTING):
+            return []
+        silent = replace(record, state=TargetState.SILENT, sequence=max(sequence, record.sequence))
+        self._put(now, silent)
+        return [silent]
+
+    def _forget(self, now: float, record: TargetRecord) -> None:
+        if now - self._changed_at[record.address] >= FORGET_SECONDS:
+            self._update_digest(record)
+            del self._records[record.address]
+            del self._changed_at[record.address]
+
+    def _put(self, now: float, record: TargetRecord) -> None:
+        known = self._records.get(record.address)
+        if known is not None:
+            self._update_digest(known)
+        self._update_digest(record)
+        self._records[record.address] = record
+        self._changed_at[record.address] = now
+        self.rumors.add(record.address, record)
+
+    def _update_digest(self, record: TargetRecord) -> None:
+        # An exclusive or adds a record to its bucket's digest and takes it out again.
+        value = compute_record_digest(record.address, record.rank)
+        self._digests[_find_bucket(record.address)] ^= value
+
+
+def _find_bucket(address: str) -> int:
+    return blake2b(address.encode(), digest_size=1).digest()[0] % BUCKETS
+
+
+def _get_order(announcement: Announcement) -> tuple[int, int]:
+    return (announcement.incarnation, announcement.sequence)
+
+
+def _is_same_but_sequence(first: TargetRecord, second: TargetRecord) -> bool:
+    return replace(first, sequence=0) == replace(second, sequence=0)
+
+
+def _create_record(announcement: Announcement) -> TargetRecord:
+    return TargetRecord(
+        announcement.service,
+        announcement.address,
+        announcement.data_centre,
+        announcement.slots,
+        announcement.state,
+        announcement.incarnation,
+        announcement.sequence,
+        announcement.registrars,
+    )
+
+
+def _create_announcement(record: TargetRecord) -> Announcement:
+    return Announcement(
+        record.service,
+        record.address,
+        record.data_centre,
+        record.slots,
+        record.state,
+        record.incarnation,
+        record.sequence,
+        record.registrars,
+    )
--- /dev/null
+++ b/tarragonshelf/queries/_fleet.py
@@ -0,0 +1,101 @@
+"""The state of the fleet, as its processes report it."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from ..commands import OperatorClient, RefusedError
+from ..configuration import assemble_document
+from ..control import (
+    ConfigurationRequest,
+    ControlStatus,
+    FetchChunks,
+    Followed,
+    UnresolvedOrders,
+    UnresolvedRequest,
+)
+from ..entry import EntryStatus
+from ..ledger import KeyRecord
+
+CHUNKS_PER_CALL = 64
+
+
+@dataclass(frozen=True, slots=True)
+class FleetStatus:
+    """What the reachable controls see, one entry's view, and controls that are silent."""
+
+    controls: tuple[ControlStatus, ...]
+    entry: EntryStatus | None
+    silent: tuple[str, ...]
+
+
+async def describe_fleet(client: OperatorClient) -> FleetStatus:
+    """Return what the fleet reports of itself; raises ``RefusedError`` if no control answers."""
+    controls = await client.ask_controls()
+    if not controls:
+        raise RefusedError(f"no control answers at {', '.join(client.addresses)}")
+    newest = max(controls, key=lambda item: (item.is_current, item.term, item.commit))
+    reached = {item.identity for item in controls}
+    silent = sorted(
+        member.vm for member in newest.membership.members if member.identity not in reached
+    )
+    return FleetStatus(tuple(controls), await client.ask_entry(controls), tuple(silent))
+
+
+async def describe_unresolved(client: OperatorClient) -> tuple[KeyRecord, ...]:
+    """Return all orders whose outcome is not known; raises ``RefusedError``."""
+    answer: UnresolvedOrders = await client.submit(UnresolvedRequest())
+    return answer.records
+
+
+async def fetch_configuration(client: OperatorClient) -> tuple[Followed, dict[str, Any]]:
+    """Return the version in force and its document; raises ``RefusedError``."""
+    followed: Followed = await client.submit(ConfigurationRequest())
+    manifest = followed.configuration.manifest
+    contents: dict[str, bytes] = {}
+    for first in range(0, len(manifest), CHUNKS_PER_CALL):
+        wanted = FetchChunks(manifest[first : first + CHUNKS_PER_CALL])
+        chunks = await client.submit(wanted)
+        contents |= {chunk.digest: chunk.content for chunk in chunks.items}
+    missing = [digest for digest in manifest if digest not in contents]
+    if missing:
+        raise RefusedError(f"{len(missing)} chunks of the configuration were replaced meanwhile")
+    return followed, assemble_document([contents[digest] for digest in manifest])
+
+
+def format_status(status: FleetStatus) -> list[str]:
+    """Return the status as short lines for a person."""
+    lines = [_format_control(item) for item in status.controls]
+    lines += [f"control {vm}: does not answer" for vm in status.silent]
+    entries = {entry.vm: entry for item in status.controls for entry in item.entries}
+    for vm, entry in sorted(entries.items()):
+        lines.append(f"entry {vm} ({entry.data_centre}): version {entry.version} in force")
+    unresolved = max(item.unresolved for item in status.controls)
+    lines.append(f"orders unresolved: {unresolved}")
+    if status.entry is not None:
+        lines += _format_view(status.entry)
+    return lines
+
+
+def _format_control(status: ControlStatus) -> str:
+    trouble = "" if status.is_current else " ISOLATED: hears no leader or majority;"
+    voters = len(status.membership.voters)
+    return (
+        f"control {status.vm}: {status.role} in term {status.term},{trouble}"
+        f" commit {status.commit}, {voters} voters,"
+        f" configuration {status.configuration.version}"
+    )
+
+
+def _format_view(view: EntryStatus) -> list[str]:
+    lines = [f"as entry {view.vm} sees it:"]
+    for service in view.services:
+        lines.append(
+            f"service {service.name}: {service.healthy} of {service.ready} ready targets healthy,"
+            f" floor {service.floor}"
+        )
+    for target in view.targets:
+        if target.is_ejected:
+            lines.append(f"target {target.address} ({target.service}): ejected: {target.reason}")
+        elif target.state != "ready":
+            lines.append(f"target {target.address} ({target.service}): {target.state}")
+    return lines
--- /dev/null
+++ b/tarragonshelf/storage/_store.py
@@ -0,0 +1,178 @@
+"""Durable state of one replica: term, vote, log entries, snapshot and incarnation."""
+
+from dataclasses import dataclass
+
+from ..base import Codec
+from ..consensus import (
+    HardState,
+    LogEntry,
+    Record,
+    SaveEntries,
+    SaveHardState,
+    SaveSnapshot,
+    Snapshot,
+)
+from ._files import FileSystem
+from ._journal import CorruptionError, Journal, TornTail, encode_frame
+
+INCARNATION = "incarnation"
+SNAPSHOT = "snapshot"
+JOURNAL_PREFIX = "journal-"
+SEQUENCE_DIGITS = 12
+
+
+@dataclass(frozen=True, slots=True)
+class RestoredState:
+    """What a replica finds in its data folder at the start."""
+
+    incarnation: str
+    hard_state: HardState
+    snapshot: Snapshot | None
+    entries: tuple[LogEntry, ...]
+    torn: TornTail | None
+
+
+class ReplicaStore:
+    """Keeps what a replica must never forget.
+
+    Parameters
+    ----------
+    files : FileSystem
+        The data folder.
+    codec : Codec
+        Encodes records and snapshots.
+    """
+
+    def __init__(self, files: FileSystem, codec: Codec):
+        self.files = files
+        self.codec = codec
+        self._sequence = 0
+        self._hard_state = HardState()
+        self._is_named = False
+
+    def restore(self, mint_incarnation) -> RestoredState:
+        """Read the folder, minting an incarnation if it is empty.
+
+        Raises
+        ------
+        CorruptionError
+            If synced content is damaged, or journals exist without an incarnation.
+        """
+        names = self.files.list_names()
+        incarnation = self._restore_incarnation(names, mint_incarnation)
+        snapshot = self._restore_snapshot(names)
+        entries, torn = self._restore_journals(names, snapshot)
+        return RestoredState(incarnation, self._hard_state, snapshot, entries, torn)
+
+    def save(self, effects) -> None:
+        """Write the storage effects of one batch and make them last with one sync."""
+        records = []
+        for effect in effects:
+            if isinstance(effect, SaveSnapshot):
+                self._save_records(records)
+                records = []
+                self._save_snapshot(effect)
+            elif isinstance(effect, SaveEntries):
+                records.append(Record(entries=effect.entries, first_index=effect.first_index))
+            elif isinstance(effect, SaveHardState):
+                self._hard_state = effect.hard_state
+                records.append(Record(hard_state=effect.hard_state))
+        self._save_records(records)
+
+    def _save_records(self, records: list[Record]) -> None:
+        if not records:
+            return
+        name = _name_journal(self._sequence)
+        contents = [self.codec.encode(record) for record in records]
+        frame = b"".join(len(part).to_bytes(4, "big") + part for part in contents)
+        Journal(self.files, name).append(frame)
+        if not self._is_named:
+            self.files.sync_folder()
+            self._is_named = True
+
+    def _save_snapshot(self, effect: SaveSnapshot) -> None:
+        """Replace the snapshot, then start a journal that holds only what comes after it.
+
+        The old journals go last, so that a crash in between finds either the old or the new
+        state whole.
+        """
+        content = encode_frame(self.codec.encode(effect.snapshot))
+        self.files.replace(SNAPSHOT, content)
+        old = [name for name in self.files.list_names() if _is_journal(name)]
+        self._sequence = max([_parse_sequence(name) for name in old], default=0) + 1
+        first_index = effect.snapshot.index + 1
+        tail = Record(entries=effect.entries, first_index=first_index)
+        records = [Record(hard_state=self._hard_state), tail]
+        contents = [self.codec.encode(record) for record in records]
+        frame = b"".join(len(part).to_bytes(4, "big") + part for part in contents)
+        self.files.replace(_name_journal(self._sequence), encode_frame(frame))
+        for name in old:
+            self.files.remove(name)
+        self.files.sync_folder()
+
+    def _restore_incarnation(self, names: list[str], mint_incarnation) -> str:
+        if INCARNATION in names:
+            return self.files.read(INCARNATION).decode()
+        if SNAPSHOT in names or any(_is_journal(name) for name in names):
+            raise CorruptionError(INCARNATION, 0, "the file is missing beside a journal")
+        incarnation = mint_incarnation()
+        self.files.replace(INCARNATION, incarnation.encode())
+        return incarnation
+
+    def _restore_snapshot(self, names: list[str]) -> Snapshot | None:
+        if SNAPSHOT not in names:
+            return None
+        recovery = Journal(self.files, SNAPSHOT).recover()
+        if recovery.torn is not None or len(recovery.frames) != 1:
+            raise CorruptionError(SNAPSHOT, 0, "the snapshot is not whole")
+        return self.codec.decode(recovery.frames[0])
+
+    def _restore_journals(self, names: list[str], snapshot: Snapshot | None):
+        journals = [name for name in names if _is_journal(name)]
+        entries: dict[int, LogEntry] = {}
+        torn = None
+        for position, name in enumerate(journals):
+            recovery = Journal(self.files, name).recover()
+            if recovery.torn is not None and position < len(journals) - 1:
+                raise CorruptionError(name, recovery.torn.offset, "an earlier journal is torn")
+            torn = recovery.torn
+            for frame in recovery.frames:
+                self._replay(frame, entries)
+            self._sequence = _parse_sequence(name)
+        base = snapshot.index if snapshot is not None else 0
+        kept = sorted(index for index in entries if index > base)
+        if kept and kept != list(range(base + 1, base + 1 + len(kept))):
+            raise CorruptionError(journals[-1], 0, f"log entries after index {base} have a gap")
+        return tuple(entries[index] for index in kept), torn
+
+    def _replay(self, frame: bytes, entries: dict[int, LogEntry]) -> None:
+        for content in _split_frame(frame):
+            record = self.codec.decode(content)
+            if record.hard_state is not None:
+                self._hard_state = record.hard_state
+            if record.first_index:
+                stale = record.first_index
+                while entries.pop(stale, None) is not None:
+                    stale += 1
+                for entry in record.entries:
+                    entries[entry.index] = entry
+
+
+def _split_frame(frame: bytes):
+    offset = 0
+    while offset < len(frame):
+        length = int.from_bytes(frame[offset : offset + 4], "big")
+        yield frame[offset + 4 : offset + 4 + length]
+        offset += 4 + length
+
+
+def _name_journal(sequence: int) -> str:
+    return f"{JOURNAL_PREFIX}{sequence:0{SEQUENCE_DIGITS}d}"
+
+
+def _is_journal(name: str) -> bool:
+    return name.startswith(JOURNAL_PREFIX) and not name.endswith(".temporary")
+
+
+def _parse_sequence(name: str) -> int:
+    return int(name.removeprefix(JOURNAL_PREFIX))
--- /dev/null
+++ b/tarragonshelf/transport/_connection.py
@@ -0,0 +1,330 @@
+"""Connections between processes, with calls and one-way messages on them."""
+
+import asyncio
+import secrets
+from asyncio import StreamReader, StreamWriter
+from collections.abc import Awaitable, Callable
+
+from ..base import FrameError, Message
+from ..utils import HybridClock
+from ._frames import MAXIMUM_HANDSHAKE_BYTES, Frame, FrameCodec
+from ._handshake import NONCE_BYTES, Challenge, Proof, Welcome, compute_proof, is_proof
+
+CONNECT_SECONDS = 1.0
+HANDSHAKE_SECONDS = 2.0
+MAXIMUM_QUEUED_BYTES = 8 << 20
+REDIAL_SECONDS = 0.1
+
+
+class UnreachableError(ConnectionError):
+    """No connection to a peer could be made, or it broke."""
+
+
+class CallTimeoutError(TimeoutError):
+    """A peer did not answer a call in time; it may still carry it out."""
+
+
+Handler = Callable[["Connection", Frame], Awaitable[None] | None]
+
+
+class Connection:
+    """One open connection after its handshake."""
+
+    def __init__(
+        self,
+        *,
+        reader: StreamReader,
+        writer: StreamWriter,
+        frames: FrameCodec,
+        clock: HybridClock,
+        peer: str,
+        role: str = "",
+    ):
+        self.reader = reader
+        self.writer = writer
+        self.frames = frames
+        self.clock = clock
+        self.peer = peer
+        self.role = role
+        self._calls: dict[int, asyncio.Future] = {}
+        self._number = 0
+
+    @property
+    def is_open(self) -> bool:
+        """Whether frames can still be sent."""
+        return not self.writer.is_closing()
+
+    def send(self, message: Message, *, call: int = 0, is_reply: bool = False) -> None:
+        """Queue a frame; a peer that takes too little for too long loses the connection."""
+        if not self.is_open:
+            return
+        frame = Frame(message, call, is_reply, self.clock.stamp())
+        self.writer.write(self.frames.write(frame))
+        if self.writer.transport.get_write_buffer_size() > MAXIMUM_QUEUED_BYTES:
+            self.close()
+
+    async def call(self, message: Message, timeout: float) -> Message:
+        """Send a call and return its answer.
+
+        Raises
+        ------
+        UnreachableError
+            If the connection breaks first.
+        CallTimeoutError
+            If there is no answer in ``timeout`` seconds.
+        """
+        if not self.is_open:
+            raise UnreachableError(f"the connection to {self.peer} is closed")
+        self._number += 1
+        number = self._number
+        future = asyncio.get_running_loop().create_future()
+        self._calls[number] = future
+        try:
+            self.send(message, call=number)
+            return await asyncio.wait_for(future, timeout)
+        except TimeoutError as error:
+            raise CallTimeoutError(f"{self.peer} did not answer in {timeout} s") from error
+        finally:
+            self._calls.pop(number, None)
+
+    async def read(self, handler: Handler) -> None:
+        """Hand every frame to a handler, and answers to their calls, until the end.
+
+        Raises
+        ------
+        FrameError
+            If the peer sends a malformed or oversized frame.
+        """
+        try:
+            while (frame := await self.frames.read(self.reader)) is not None:
+                self.clock.observe(frame.stamp)
+                if frame.is_reply:
+                    self._resolve(frame)
+                else:
+                    outcome = handler(self, frame)
+                    if outcome is not None:
+                        await outcome
+        finally:
+            self.close()
+
+    def close(self) -> None:
+        """Close the connection and fail its open calls."""
+        self.writer.close()
+        for future in self._calls.values():
+            if not future.done():
+                future.set_exception(UnreachableError(f"the connection to {self.peer} broke"))
+
+    def _resolve(self, frame: Frame) -> None:
+        future = self._calls.get(frame.call)
+        if future is not None and not future.done():
+            future.set_result(frame.message)
+
+
+class PeerServer:
+    """Accepts connections of peers and operators that know the fleet secret.
+
+    Parameters
+    ----------
+    vm : str
+        The VM of this process.
+    secret : bytes
+        The fleet secret.
+    handler : callable
+        Takes a connection and a frame.
+    report : callable
+        Takes an event name and fields; refused and broken connections are told there.
+    """
+
+    def __init__(
+        self,
+        *,
+        vm: str,
+        secret: bytes,
+        frames: FrameCodec,
+        clock: HybridClock,
+        handler: Handler,
+        report: Callable[..., None],
+    ):
+        self.vm = vm
+        self.secret = secret
+        self.frames = frames
+        self.clock = clock
+        self.handler = handler
+        self.report = report
+        self._server: asyncio.Server | None = None
+        self._connections: set[Connection] = set()
+
+    async def start(self, host: str, port: int) -> int:
+        """Listen and return the port."""
+        self._server = await asyncio.start_server(self._serve, host, port)
+        return self._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Stop listening and close every connection."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self._connections):
+            connection.close()
+
+    async def _serve(self, reader: StreamReader, writer: StreamWriter) -> None:
+        connection = None
+        try:
+            connection = await asyncio.wait_for(self._greet(reader, writer), HANDSHAKE_SECONDS)
+            if connection is not None:
+                self._connections.add(connection)
+                await connection.read(self.handler)
+        except FrameError as error:
+            self.report("peer_frame_malformed", problem=str(error))
+        except (ConnectionError, TimeoutError):
+            pass
+        finally:
+            self._connections.discard(connection)
+            writer.close()
+
+    async def _greet(self, reader: StreamReader, writer: StreamWriter) -> Connection | None:
+        nonce = secrets.token_bytes(NONCE_BYTES)
+        writer.write(self.frames.write(Frame(Challenge(nonce))))
+        frame = await self.frames.read(reader, MAXIMUM_HANDSHAKE_BYTES)
+        if frame is None or not isinstance(frame.message, Proof):
+            self.report("peer_refused", problem="no proof of the fleet secret")
+            return None
+        proof = frame.message
+        expected = compute_proof(self.secret, "connect", proof.vm, nonce, proof.nonce)
+        if not is_proof(expected, proof.digest):
+            self.report("peer_refused", peer=proof.vm, problem="wrong fleet secret")
+            return None
+        digest = compute_proof(self.secret, "accept", self.vm, proof.nonce, nonce)
+        writer.write(self.frames.write(Frame(Welcome(self.vm, digest))))
+        return Connection(
+            reader=reader,
+            writer=writer,
+            frames=self.frames,
+            clock=self.clock,
+            peer=proof.vm,
+            role=proof.role,
+        )
+
+
+class Link:
+    """An outgoing connection to one address that is made anew when it breaks.
+
+    Parameters
+    ----------
+    vm, role : str
+        Who connects.
+    secret : bytes
+        The fleet secret.
+    address : str
+        ``HOST:PORT`` of the peer.
+    handler : callable
+        Takes frames that are not answers.
+    """
+
+    def __init__(
+        self,
+        *,
+        vm: str,
+        role: str,
+        secret: bytes,
+        address: str,
+        frames: FrameCodec,
+        clock: HybridClock,
+        handler: Handler,
+    ):
+        self.vm = vm
+        self.role = role
+        self.secret = secret
+        self.address = address
+        self.frames = frames
+        self.clock = clock
+        self.handler = handler
+        self._connection: Connection | None = None
+        self._dialing: asyncio.Task | None = None
+        self._reading: asyncio.Task | None = None
+        self._failed_at = float("-inf")
+
+    def post(self, message: Message) -> None:
+        """Send a one-way message; it is dropped while there is no connection."""
+        if self._connection is not None and self._connection.is_open:
+            self._connection.send(message)
+            return
+        self._start_dialing(message)
+
+    async def call(self, message: Message, timeout: float) -> Message:
+        """Send a call and return its answer; raises as ``Connection.call`` does."""
+        connection = await self._connect()
+        return await connection.call(message, timeout)
+
+    def close(self) -> None:
+        """Close the connection."""
+        for task in (self._dialing, self._reading):
+            if task is not None:
+                task.cancel()
+        if self._connection is not None:
+            self._connection.close()
+
+    async def _connect(self) -> Connection:
+        if self._connection is not None and self._connection.is_open:
+            return self._connection
+        self._start_dialing(None)
+        if self._dialing is None:
+            raise UnreachableError(f"no connection to {self.address}")
+        connection = await asyncio.shield(self._dialing)
+        if connection is None:
+            raise UnreachableError(f"no connection to {self.address}")
+        return connection
+
+    def _start_dialing(self, message: Message | None) -> None:
+        loop = asyncio.get_running_loop()
+        is_dialing = self._dialing is not None and not self._dialing.done()
+        if is_dialing or loop.time() - self._failed_at < REDIAL_SECONDS:
+            if not is_dialing:
+                self._dialing = None
+            return
+        self._dialing = loop.create_task(self._dial(message))
+
+    async def _dial(self, message: Message | None) -> Connection | None:
+        try:
+            self._connection = await asyncio.wait_for(self._open(), CONNECT_SECONDS)
+        except (OSError, TimeoutError, FrameError):
+            self._failed_at = asyncio.get_running_loop().time()
+            return None
+        self._reading = asyncio.create_task(self._read(self._connection))
+        if message is not None:
+            self._connection.send(message)
+        return self._connection
+
+    async def _read(self, connection: Connection) -> None:
+        try:
+            await connection.read(self.handler)
+        except (FrameError, ConnectionError):
+            connection.close()
+
+    async def _open(self) -> Connection:
+        host, _, port = self.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        try:
+            vm = await self._prove(reader, writer)
+        except BaseException:
+            writer.close()
+            raise
+        return Connection(
+            reader=reader, writer=writer, frames=self.frames, clock=self.clock, peer=vm
+        )
+
+    async def _prove(self, reader: StreamReader, writer: StreamWriter) -> str:
+        challenge = await self._read_greeting(reader, Challenge)
+        nonce = secrets.token_bytes(NONCE_BYTES)
+        digest = compute_proof(self.secret, "connect", self.vm, challenge.nonce, nonce)
+        writer.write(self.frames.write(Frame(Proof(self.vm, self.role, nonce, digest))))
+        welcome = await self._read_greeting(reader, Welcome)
+        expected = compute_proof(self.secret, "accept", welcome.vm, nonce, challenge.nonce)
+        if not is_proof(expected, welcome.digest):
+            raise UnreachableError(f"{self.address} does not know the fleet secret")
+        return welcome.vm
+
+    async def _read_greeting(self, reader: StreamReader, wanted: type) -> Message:
+        frame = await self.frames.read(reader, MAXIMUM_HANDSHAKE_BYTES)
+        if frame is None or not isinstance(frame.message, wanted):
+            raise UnreachableError(f"{self.address} refused the connection")
+        return frame.message
--- /dev/null
+++ b/tools/fleet.py
@@ -0,0 +1,301 @@
+"""Starts a whole fleet as separate processes on free loopback ports.
+
+When all is ready it prints one JSON line. With ``--hold`` it runs until its standard input
+closes; then it stops every process that it started, by pid.
+"""
+
+import json
+import secrets
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.error
+import urllib.request
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import fire
+
+HOST = "127.0.0.1"
+READY_SECONDS = 60.0
+STOP_SECONDS = 45.0
+TOOLS = Path(__file__).parent
+
+
+@dataclass
+class Started:
+    """A process that was started; it stops by pid."""
+
+    role: str
+    vm: str
+    process: subprocess.Popen
+    http: str
+    administration: str
+    log: str
+    settings: str
+    peer: str
+
+    def describe(self) -> dict:
+        """Return what the JSON line tells of it."""
+        return {
+            "role": self.role,
+            "vm": self.vm,
+            "pid": self.process.pid,
+            "http": self.http,
+            "administration": self.administration,
+            "log": self.log,
+            "settings": self.settings,
+        }
+
+
+@dataclass
+class Fleet:
+    """The processes of a fleet and the folder of their files."""
+
+    folder: Path
+    configuration: Path
+    processes: list[Started] = field(default_factory=list)
+    targets: list[dict] = field(default_factory=list)
+    target_processes: list[subprocess.Popen] = field(default_factory=list)
+
+    @property
+    def document(self) -> dict:
+        """The configuration's content."""
+        return json.loads(self.configuration.read_text())
+
+    @property
+    def data_centres(self) -> list[str]:
+        """Data centres, alternating between regions."""
+        regions = [region["data_centres"] for region in self.document["regions"]]
+        width = max(len(names) for names in regions)
+        return [names[i] for i in range(width) for names in regions if i < len(names)]
+
+    @property
+    def operator_settings(self) -> Path:
+        """Settings for the command line."""
+        return self.folder / "operator.json"
+
+
+def find_ports(count: int) -> list[int]:
+    """Return ports that the kernel gave, all held until each was chosen."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for item in sockets:
+            item.bind((HOST, 0))
+        return [item.getsockname()[1] for item in sockets]
+    finally:
+        for item in sockets:
+            item.close()
+
+
+def start_fleet(fleet: Fleet, controls: int, entries: int, targets: int) -> None:
+    """Start all processes, form the voter set and apply the configuration."""
+    (fleet.folder / "secret").write_text(secrets.token_hex(24))
+    addresses = [f"{HOST}:{port}" for port in find_ports(2 * controls + 3 * entries + targets)]
+    take = iter(addresses).__next__
+    known = [{"vm": f"control-{n + 1}", "address": take()} for n in range(controls)]
+    operator = {"operator": "fleet", "secret_file": "secret", "controls": known}
+    fleet.operator_settings.write_text(json.dumps(operator))
+    for n, control in enumerate(known):
+        start_control(fleet, n, control, known, take())
+    peers = [take() for _ in range(entries)]
+    for n, peer in enumerate(peers):
+        start_entry(fleet, n, peer, peers, known, take(), take())
+    wait_until(lambda: all(is_live(item) for item in fleet.processes), "processes are live")
+    run_command(fleet, "initialize")
+    run_command(fleet, "apply", str(fleet.configuration))
+    callers = [item.http for item in fleet.processes if item.role == "entry"]
+    for n in range(targets):
+        start_target(fleet, n, take(), callers)
+    wait_until(lambda: count_ready(fleet) >= targets, f"{targets} targets are ready")
+
+
+def start_control(fleet: Fleet, n: int, control: dict, known: list, administration: str) -> None:
+    """Start one control."""
+    settings = {
+        "vm": control["vm"],
+        "data_centre": fleet.data_centres[n % len(fleet.data_centres)],
+        "peer": control["address"],
+        "administration": administration,
+        "data_folder": str(fleet.folder / control["vm"]),
+        "secret_file": "secret",
+        "controls": known,
+    }
+    fleet.processes.append(
+        start_process(fleet, "control", settings, http="", peer=control["address"])
+    )
+
+
+def start_entry(
+    fleet: Fleet, n: int, peer: str, peers: list, known: list, http: str, administration: str
+) -> None:
+    """Start one entry."""
+    settings = {
+        "vm": f"entry-{n + 1}",
+        "data_centre": fleet.data_centres[n % len(fleet.data_centres)],
+        "http": http,
+        "peer": peer,
+        "administration": administration,
+        "secret_file": "secret",
+        "controls": known,
+        "entries": [item for item in peers[:3] if item != peer],
+    }
+    fleet.processes.append(start_process(fleet, "entry", settings, http=http, peer=peer))
+
+
+def start_process(fleet: Fleet, role: str, settings: dict, *, http: str, peer: str) -> Started:
+    """Start a daemon with settings of its own."""
+    vm = settings["vm"]
+    path = fleet.folder / f"{vm}.json"
+    path.write_text(json.dumps(settings))
+    log = fleet.folder / f"{vm}.log"
+    process = launch_daemon(role, path, log)
+    administration = settings["administration"]
+    return Started(role, vm, process, http, administration, str(log), str(path), peer)
+
+
+def launch_daemon(role: str, settings: Path, log: Path) -> subprocess.Popen:
+    """Start a daemon, appending to its log."""
+    command = [sys.executable, "-m", "tarragonshelf", role, "--settings", str(settings)]
+    with open(log, "a") as output:
+        return subprocess.Popen(
+            command, stdin=subprocess.DEVNULL, stdout=output, stderr=subprocess.STDOUT
+        )
+
+
+def start_target(fleet: Fleet, n: int, address: str, callers: list[str]) -> None:
+    """Start one target of the service whose turn it is."""
+    services = fleet.document["services"]
+    service = services[n % len(services)]["name"]
+    data_centre = fleet.data_centres[(n // len(services)) % len(fleet.data_centres)]
+    record = fleet.folder / f"target-{n + 1}.record"
+    record.touch()
+    process = launch_target(service, address, data_centre, callers, record)
+    fleet.target_processes.append(process)
+    fleet.targets.append(
+        {
+            "service": service,
+            "address": address,
+            "pid": process.pid,
+            "record": str(record),
+            "data_centre": data_centre,
+        }
+    )
+
+
+def launch_target(
+    service: str, address: str, data_centre: str, callers: list[str], record: Path
+) -> subprocess.Popen:
+    """Start a target process."""
+    command = [sys.executable, str(TOOLS / "target.py")]
+    command += ["--service", service, "--address", address, "--data_centre", data_centre]
+    command += ["--entries", ",".join(callers), "--record", str(record)]
+    with open(record.with_suffix(".log"), "a") as output:
+        return subprocess.Popen(
+            command, stdin=subprocess.DEVNULL, stdout=output, stderr=subprocess.STDOUT
+        )
+
+
+def run_command(fleet: Fleet, *words: str) -> None:
+    """Run a command of the operator's until it succeeds, within a bound."""
+    command = [sys.executable, "-m", "tarragonshelf", *words]
+    command += ["--settings", str(fleet.operator_settings)]
+    deadline = time.monotonic() + READY_SECONDS
+    while True:
+        done = subprocess.run(command, capture_output=True, text=True, check=False)
+        if done.returncode == 0:
+            return
+        if time.monotonic() > deadline:
+            raise SystemExit(f"{words[0]} failed: {done.stdout}{done.stderr}")
+        time.sleep(0.3)
+
+
+def is_live(item: Started) -> bool:
+    """Tell whether a daemon answers on its administration port."""
+    if item.process.poll() is not None:
+        raise SystemExit(f"{item.vm} ended: {Path(item.log).read_text()[-2000:]}")
+    return fetch(f"http://{item.administration}/health/live") is not None
+
+
+def count_ready(fleet: Fleet) -> int:
+    """Return how many targets the entry that knows the fewest sees as ready."""
+    counts = []
+    for item in fleet.processes:
+        if item.role == "entry":
+            text = fetch(f"http://{item.administration}/metrics") or ""
+            lines = (line for line in text.splitlines() if "_targets_ready{" in line)
+            counts.append(sum(int(float(line.split()[-1])) for line in lines))
+    return min(counts, default=0)
+
+
+def fetch(url: str) -> str | None:
+    """Return the text at a URL, or None if there is none now."""
+    try:
+        with urllib.request.urlopen(url, timeout=2) as response:
+            return response.read().decode()
+    except (urllib.error.URLError, OSError):
+        return None
+
+
+def wait_until(is_true, what: str) -> None:
+    """Wait for a condition within a wide bound."""
+    deadline = time.monotonic() + READY_SECONDS
+    while not is_true():
+        if time.monotonic() > deadline:
+            raise SystemExit(f"not reached in {READY_SECONDS} s: {what}")
+        time.sleep(0.1)
+
+
+def stop_fleet(fleet: Fleet) -> None:
+    """Stop all processes by pid, entries and targets first."""
+    entries = [item.process for item in fleet.processes if item.role == "entry"]
+    controls = [item.process for item in fleet.processes if item.role == "control"]
+    for group in (fleet.target_processes + entries, controls):
+        for process in group:
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.terminate()
+        deadline = time.monotonic() + STOP_SECONDS
+        for process in group:
+            try:
+                process.wait(max(0.1, deadline - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+
+
+def describe(fleet: Fleet) -> dict:
+    """Return what the JSON line tells."""
+    control = next(item for item in fleet.processes if item.role == "control")
+    return {
+        "processes": [item.describe() for item in fleet.processes],
+        "targets": fleet.targets,
+        "control": control.peer,
+        "settings": str(fleet.operator_settings),
+    }
+
+
+def run(
+    configuration: str,
+    controls: int = 3,
+    entries: int = 3,
+    targets: int = 8,
+    hold: bool = False,
+) -> None:
+    """Start a fleet; see the module's text."""
+    with tempfile.TemporaryDirectory(prefix="tarragonshelf-") as folder:
+        fleet = Fleet(Path(folder), Path(configuration).resolve())
+        try:
+            start_fleet(fleet, controls, entries, targets)
+            print(json.dumps(describe(fleet)), flush=True)
+            if hold:
+                sys.stdin.read()
+        finally:
+            stop_fleet(fleet)
+
+
+if __name__ == "__main__":
+    fire.Fire(run)
