Move on by one when calls to a lost leader fail together

Cause: calls of one entry share the place in the list of controls. Three orders that failed in lock-step advanced it by three, which is the same address again among three controls, so each of them asked the dead leader until its 2 s ran out. Ruled out: the handover itself (4 ms from ElectNow to the new leader in the merged log), the connection's end (open calls fail at once). Change: what a call learns about an address counts only while that address is the one to try. Status takes an entry's version from the control that heard it last.

--- a/tarragonshelf/commands/__init__.py
+++ b/tarragonshelf/commands/__init__.py
@@ -2,7 +2,7 @@
 
 from ._apply import Applied, LaggingEntry, apply_document
 from ._initialize import initialize_fleet
-from ._operator import OperatorClient, RefusedError, create_operator_client
+from ._operator import OperatorClient, RefusedError, create_operator_client, list_attached
 from ._state import retire_vm, set_drained, settle_order
 
 __all__ = [
@@ -13,6 +13,7 @@
     "apply_document",
     "create_operator_client",
     "initialize_fleet",
+    "list_attached",
     "retire_vm",
     "set_drained",
     "settle_order",
--- a/tarragonshelf/commands/_apply.py
+++ b/tarragonshelf/commands/_apply.py
@@ -6,7 +6,7 @@
 
 from ..configuration import ApplyConfiguration, ApplyResult, ApplyState, split_document
 from ..control import ConfigurationRequest, Followed
-from ._operator import OperatorClient
+from ._operator import OperatorClient, list_attached
 
 IN_FORCE_SECONDS = 6.0
 POLL_SECONDS = 0.1
@@ -89,8 +89,5 @@
 
 async def _collect_versions(client: OperatorClient) -> dict[str, int]:
     """Return the version that each attached entry has in force, as its control knows it."""
-    versions: dict[str, int] = {}
-    for status in await client.ask_controls():
-        for entry in status.entries:
-            versions[entry.vm] = max(versions.get(entry.vm, 0), entry.version)
-    return versions
+    attached = list_attached(await client.ask_controls())
+    return {entry.vm: entry.version for entry in attached}
--- a/tarragonshelf/commands/_operator.py
+++ b/tarragonshelf/commands/_operator.py
@@ -1,9 +1,10 @@
 """The operator's side of calls to the fleet."""
 
 import asyncio
+from collections.abc import Iterable
 
 from ..base import Message
-from ..control import ControlStatus, Refused, StatusRequest
+from ..control import AttachedEntry, ControlStatus, Refused, StatusRequest
 from ..daemons._logs import create_clock
 from ..daemons._peers import LeaderClient, PeerLinks
 from ..entry import EntryStatus
@@ -17,6 +18,15 @@
     """The fleet refused a command, or did not answer it."""
 
 
+def list_attached(controls: Iterable[ControlStatus]) -> list[AttachedEntry]:
+    """Return the attached entries by VM, each as the control that heard it last knows it."""
+    latest: dict[str, AttachedEntry] = {}
+    for entry in (entry for status in controls for entry in status.entries):
+        if entry.vm not in latest or entry.age < latest[entry.vm].age:
+            latest[entry.vm] = entry
+    return [latest[vm] for vm in sorted(latest)]
+
+
 class OperatorClient:
     """Calls controls and entries for an operator.
 
@@ -69,11 +79,10 @@
 
     async def ask_entry(self, controls: list[ControlStatus]) -> EntryStatus | None:
         """Return the view of the first entry that answers."""
-        for control in controls:
-            for entry in control.entries:
-                status = await self.ask(entry.peer, StatusRequest())
-                if isinstance(status, EntryStatus):
-                    return status
+        for entry in list_attached(controls):
+            status = await self.ask(entry.peer, StatusRequest())
+            if isinstance(status, EntryStatus):
+                return status
         return None
 
     def close(self) -> None:
--- a/tarragonshelf/control/_finder.py
+++ b/tarragonshelf/control/_finder.py
@@ -6,6 +6,9 @@
 class LeaderFinder:
     """Remembers the leader's address and goes round the controls while it is not known.
 
+    Calls share a finder. What one of them learns about an address counts only while that
+    address is still the one to try, so that calls that fail together move on by one.
+
     Parameters
     ----------
     addresses : list of str
@@ -22,17 +25,20 @@
         """The address to try next."""
         return self._leader or self.addresses[self._place % len(self.addresses)]
 
-    def note_refused(self, refused: Refused) -> bool:
-        """Take a refusal in and return whether another try may do better."""
+    def note_refused(self, address: str, refused: Refused) -> bool:
+        """Take a refusal of an address in and return whether another try may do better."""
         if refused.reason == RefusedReason.UNKNOWN_NAME:
             return False
-        if refused.leader and refused.leader != self._leader:
+        if not refused.leader or refused.leader == address:
+            self.note_failed(address)
+        elif address == self.address:
             self._leader = refused.leader
-            return True
-        self.note_failed()
         return True
 
-    def note_failed(self) -> None:
+    def note_failed(self, address: str) -> None:
         """Go on to the next control after one that did not answer."""
-        self._leader = ""
-        self._place += 1
+        if address == self.address:
+            self._leader = ""
+            self._place += 1
+            if self.address == address:
+                self._place += 1
--- a/tarragonshelf/control/_node.py
+++ b/tarragonshelf/control/_node.py
@@ -305,7 +305,7 @@
             self._reply(call, Done() if is_same else refused)
             return
         state = ControlSnapshot(cluster=message.cluster, index=1, revision=0)
-        snapshot = Snapshot(1, 1, message.membership, self.codec.encode(state))
+        snapshot = Snapshot(1, 0, message.membership, self.codec.encode(state))
         self.replica.log.compact(snapshot)
         self.replica.commit = 1
         self.replica.membership_index, self.replica.membership = 1, message.membership
--- a/tarragonshelf/daemons/_entry.py
+++ b/tarragonshelf/daemons/_entry.py
@@ -121,6 +121,8 @@
         while not self.should_stop:
             address = self.controls[place % len(self.controls)]
             followed = await self._ask(address, is_patient=True, timeout=FOLLOW_SECONDS)
+            # The next call then reports the version that this one brought in force.
+            await asyncio.gather(*self._tasks, return_exceptions=True)
             if followed is None or followed.is_stale or not followed.cluster:
                 place += 1
                 await asyncio.sleep(PAUSE_SECONDS)
--- a/tarragonshelf/daemons/_peers.py
+++ b/tarragonshelf/daemons/_peers.py
@@ -79,18 +79,18 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout
         while (remaining := deadline - loop.time()) > 0:
-            answer = await self._try(message, min(remaining, TRY_SECONDS))
-            if answer is not None and not isinstance(answer, Refused):
-                return answer
-            if isinstance(answer, Refused) and not self.finder.note_refused(answer):
+            address = self.finder.address
+            answer = await self._try(address, message, min(remaining, TRY_SECONDS))
+            if answer is None:
+                self.finder.note_failed(address)
+            elif not isinstance(answer, Refused) or not self.finder.note_refused(address, answer):
                 return answer
             await asyncio.sleep(min(PAUSE_SECONDS, max(0.0, deadline - loop.time())))
         return None
 
-    async def _try(self, message: Message, timeout: float) -> Message | None:
-        link = self.links.get(self.finder.address)
+    async def _try(self, address: str, message: Message, timeout: float) -> Message | None:
+        link = self.links.get(address)
         try:
             return await asyncio.wait_for(link.call(message, timeout), timeout)
         except (UnreachableError, CallTimeoutError, TimeoutError):
-            self.finder.note_failed()
             return None
--- a/tarragonshelf/queries/_fleet.py
+++ b/tarragonshelf/queries/_fleet.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from ..commands import OperatorClient, RefusedError
+from ..commands import OperatorClient, RefusedError, list_attached
 from ..configuration import assemble_document
 from ..control import (
     ConfigurationRequest,
@@ -66,9 +66,8 @@
     """Return the status as short lines for a person."""
     lines = [_format_control(item) for item in status.controls]
     lines += [f"control {vm}: does not answer" for vm in status.silent]
-    entries = {entry.vm: entry for item in status.controls for entry in item.entries}
-    for vm, entry in sorted(entries.items()):
-        lines.append(f"entry {vm} ({entry.data_centre}): version {entry.version} in force")
+    for entry in list_attached(status.controls):
+        lines.append(f"entry {entry.vm} ({entry.data_centre}): version {entry.version} in force")
     unresolved = max(item.unresolved for item in status.controls)
     lines.append(f"orders unresolved: {unresolved}")
     if status.entry is not None:
