Prove replication and claims under crashes, cuts, freezes and lost disks

Cause: the promise at most once rests on the log; it was not tested. Ruled out: swapping a lost disk's old incarnation for the new one in one change: majorities of the two voter sets need not meet, so the old one is removed first and the new one added next (propose_membership refuses both at once).

--- /dev/null
+++ b/tarragonshelf/control/tests/fakes.py
@@ -0,0 +1,311 @@
+"""Controls joined by a fake network, with a fake clock and fake disks."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+from random import Random
+
+from ...consensus import (
+    EntryKind,
+    Member,
+    Membership,
+    SaveEntries,
+    SaveHardState,
+    SaveSnapshot,
+    Send,
+)
+from ...control import CallReceived, ControlNode, Initialize, Join, PeerReceived, Reply
+from ...ledger import AbandonKey, ClaimId, ClaimKey, ClaimState, OrderKey, SettleKey
+from ...ledger import Answer as StoredAnswer
+from ...storage import ReplicaStore
+from ...storage.tests.fakes import FakeFileSystem
+from ...transport import create_codec
+
+CODEC = create_codec()
+TICK = 0.05
+CLAIM_SECONDS = 2.0
+SAVES = (SaveHardState, SaveEntries, SaveSnapshot)
+
+
+@dataclass
+class FakeControl:
+    """One control VM: its disk, and its process while it runs."""
+
+    vm: str
+    files: FakeFileSystem = field(default_factory=FakeFileSystem)
+    node: ControlNode | None = None
+    store: ReplicaStore | None = None
+    is_frozen: bool = False
+    waiting: list = field(default_factory=list)
+
+
+class FakeFleet:
+    """Controls on one clock; every step checks what must hold after any step.
+
+    Parameters
+    ----------
+    names : list of str
+        The control VMs.
+    seed : int
+        Of all randomness.
+    create_store, create_node : callable
+        Test doubles replace the real ones.
+    """
+
+    def __init__(self, names, *, seed=0, create_store=ReplicaStore, create_node=ControlNode):
+        self.random = Random(seed)
+        self.now = 100.0
+        self.controls = {name: FakeControl(name) for name in names}
+        self.cuts: set[tuple[str, str]] = set()
+        self.drop = 0.0
+        self.duplicate = 0.0
+        self.delay = 0.0
+        self.replies: dict[int, object] = {}
+        self.create_store = create_store
+        self.create_node = create_node
+        self.snapshot_entries = 40
+        self._flying: list[tuple[float, int, str, str, object]] = []
+        self._number = 0
+        self._calls = 0
+        self._incarnations = 0
+        self._leaders: dict[int, str] = {}
+        self._committed: dict[int, tuple[int, bytes]] = {}
+
+    # Operations
+
+    def start(self, vm: str) -> None:
+        """Start a control's process from what its disk holds."""
+        control = self.controls[vm]
+        control.store = self.create_store(control.files, CODEC)
+        restored = control.store.restore(self._mint)
+        control.node = self.create_node(
+            vm=vm,
+            incarnation=restored.incarnation,
+            address=vm,
+            codec=CODEC,
+            random=Random(self.random.random()),
+            hard_state=restored.hard_state,
+            snapshot=restored.snapshot,
+            entries=restored.entries,
+            snapshot_entries=self.snapshot_entries,
+        )
+        control.is_frozen = False
+        control.waiting = []
+
+    def start_all(self) -> None:
+        """Start all controls and form the first voter set of them."""
+        for vm in self.controls:
+            self.start(vm)
+        members = tuple(
+            Member(item.node.identity, vm, vm, voting=True) for vm, item in self.controls.items()
+        )
+        for vm in self.controls:
+            self.call(vm, Initialize("cluster", Membership(members)))
+
+    def crash(self, vm: str) -> None:
+        """Stop a process at once; its disk keeps what was synced."""
+        control = self.controls[vm]
+        control.node = None
+        control.files.crash()
+
+    def lose_disk(self, vm: str) -> None:
+        """Stop a process and empty its disk."""
+        self.crash(vm)
+        self.controls[vm].files = FakeFileSystem()
+
+    def call(self, vm: str, message) -> int:
+        """Hand a call to a control and return its number for ``replies``."""
+        self._calls += 1
+        self._deliver(vm, CallReceived(self._calls, message))
+        return self._calls
+
+    def heal(self) -> None:
+        """Mend all links, thaw and start all controls."""
+        self.cuts = set()
+        self.drop = self.duplicate = self.delay = 0.0
+        for vm, control in self.controls.items():
+            if control.node is None:
+                self.start(vm)
+            self.thaw(vm)
+
+    def freeze(self, vm: str) -> None:
+        """Stop a process without ending it."""
+        self.controls[vm].is_frozen = True
+
+    def thaw(self, vm: str) -> None:
+        """Let a frozen process go on with all that arrived meanwhile."""
+        control = self.controls[vm]
+        control.is_frozen = False
+        waiting, control.waiting = control.waiting, []
+        for message in waiting:
+            self._deliver(vm, message)
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass in small steps."""
+        for _ in range(round(seconds / TICK)):
+            self._step()
+
+    def find_leader(self) -> str | None:
+        """Return a control that leads the highest term, if there is one."""
+        leading = [
+            (item.node.replica.term, vm)
+            for vm, item in self.controls.items()
+            if item.node is not None and not item.is_frozen and item.node.replica.is_leader
+        ]
+        return max(leading)[1] if leading else None
+
+    def wait_for_leader(self, seconds: float = 30.0) -> str:
+        """Let time pass until a control leads and has committed in its term."""
+        for _ in range(round(seconds / TICK)):
+            leader = self.find_leader()
+            if leader and self.controls[leader].node.replica.has_committed_in_term:
+                return leader
+            self._step()
+        raise AssertionError(f"no leader within {seconds} s")
+
+    def submit(self, message, seconds: float = 10.0):
+        """Hand a command to whoever leads, and return the result."""
+        for _ in range(round(seconds / CLAIM_SECONDS)):
+            call = self.call(self.wait_for_leader(), message)
+            for _ in range(round(CLAIM_SECONDS / TICK)):
+                self._step()
+                if call in self.replies:
+                    break
+            reply = self.replies.get(call)
+            if reply is not None and type(reply).__name__ != "Refused":
+                return reply
+        raise AssertionError(f"{message} got no result within {seconds} s")
+
+    # Steps
+
+    def _step(self) -> None:
+        self.now += TICK
+        due = [item for item in self._flying if item[0] <= self.now]
+        self._flying = [item for item in self._flying if item[0] > self.now]
+        for _, _, source, destination, message in sorted(due, key=lambda item: item[:2]):
+            if (source, destination) not in self.cuts:
+                self._deliver(destination, PeerReceived(message))
+        for vm, control in self.controls.items():
+            if control.node is not None and not control.is_frozen:
+                self._carry_out(vm, control.node.tick(self.now) + control.node.flush(self.now))
+                self._ask_to_join(vm, control)
+        self.check()
+
+    def _ask_to_join(self, vm: str, control: FakeControl) -> None:
+        is_member = control.node.identity in control.node.replica.membership.identities
+        leader = self.find_leader()
+        links = {(vm, leader), (leader, vm)}
+        if not is_member and leader and not links & self.cuts:
+            self.call(leader, Join(control.node.identity, vm, vm))
+
+    def _deliver(self, vm: str, message) -> None:
+        control = self.controls[vm]
+        if control.node is None:
+            return
+        if control.is_frozen:
+            control.waiting.append(message)
+            return
+        node = control.node
+        self._carry_out(vm, node.handle(self.now, message) + node.flush(self.now))
+
+    def _carry_out(self, vm: str, effects) -> None:
+        saves = [effect for effect in effects if isinstance(effect, SAVES)]
+        if saves:
+            self.controls[vm].store.save(saves)
+        for effect in effects:
+            if isinstance(effect, Send):
+                self._send(vm, effect)
+            elif isinstance(effect, Reply):
+                self.replies[effect.call] = effect.message
+
+    def _send(self, vm: str, effect: Send) -> None:
+        destination = effect.identity.partition("/")[0]
+        node = self.controls[destination].node
+        if node is None or node.identity != effect.identity:
+            return
+        copies = 1 + (self.random.random() < self.duplicate)
+        for _ in range(copies):
+            if self.random.random() >= self.drop:
+                self._number += 1
+                arrival = self.now + 0.001 + self.random.random() * self.delay
+                item = (arrival, self._number, vm, destination, effect.message)
+                self._flying.append(item)
+
+    def _mint(self) -> str:
+        self._incarnations += 1
+        return str(self._incarnations)
+
+    # Invariants
+
+    def check(self) -> None:
+        """Check election safety, state machine safety and leader completeness."""
+        for vm, control in self.controls.items():
+            if control.node is not None:
+                self._check_election(vm, control.node.replica)
+                self._check_log(vm, control.node.replica)
+
+    def _check_election(self, vm: str, replica) -> None:
+        if replica.is_leader:
+            leader = self._leaders.setdefault(replica.term, replica.identity)
+            assert leader == replica.identity, f"two leaders in term {replica.term}"
+            for index, (term, _) in self._committed.items():
+                is_newer = replica.term > term
+                if is_newer and index > replica.log.base_index:
+                    held = replica.log.get_term(index)
+                    assert held == term, f"leader {vm} lacks committed entry {index}"
+
+    def _check_log(self, vm: str, replica) -> None:
+        log = replica.log
+        for entry in log.get_entries(log.base_index + 1, replica.commit):
+            content = (entry.term, entry.payload if entry.kind == EntryKind.COMMAND else b"")
+            known = self._committed.setdefault(entry.index, content)
+            assert known == content, f"{vm} committed another entry at index {entry.index}"
+
+
+class FakeEntry:
+    """An entry that claims, runs and settles orders, as the real one does."""
+
+    def __init__(self, fleet: FakeFleet, vm: str):
+        self.fleet = fleet
+        self.vm = vm
+        self.runs: Counter = Counter()
+        self.answers: dict[OrderKey, StoredAnswer] = {}
+        self._number = 0
+        self._open: list[tuple[int, ClaimKey, float]] = []
+        self._commands: list[tuple[object, int]] = []
+
+    def claim(self, control: str, key: str) -> None:
+        """Ask one control for a claim."""
+        self._number += 1
+        claim = ClaimId(self.vm, "1", self._number)
+        order = OrderKey("account", "POST /orders", key)
+        command = ClaimKey(claim, order, "digest", "service", 20.0, 600.0)
+        self._open.append((self.fleet.call(control, command), command, self.fleet.now))
+
+    def work(self) -> None:
+        """Run what was granted in time, give back the rest, and resend what is not settled."""
+        for item in list(self._open):
+            call, command, sent_at = item
+            reply = self.fleet.replies.get(call)
+            if self.fleet.now - sent_at > CLAIM_SECONDS:
+                self._open.remove(item)
+                self._commands.append((AbandonKey(command.claim, command.key), 0))
+            elif reply is not None and getattr(reply, "state", None) is not None:
+                self._open.remove(item)
+                self._take(command, reply)
+        leader = self.fleet.find_leader()
+        for item in list(self._commands):
+            command, call = item
+            self._commands.remove(item)
+            if getattr(self.fleet.replies.get(call), "state", None) is None:
+                again = self.fleet.call(leader, command) if leader else 0
+                self._commands.append((command, again))
+
+    def _take(self, command: ClaimKey, reply) -> None:
+        if reply.state == ClaimState.GRANTED:
+            self.runs[command.key] += 1
+            answer = StoredAnswer(200, (), f"{self.vm}.{command.claim.number}".encode())
+            self.answers[command.key] = answer
+            settle = SettleKey(
+                command.claim, command.key, answer, command.digest, command.service, command.window
+            )
+            self._commands.append((settle, 0))
--- /dev/null
+++ b/tarragonshelf/storage/tests/test_store.py
@@ -0,0 +1,166 @@
+"""Crash points, torn tails and damage of the data folder."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ...consensus import (
+    HardState,
+    LogEntry,
+    Membership,
+    SaveEntries,
+    SaveHardState,
+    SaveSnapshot,
+    Snapshot,
+)
+from ...transport import create_codec
+from .. import CorruptionError, Journal, ReplicaStore, create_local_file_system
+from .fakes import CrashError, FakeFileSystem
+
+CODEC = create_codec()
+
+
+def create_entries(first: int, last: int, term: int = 1) -> tuple[LogEntry, ...]:
+    return tuple(LogEntry(n, term, payload=f"{term}.{n}".encode()) for n in range(first, last + 1))
+
+
+SESSION = (
+    [SaveHardState(HardState(1, "a/1")), SaveEntries(1, create_entries(1, 3))],
+    [SaveEntries(4, create_entries(4, 6))],
+    [SaveHardState(HardState(2, "")), SaveEntries(5, create_entries(5, 7, term=2))],
+    [SaveSnapshot(Snapshot(5, 2, Membership(), b"five"), create_entries(6, 7, term=2))],
+    [SaveEntries(8, create_entries(8, 9, term=2)), SaveHardState(HardState(3, "b/1"))],
+    [SaveSnapshot(Snapshot(9, 2, Membership(), b"nine"))],
+    [SaveEntries(10, create_entries(10, 10, term=3))],
+)
+
+
+def describe(restored) -> tuple:
+    """Return what counts after a restart: term, vote, snapshot and all entries held."""
+    snapshot = restored.snapshot
+    base = (snapshot.index, snapshot.data) if snapshot else (0, b"")
+    return (restored.hard_state, base, restored.entries)
+
+
+def restore(files) -> tuple:
+    return describe(ReplicaStore(files, CODEC).restore(lambda: "1"))
+
+
+def list_states() -> list[tuple]:
+    """Return the state after each batch of the session, without a crash."""
+    files = FakeFileSystem()
+    store = ReplicaStore(files, CODEC)
+    store.restore(lambda: "1")
+    states = [restore(files)]
+    for batch in SESSION:
+        store.save(batch)
+        states.append(restore(files))
+    return states
+
+
+class UnsyncedFileSystem(FakeFileSystem):
+    """A file system whose files are never synced: the test must notice."""
+
+    def sync(self, name):
+        self._count()
+
+
+class TestCrashPoints:
+    @pytest.mark.parametrize("torn", [0.0, 0.3, 0.9])
+    def test_every_crash_point_leaves_the_state_before_or_after(self, torn):
+        points = self._run_all_crash_points(FakeFileSystem, torn)
+        assert points > 20
+
+    def test_fails_without_sync(self):
+        with pytest.raises((AssertionError, CorruptionError)):
+            self._run_all_crash_points(UnsyncedFileSystem, 0.0)
+
+    def _run_all_crash_points(self, create_files, torn) -> int:
+        states = list_states()
+        point = 0
+        while True:
+            files = create_files(torn=torn)
+            store = ReplicaStore(files, CODEC)
+            store.restore(lambda: "1")
+            files.calls_left = point
+            done = self._run_session(store)
+            if done == len(SESSION):
+                return point
+            files.crash()
+            allowed = states[done : done + 2]
+            mixed = self._mix(states, done)
+            assert restore(files) in [*allowed, *mixed]
+            point += 1
+
+    def _run_session(self, store) -> int:
+        for number, batch in enumerate(SESSION):
+            try:
+                store.save(batch)
+            except CrashError:
+                return number
+        return len(SESSION)
+
+    def _mix(self, states, done) -> list:
+        """Return the states between the two files that a snapshot replaces one by one."""
+        before, after = states[done], states[min(done + 1, len(states) - 1)]
+        kept = tuple(entry for entry in before[2] if entry.index > after[1][0])
+        return [(before[0], after[1], kept), (after[0], after[1], kept)]
+
+
+class TestDamage:
+    def test_torn_tail_is_cut_and_reported(self):
+        files = FakeFileSystem()
+        store = ReplicaStore(files, CODEC)
+        store.restore(lambda: "1")
+        store.save(SESSION[0])
+        whole = len(files.read("journal-000000000000"))
+        files.append("journal-000000000000", b"\x00\x00\x01")
+        restored = ReplicaStore(files, CODEC).restore(lambda: "2")
+        assert restored.torn.offset == whole
+        assert restored.torn.dropped == 3
+        assert len(restored.entries) == 3
+        assert restored.incarnation == "1"
+
+    @given(st.data())
+    def test_damage_before_the_last_frame_is_refused_with_its_place(self, data):
+        files = FakeFileSystem()
+        store = ReplicaStore(files, CODEC)
+        store.restore(lambda: "1")
+        store.save(SESSION[0])
+        synced = len(files.read("journal-000000000000"))
+        store.save(SESSION[1])
+        files.damage("journal-000000000000", data.draw(st.integers(0, synced - 1)))
+        with pytest.raises(CorruptionError) as caught:
+            ReplicaStore(files, CODEC).restore(lambda: "1")
+        assert caught.value.name == "journal-000000000000"
+        assert 0 <= caught.value.offset < synced
+
+    def test_journal_without_incarnation_is_refused(self):
+        files = FakeFileSystem()
+        store = ReplicaStore(files, CODEC)
+        store.restore(lambda: "1")
+        store.save(SESSION[0])
+        files.remove("incarnation")
+        with pytest.raises(CorruptionError):
+            ReplicaStore(files, CODEC).restore(lambda: "2")
+
+
+class TestLocalFileSystem:
+    def test_session_survives_a_restart(self, tmp_path):
+        files = create_local_file_system(str(tmp_path / "data"))
+        store = ReplicaStore(files, CODEC)
+        store.restore(lambda: "1")
+        for batch in SESSION:
+            store.save(batch)
+        files.close()
+        again = create_local_file_system(str(tmp_path / "data"))
+        assert restore(again) == list_states()[-1]
+        again.close()
+
+    def test_journal_frames_come_back(self, tmp_path):
+        files = create_local_file_system(str(tmp_path))
+        journal = Journal(files, "journal")
+        journal.append(b"one")
+        journal.append(b"two")
+        assert journal.recover().frames == (b"one", b"two")
+        files.close()
