Judge targets against the better half of their peers, and report only what is to be decided

Cause, found by tests over several entries and one log: (1) entries that had just started reported nearly no ready targets; these views held ejections up for 15 s, as the floor is kept in every view. (2) A service that failed as a whole condemned its targets one by one, because the first outcomes were held against peers without any. (3) A registrar that alone was cut off called a living target silent until the other refuted it. Ruled out: a shorter life of reports (the log would carry 64 reports/s at 160 services); refutation alone (the target lost work for up to a second, every three). Change: reports only while there are suspects or ejections, and only 5 s after a start; peers' rate pooled over their better half with a prior of one half, nobody condemned while most fail at once; a registrar whose lease ran out resigns, and silence needs all of them.

--- a/tarragonshelf/entry/_node.py
+++ b/tarragonshelf/entry/_node.py
@@ -38,6 +38,7 @@
 
 WATCHERS_PER_SERVICE = 2
 EVIDENCE_SECONDS = 0.25
+WARM_SECONDS = 5.0
 CONTROL_SILENCE_SECONDS = 3.0
 
 
@@ -74,6 +75,7 @@
         self._watchers: dict[str, Watcher] = {}
         self._evidence_at = float("-inf")
         self._control_heard_at = float("-inf")
+        self._started_at: float | None = None
         self._claims = 0
         self._pending: list[Effect] = []
 
@@ -264,6 +266,11 @@
                 watcher.record(now, digest)
 
     def _report_health(self, now: float) -> list[Effect]:
+        if self._started_at is None:
+            self._started_at = now
+        if now - self._started_at < WARM_SECONDS:
+            # What is known right after a start would understate the service's capacity.
+            return []
         effects: list[Effect] = []
         entries = len(self.gossip.entries.list_alive())
         for service in self._services:
--- a/tarragonshelf/health/_detector.py
+++ b/tarragonshelf/health/_detector.py
@@ -1,14 +1,19 @@
 """Sequential test of each target against its service's peers."""
 
-from dataclasses import dataclass
-from math import log
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from math import exp, log
 
 from ._messages import Evidence
 
 FAILING_RATE = 0.5
 MINIMUM_PEER_RATE = 0.01
-MAXIMUM_PEER_RATE = 0.45
-PEER_MEMORY = 0.8
+MAXIMUM_PEER_RATE = 0.35
+MEMORY_SECONDS = 5.0
+RECENT_SECONDS = 1.0
+RECENTLY_FAILING_RATE = 0.3
+RECENT_OUTCOMES = 0.5
+COMMON_SHARE = 0.5
 SOURCE_MEMORY_SECONDS = 5.0
 
 
@@ -24,15 +29,40 @@
     hung: int
 
 
+@dataclass(slots=True)
+class _Counts:
+    """Outcomes that fade with time."""
+
+    answered: float = 0.0
+    bad: float = 0.0
+
+    @property
+    def total(self) -> float:
+        return self.answered + self.bad
+
+    @property
+    def rate(self) -> float:
+        """The failure rate, one half without any outcome."""
+        return (self.bad + 0.5) / (self.total + 1.0)
+
+    def add(self, answered: float, bad: float) -> None:
+        self.answered += answered
+        self.bad += bad
+
+    def fade(self, factor: float) -> None:
+        self.answered *= factor
+        self.bad *= factor
+
+
 @dataclass(slots=True)
 class _Track:
     incarnation: str
     score: float = 0.0
-    answered: float = 0.0
-    bad: float = 0.0
     failed: int = 0
     hung: int = 0
-    sources: dict[str, float] | None = None
+    long: _Counts = field(default_factory=_Counts)
+    recent: _Counts = field(default_factory=_Counts)
+    sources: dict[str, float] = field(default_factory=dict)
 
 
 class Detector:
@@ -45,9 +75,10 @@
 
     Notes
     -----
-    The hypothesis of health is the failure rate of the service's other targets, so that a
-    service that is slow or failing as a whole condemns nobody. The score never falls below
-    zero: a long healthy past does not delay detection.
+    The hypothesis of health is the failure rate of the better half of the service's other
+    targets, so that some failing ones do not excuse each other. While most of the targets fail
+    at once, the cause is not in any of them, and nobody is condemned. The score never falls
+    below zero: a long healthy past does not delay detection.
 
     References
     ----------
@@ -72,6 +103,8 @@
 
     def list_condemned(self) -> list[TargetScore]:
         """Return targets whose score reached the threshold, worst first."""
+        if self.is_common():
+            return []
         found = [
             _describe(target, track)
             for target, track in self._tracks.items()
@@ -79,29 +112,31 @@
         ]
         return sorted(found, key=lambda item: -item.score)
 
-    def record(self, now: float, source: str, evidence: Evidence) -> None:
-        """Take one entry's evidence about one target in."""
-        track = self._get_track(evidence)
-        bad = evidence.failed + evidence.hung
-        peer_rate = self._estimate_peer_rate(evidence.target)
-        track.score += evidence.answered * log((1 - FAILING_RATE) / (1 - peer_rate))
-        track.score += bad * log(FAILING_RATE / peer_rate)
-        track.score = max(0.0, track.score)
-        track.answered = track.answered + evidence.answered
-        track.bad = track.bad + bad
-        track.failed += evidence.failed
-        track.hung += evidence.hung
-        if bad:
-            track.sources[source] = now
-        if track.score == 0.0:
-            track.failed = track.hung = 0
-            track.sources.clear()
-
-    def decay(self, now: float) -> None:
-        """Let old rates fade and forget entries that no longer see failures."""
+    def is_common(self) -> bool:
+        """Tell whether most targets that were used of late fail."""
+        rates = [
+            track.recent.bad / track.recent.total
+            for track in self._tracks.values()
+            if track.recent.total >= RECENT_OUTCOMES
+        ]
+        failing = sum(1 for rate in rates if rate >= RECENTLY_FAILING_RATE)
+        return len(rates) > 1 and failing > COMMON_SHARE * len(rates)
+
+    def record(self, now: float, source: str, items: Sequence[Evidence]) -> None:
+        """Take one entry's evidence about the service's targets in."""
+        for item in items:
+            track = self._get_track(item)
+            bad = item.failed + item.hung
+            track.long.add(item.answered, bad)
+            track.recent.add(item.answered, bad)
+        for item in items:
+            self._score(now, source, item)
+
+    def fade(self, seconds: float, now: float) -> None:
+        """Let counts fade, and forget entries that no longer see failures."""
         for track in self._tracks.values():
-            track.answered *= PEER_MEMORY
-            track.bad *= PEER_MEMORY
+            track.long.fade(exp(-seconds / MEMORY_SECONDS))
+            track.recent.fade(exp(-seconds / RECENT_SECONDS))
             for source, heard_at in list(track.sources.items()):
                 if now - heard_at > SOURCE_MEMORY_SECONDS:
                     del track.sources[source]
@@ -110,22 +145,37 @@
         """Drop what is known of a target."""
         self._tracks.pop(target, None)
 
+    def _score(self, now: float, source: str, item: Evidence) -> None:
+        track = self._tracks[item.target]
+        bad = item.failed + item.hung
+        peer_rate = self._estimate_peer_rate(item.target)
+        track.score += item.answered * log((1 - FAILING_RATE) / (1 - peer_rate))
+        if peer_rate < MAXIMUM_PEER_RATE:
+            track.score += bad * log(FAILING_RATE / peer_rate)
+        track.score = max(0.0, track.score)
+        track.failed += item.failed
+        track.hung += item.hung
+        if bad:
+            track.sources[source] = now
+        if track.score == 0.0:
+            track.failed = track.hung = 0
+            track.sources.clear()
+
     def _get_track(self, evidence: Evidence) -> _Track:
         track = self._tracks.get(evidence.target)
         if track is None or track.incarnation != evidence.incarnation:
-            track = _Track(evidence.incarnation, sources={})
+            track = _Track(evidence.incarnation)
             self._tracks[evidence.target] = track
         return track
 
     def _estimate_peer_rate(self, target: str) -> float:
-        """Return the mean failure rate of the other targets, each counted alike."""
-        rates = [
-            (track.bad + 0.01) / (track.bad + track.answered + 1.0)
-            for name, track in self._tracks.items()
-            if name != target
-        ]
-        rate = sum(rates) / len(rates) if rates else MINIMUM_PEER_RATE
-        return min(MAXIMUM_PEER_RATE, max(MINIMUM_PEER_RATE, rate))
+        """Return the pooled failure rate of the better half of the other targets."""
+        peers = [track.long for name, track in self._tracks.items() if name != target]
+        used = sorted((item for item in peers if item.total > 0.1), key=lambda item: item.rate)
+        pooled = _Counts()
+        for item in used[: (len(used) + 1) // 2]:
+            pooled.add(item.answered, item.bad)
+        return min(MAXIMUM_PEER_RATE, max(MINIMUM_PEER_RATE, pooled.rate))
 
 
 def _describe(target: str, track: _Track) -> TargetScore:
--- a/tarragonshelf/health/_watcher.py
+++ b/tarragonshelf/health/_watcher.py
@@ -7,7 +7,7 @@
 from ._messages import Ejection, EvidenceDigest, ReadyTarget, ReportHealth, Suspect
 
 REFRESH_SECONDS = 5.0
-DECAY_SECONDS = 1.0
+REPEAT_SECONDS = 0.25
 MAXIMUM_PROBATION_FACTOR = 16
 
 
@@ -46,15 +46,14 @@
         )
         self._served: dict[str, _Served] = {}
         self._strikes: dict[str, int] = {}
-        self._last_report: ReportHealth | None = None
+        self._reported_ready: tuple[ReadyTarget, ...] = ()
         self._reported_at = float("-inf")
-        self._decayed_at = float("-inf")
+        self._faded_at = 0.0
 
     def record(self, now: float, digest: EvidenceDigest) -> None:
         """Take one entry's evidence in."""
-        for item in digest.items:
-            if item.service == self.service:
-                self.detector.record(now, digest.source, item)
+        items = [item for item in digest.items if item.service == self.service]
+        self.detector.record(now, digest.source, items)
 
     def report(
         self,
@@ -64,19 +63,23 @@
         ejections: tuple[Ejection, ...],
         entries: int,
     ) -> ReportHealth | None:
-        """Return a report if there is something new or the last one is old."""
-        if now - self._decayed_at >= DECAY_SECONDS:
-            self.detector.decay(now)
-            self._decayed_at = now
+        """Return a report if there is something to decide.
+
+        While no target is suspected or ejected there is none, so that healthy services cost
+        the log nothing. With ejections in force a change of the ready targets is reported at
+        once, as it may end some of them, and the view is refreshed before it gets too old.
+        """
+        self.detector.fade(now - self._faded_at, now)
+        self._faded_at = now
         self._note_ejections(now, ejections)
         suspects = self._list_suspects(entries)
         recovered = self._list_recovered(now)
         report = ReportHealth(self.service, self.name, ready, suspects, recovered)
-        is_new = self._last_report is None or self._last_report.ready != ready
-        is_urgent = bool(suspects or recovered)
+        is_changed = bool(ejections) and ready != self._reported_ready
         age = now - self._reported_at
-        if is_new or age >= REFRESH_SECONDS or (is_urgent and age >= DECAY_SECONDS / 4):
-            self._last_report = report
+        is_due = age >= REPEAT_SECONDS if suspects or recovered else age >= REFRESH_SECONDS
+        if is_changed or ((suspects or recovered or ejections) and is_due):
+            self._reported_ready = ready
             self._reported_at = now
             return report
         return None
--- a/tarragonshelf/membership/_entries.py
+++ b/tarragonshelf/membership/_entries.py
@@ -49,6 +49,11 @@
         """Return the record of a VM."""
         return self._records.get(vm)
 
+    def is_trusted(self, vm: str) -> bool:
+        """Tell whether a VM is known and neither suspected nor failed."""
+        record = self._records.get(vm)
+        return record is not None and record.state in (EntryState.ALIVE, EntryState.LEAVING)
+
     def has_failed_since(self, vm: str, now: float) -> float:
         """Return for how many seconds a VM has been known as failed, or 0."""
         record = self._records.get(vm)
--- a/tarragonshelf/membership/_gossip.py
+++ b/tarragonshelf/membership/_gossip.py
@@ -1,5 +1,6 @@
 """Gossip of one entry with the others."""
 
+from collections.abc import Collection
 from random import Random
 
 from ..base import Effect, StateMachine
@@ -61,8 +62,11 @@
     def tick(self, now: float) -> list[Effect]:
         """Start a round of gossip when it is due, and end leases."""
         self.entries.tick(now)
-        self.targets.tick(now, lambda vm: self.entries.has_failed_since(vm, now))
+        changed = self.targets.tick(now, self.entries)
         self.poison.forget(now)
+        if changed:
+            registrars = {vm for record in changed for vm in record.registrars}
+            return self._gossip(now, URGENT_FAN_OUT, registrars)
         if now - self._round_at < ROUND_SECONDS:
             return []
         self._round_at = now
@@ -88,9 +92,12 @@
             self._poison_rumors.add(note, note)
         return is_new
 
-    def _gossip(self, now: float, fan_out: int) -> list[Effect]:
+    def _gossip(self, now: float, fan_out: int, first: Collection[str] = ()) -> list[Effect]:
+        """Send gossip to some peers by chance, and to those that are to hear it first."""
         peers = self.entries.list_peers()
-        chosen = self.random.sample(peers, min(fan_out, len(peers)))
+        chosen = [peer for peer in peers if peer.vm in first]
+        others = [peer for peer in peers if peer.vm not in first]
+        chosen += self.random.sample(others, min(fan_out, len(others)))
         addresses = [peer.peer for peer in chosen]
         if self.seeds and (not peers or self.random.random() < 1 / (len(peers) + 1)):
             # A seed is asked now and then, so that two halves of a fleet find each other again.
--- a/tarragonshelf/membership/_targets.py
+++ b/tarragonshelf/membership/_targets.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 from hashlib import blake2b
 
+from ._entries import EntryTable
 from ._messages import Announcement, TargetRecord, TargetState
 from ._rumors import RumorQueue, compute_record_digest
 
@@ -14,9 +15,12 @@
 class TargetTable:
     """Targets by address, with a lease for those that announce themselves here.
 
-    Renewals of a lease stay with the registrar. Only changes of state travel, and a registrar
-    that heard a later announcement than the one that made another call the target silent
-    refutes that.
+    Renewals of a lease stay with the target's registrars; only changes of state travel.
+
+    Notes
+    -----
+    A registrar whose lease ran out may be the one that is cut off. It resigns from the record,
+    and only when no registrar is left that could still hear the target does it fall silent.
     """
 
     def __init__(self, name: str):
@@ -80,7 +84,7 @@
         """Take a record of another entry in and return whether it changed anything."""
         current = self._records.get(record.address)
         if current is not None and record.rank <= current.rank:
-            return False
+            return self._join_resignations(now, current, record)
         renewed = self._renewed.get(record.address)
         if renewed is not None:
             own = _create_record(renewed[1])
@@ -94,38 +98,50 @@
         self._put(now, record)
         return True
 
-    def tick(self, now: float, failed_seconds) -> list[TargetRecord]:
-        """End leases that were not renewed and return the targets that fell silent.
-
-        Parameters
-        ----------
-        now : float
-            Seconds.
-        failed_seconds : callable
-            Returns for how many seconds an entry VM has been known as failed, or 0.
-        """
-        silent = []
+    def tick(self, now: float, entries: EntryTable) -> list[TargetRecord]:
+        """End leases that were not renewed and return the records that changed by it."""
+        changed = []
         for address, (renewed_at, announcement) in list(self._renewed.items()):
             if now - renewed_at >= LEASE_SECONDS:
                 del self._renewed[address]
-                silent += self._silence(now, address, announcement.sequence)
+                changed += self._resign(now, address, announcement.sequence, entries)
         for record in list(self._records.values()):
-            is_orphaned = record.registrars and all(
-                failed_seconds(vm) >= LEASE_SECONDS for vm in record.registrars
-            )
-            if is_orphaned and record.address not in self._renewed:
-                silent += self._silence(now, record.address, record.sequence)
+            if record.address not in self._renewed and _is_orphaned(now, record, entries):
+                changed += self._silence(now, record, record.sequence)
             elif record.state in (TargetState.SILENT, TargetState.LEAVING):
                 self._forget(now, record)
-        return silent
+        return changed
 
-    def _silence(self, now: float, address: str, sequence: int) -> list[TargetRecord]:
+    def _resign(
+        self, now: float, address: str, sequence: int, entries: EntryTable
+    ) -> list[TargetRecord]:
+        """Leave a target to its other registrars, or call it silent if none is left."""
         record = self._records.get(address)
-        if record is None or record.state not in (TargetState.READY, TargetState.STARTING):
+        if record is None:
+            return []
+        left = tuple(vm for vm in record.registrars if vm != self.name)
+        if not any(entries.is_trusted(vm) for vm in left):
+            return self._silence(now, record, sequence)
+        self._put(now, replace(record, registrars=left, sequence=max(sequence, record.sequence)))
+        return [self._records[address]]
+
+    def _join_resignations(self, now: float, current: TargetRecord, record: TargetRecord) -> bool:
+        """Keep as registrars only those that neither of two like records has lost."""
+        left = tuple(vm for vm in current.registrars if vm in record.registrars)
+        if record.rank != current.rank or left == current.registrars:
+            return False
+        if left or current.state != TargetState.READY:
+            self._put(now, replace(current, registrars=left))
+        else:
+            self._silence(now, current, current.sequence)
+        return True
+
+    def _silence(self, now: float, record: TargetRecord, sequence: int) -> list[TargetRecord]:
+        if record.state not in (TargetState.READY, TargetState.STARTING):
             return []
-        silent = replace(record, state=TargetState.SILENT, sequence=max(sequence, record.sequence))
-        self._put(now, silent)
-        return [silent]
+        sequence = max(sequence, record.sequence)
+        self._put(now, replace(record, state=TargetState.SILENT, sequence=sequence))
+        return [self._records[record.address]]
 
     def _forget(self, now: float, record: TargetRecord) -> None:
         if now - self._changed_at[record.address] >= FORGET_SECONDS:
@@ -148,6 +164,20 @@
         self._digests[_find_bucket(record.address)] ^= value
 
 
+def _is_orphaned(now: float, record: TargetRecord, entries: EntryTable) -> bool:
+    """Tell whether no registrar can renew a target's lease any more.
+
+    After one registrar resigned, doubt about the other is enough. If several are lost at once,
+    their targets get the time of a lease to find others.
+    """
+    if not record.registrars:
+        return False
+    if len(record.registrars) == 1:
+        return not entries.is_trusted(record.registrars[0])
+    failed = (entries.has_failed_since(vm, now) for vm in record.registrars)
+    return all(seconds >= LEASE_SECONDS for seconds in failed)
+
+
 def _find_bucket(address: str) -> int:
     return blake2b(address.encode(), digest_size=1).digest()[0] % BUCKETS
 
