Test bad input, findings, golden session and features over processes

Ruled out: asking that no decision package loads asyncio at all: the library for errors loads it itself, so the check forgets asyncio after that library and finds whoever loads it again (shown with an import in the ledger). Change: process tests of callers, peers and command line; findings that only echo others are dropped; features over fake controls; golden order session.

--- /dev/null
+++ b/features/steps/orders.py
@@ -0,0 +1,69 @@
+"""Steps over controls that a fake network joins."""
+
+from behave import given, then, when
+
+from tarragonshelf.configuration import ApplyConfiguration, Chunk
+from tarragonshelf.control.tests.fakes import FakeFleet
+from tarragonshelf.ledger import Answer, ClaimId, ClaimKey, OrderKey, SettleKey
+from tarragonshelf.utils import compute_digest
+
+
+@given("three controls with a leader")
+def start(context):
+    context.fleet = FakeFleet(["a", "b", "c"])
+    context.fleet.start_all()
+    context.fleet.wait_for_leader()
+    context.claims = {}
+    context.number = 0
+
+
+@when('entry "{entry}" claims order "{key}"')
+def claim(context, entry, key):
+    context.number += 1
+    claim_id = ClaimId(entry, "1", context.number)
+    order = OrderKey("account", "POST /orders", key)
+    context.claims[entry, key] = claim_id
+    command = ClaimKey(claim_id, order, "digest", "service", 20.0, 600.0)
+    context.last = context.fleet.submit(command)
+
+
+@when('entry "{entry}" settles order "{key}" with answer "{text}"')
+def settle(context, entry, key, text):
+    order = OrderKey("account", "POST /orders", key)
+    answer = Answer(200, (), text.encode())
+    command = SettleKey(context.claims[entry, key], order, answer, "digest", "service", 600.0)
+    context.last = context.fleet.submit(command)
+
+
+@when("the leader is killed")
+def kill_leader(context):
+    context.fleet.crash(context.fleet.wait_for_leader())
+
+
+@when("{seconds:d} seconds pass")
+def wait(context, seconds):
+    context.fleet.advance(seconds)
+
+
+@when('operator "{operator}" replaces version {version:d}')
+def change(context, operator, version):
+    content = f'{{"rest": {{"by": "{operator}"}}}}'.encode()
+    chunk = Chunk(compute_digest(content), content)
+    command = ApplyConfiguration(operator, version, operator, (chunk.digest,), (chunk,))
+    context.last = context.fleet.submit(command)
+
+
+@then('the last claim is "{state}" with answer "{text}"')
+def check_answer(context, state, text):
+    assert context.last.state == state, context.last
+    assert context.last.answer.body == text.encode()
+
+
+@then('the last claim is "{state}"')
+def check_claim(context, state):
+    assert context.last.state == state, context.last
+
+
+@then('the last change is a "{state}" won by "{operator}"')
+def check_change(context, state, operator):
+    assert (context.last.state, context.last.author) == (state, operator), context.last
--- a/tarragonshelf/configuration/_document.py
+++ b/tarragonshelf/configuration/_document.py
@@ -142,7 +142,8 @@
 
 def describe_errors(error: ValidationError) -> list[Finding]:
     """Return a finding for each fault that a validation met."""
-    return [Finding(format_place(item["loc"]), _describe(item)) for item in error.errors()]
+    errors = [item for item in error.errors() if not _is_echo(item)]
+    return [Finding(format_place(item["loc"]), _describe(item)) for item in errors]
 
 
 def format_place(location: tuple[int | str, ...]) -> str:
@@ -156,6 +157,11 @@
     return place or "document"
 
 
+def _is_echo(item: dict[str, Any]) -> bool:
+    """Tell whether a list counts as too short only because its items are at fault."""
+    return item["type"] == "too_short" and len(item["input"]) >= item["ctx"]["min_length"]
+
+
 def _describe(item: dict[str, Any]) -> str:
     if item["type"] in ("unexpected_keyword_argument", "extra_forbidden"):
         return "is not a known key"
--- a/tarragonshelf/entry/tests/test_fleet.py
+++ b/tarragonshelf/entry/tests/test_fleet.py
@@ -170,7 +170,7 @@
 
 
 class TestFloorMachine(FloorMachine.TestCase):
-    settings = settings(stateful_step_count=12, max_examples=25)
+    settings = settings(stateful_step_count=12, max_examples=settings.default.max_examples // 4)
 
 
 class BoundlessGrants(EjectionGrants):
@@ -269,7 +269,7 @@
         fleet.advance(LEAVE_SECONDS)
         assert "t0" not in fleet.list_ready("e7")
 
-    @settings(max_examples=40)
+    @settings(max_examples=settings.default.max_examples // 2)
     @given(
         seed=st.integers(0, 10_000),
         count=st.integers(3, 12),
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests over several packages, and of processes."""
--- /dev/null
+++ b/tests/golden/__init__.py
@@ -0,0 +1,1 @@
+"""Golden files: events in and effects out of whole sessions."""
--- /dev/null
+++ b/tests/golden/order.py
@@ -0,0 +1,94 @@
+"""One order at two entries: a claim whose answer is lost, a resend, a refusal, a replay.
+
+``python -m tests.golden.order`` writes the file anew; a person reads it before it is committed.
+"""
+
+import json
+from dataclasses import asdict
+from pathlib import Path
+
+from tarragonshelf.execution import (
+    AttemptEnded,
+    ClaimAnswered,
+    Command,
+    EndKind,
+    OrderMachine,
+    SettleAnswered,
+    Started,
+    SubmitClaim,
+    SubmitSettle,
+)
+from tarragonshelf.execution.tests.fakes import ORDER, FakeContext, create_request
+from tarragonshelf.execution.tests.test_order import change
+from tarragonshelf.ledger import Answer, Ledger
+
+FILE = Path(__file__).parent / "order.jsonl"
+ANSWER = Answer(201, (), b"ring 7")
+
+
+class Session:
+    """Feeds machines and writes every event and effect as a JSON line."""
+
+    def __init__(self):
+        self.lines: list[str] = []
+        self.ledger = Ledger()
+        self.now = 0.0
+
+    def write(self, entry: str, kind: str, item) -> None:
+        """Add one line."""
+        fields = {
+            "now": self.now,
+            "entry": entry,
+            kind: type(item).__name__,
+            "fields": asdict(item),
+        }
+        self.lines.append(json.dumps(fields, default=_convert, sort_keys=True))
+
+    def feed(self, entry: str, machine: OrderMachine, event):
+        """Feed an event, carry out what concerns the ledger, and return the last effect."""
+        self.write(entry, "event", event)
+        effect = None
+        for effect in machine.handle(self.now, event):
+            self.write(entry, "effect", effect)
+            if isinstance(effect, Command):
+                self.write("ledger", "result", change(self.ledger, self.now, effect.command))
+        return effect
+
+    def submit(self, effect: SubmitClaim | SubmitSettle):
+        """Bring a command to the ledger and return its result."""
+        result = change(self.ledger, self.now, effect.command)
+        self.write("ledger", "result", result)
+        return result
+
+
+def record_session() -> list[str]:
+    """Return the lines of the session."""
+    session = Session()
+    first = OrderMachine(create_request(ORDER, key="k"), FakeContext("e1"))
+    lost = session.feed("e1", first, Started())
+    session.submit(lost)
+    session.now = 2.0
+    session.feed("e1", first, ClaimAnswered(None))
+    second = OrderMachine(create_request(ORDER, key="k", deadline=20.0), FakeContext("e2"))
+    claim = session.feed("e2", second, Started())
+    attempt = session.feed("e2", second, ClaimAnswered(session.submit(claim)))
+    session.now = 2.1
+    refused = AttemptEnded(attempt.number, EndKind.REFUSED, Answer(503))
+    attempt = session.feed("e2", second, refused)
+    session.now = 2.2
+    settle = session.feed("e2", second, AttemptEnded(attempt.number, EndKind.ANSWERED, ANSWER))
+    session.submit(settle)
+    session.feed("e2", second, SettleAnswered(True))
+    session.now = 9.0
+    third = OrderMachine(create_request(ORDER, key="k", deadline=20.0), FakeContext("e3"))
+    claim = session.feed("e3", third, Started())
+    session.feed("e3", third, ClaimAnswered(session.submit(claim)))
+    return session.lines
+
+
+def _convert(value):
+    return value.decode() if isinstance(value, bytes) else str(value)
+
+
+if __name__ == "__main__":
+    FILE.write_text("\n".join(record_session()) + "\n")
--- a/tools/target.py
+++ b/tools/target.py
@@ -83,6 +83,8 @@
             file.write(json.dumps(line) + "\n")
         await asyncio.sleep(self.work * (10 if self.mode == "slow" else 1))
         answer = {"service": self.service, "target": self.address, "path": request.path_qs}
+        if request.path.endswith("/headers"):
+            answer["headers"] = dict(request.headers)
         if request.method != "GET":
             answer["order"] = f"{self.address}-{self.incarnation}-{time.time_ns()}"
         return web.json_response(answer)
