Take a refused connection as proof only if nothing was sent, and spread crashes at once

Cause, found by the poison test over processes: a third target crashed. (1) aiohttp sends a GET again by itself when a pooled connection breaks; the second connection to the crashed target is refused, which counted as proof that it had not run. That broke the promise of not-run, and no crash was counted. (2) News of a crash waited for the next tick and the next round. Ruled out: digests that differ between entries; quarantine that ends early. Change: proof needs that no request was written on any connection (a public trace of the client); crashes are passed on at once and relayed at once; answers that are too large or without an end are no crash.

--- a/tarragonshelf/daemons/_entry.py
+++ b/tarragonshelf/daemons/_entry.py
@@ -64,6 +64,7 @@
                 upstream=self.upstream,
                 courier=self.courier,
                 kept_answer=settings.kept_answer,
+                flush=self._flush,
                 report=self._trace,
             ),
             carry_out=self._carry_out,
@@ -216,6 +217,9 @@
                     "configuration_in_force", version=version.version, author=version.author
                 )
 
+    def _flush(self) -> None:
+        self._carry_out(self.node.take_pending())
+
     def _spawn(self, work) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
--- a/tarragonshelf/daemons/_runner.py
+++ b/tarragonshelf/daemons/_runner.py
@@ -45,6 +45,8 @@
         Brings commands to the ledger.
     kept_answer : int
         Bytes of an answer's body that the ledger keeps.
+    flush : callable
+        Carries out what the context has pending.
     report : callable
         Takes an event name and fields.
     """
@@ -57,6 +59,7 @@
         upstream: Upstream,
         courier: Courier,
         kept_answer: int,
+        flush,
         report,
     ):
         self.context = context
@@ -64,6 +67,7 @@
         self.upstream = upstream
         self.courier = courier
         self.kept_answer = kept_answer
+        self.flush = flush
         self.report = report
 
     async def run(self, request: Request, headers: CIMultiDict, body: bytes) -> Respond | Reject:
@@ -74,6 +78,7 @@
             message: Message = Started()
             while True:
                 effects = machine.handle(_read_time(), message)
+                self.flush()
                 message = None
                 for effect in effects:
                     if isinstance(effect, Respond | Reject):
--- a/tarragonshelf/daemons/_upstream.py
+++ b/tarragonshelf/daemons/_upstream.py
@@ -1,6 +1,7 @@
 """Attempts at targets over HTTP."""
 
 import asyncio
+from dataclasses import dataclass
 
 from aiohttp import (
     ClientConnectorError,
@@ -10,6 +11,7 @@
     ClientTimeout,
     ConnectionTimeoutError,
     TCPConnector,
+    TraceConfig,
 )
 from multidict import CIMultiDict
 from yarl import URL
@@ -35,8 +37,15 @@
 NOT_PASSED_ON = HOP_BY_HOP | {"content-length", "host"}
 
 
-class OversizedAnswerError(Exception):
-    """A target's answer exceeds what an entry takes."""
+class UnusableAnswerError(Exception):
+    """A target answered, but with what an entry must not or cannot pass on."""
+
+
+@dataclass(slots=True)
+class _Progress:
+    """Whether any part of a request was written, on whichever connection."""
+
+    is_sent: bool = False
 
 
 class Upstream:
@@ -78,18 +87,27 @@
     ) -> AttemptEnded:
         """Carry out one attempt and tell how it ended."""
         session = self._single if request.route.not_repeatable else self._shared
+        progress = _Progress()
         url = URL(f"http://{attempt.target.address}{request.path}", encoded=True)
         try:
             async with asyncio.timeout(attempt.timeout):
                 async with session.request(
-                    request.method, url, headers=headers, data=body or None, allow_redirects=False
+                    request.method,
+                    url,
+                    headers=headers,
+                    data=body or None,
+                    allow_redirects=False,
+                    trace_request_ctx=progress,
                 ) as response:
                     answer = await self._read(request, response)
         except (ClientConnectorError, ConnectionTimeoutError):
-            return AttemptEnded(attempt.number, EndKind.NOT_SENT)
+            kind = EndKind.BROKEN if progress.is_sent else EndKind.NOT_SENT
+            return AttemptEnded(attempt.number, kind)
         except TimeoutError:
             return AttemptEnded(attempt.number, EndKind.TIMED_OUT)
-        except (ClientError, OSError, OversizedAnswerError, ValueError):
+        except UnusableAnswerError:
+            return AttemptEnded(attempt.number, EndKind.UNUSABLE)
+        except (ClientError, OSError, ValueError):
             return AttemptEnded(attempt.number, EndKind.BROKEN)
         is_refusal = answer.status in request.service.refusal_statuses
         kind = EndKind.REFUSED if is_refusal else EndKind.ANSWERED
@@ -97,14 +115,14 @@
 
     async def _read(self, request: Request, response: ClientResponse) -> Answer:
         if not _is_delimited(request, response):
-            raise OversizedAnswerError("the answer's end cannot be told from a broken connection")
+            raise UnusableAnswerError("the answer's end cannot be told from a broken connection")
         if (response.content_length or 0) > self.maximum_answer and request.method != "HEAD":
-            raise OversizedAnswerError(f"the answer exceeds {self.maximum_answer} bytes")
+            raise UnusableAnswerError(f"the answer exceeds {self.maximum_answer} bytes")
         body = bytearray()
         async for part in response.content.iter_any():
             body += part
             if len(body) > self.maximum_answer:
-                raise OversizedAnswerError(f"the answer exceeds {self.maximum_answer} bytes")
+                raise UnusableAnswerError(f"the answer exceeds {self.maximum_answer} bytes")
         return Answer(response.status, _filter_headers(response.headers), bytes(body))
 
 
@@ -129,9 +147,16 @@
     return is_chunked or response.content_length is not None
 
 
+async def _note_sent(session, context, parameters) -> None:
+    context.trace_request_ctx.is_sent = True
+
+
 def _create_session(connector: TCPConnector) -> ClientSession:
+    trace = TraceConfig()
+    trace.on_request_headers_sent.append(_note_sent)
     return ClientSession(
         connector=connector,
+        trace_configs=[trace],
         auto_decompress=False,
         timeout=ClientTimeout(total=None, sock_connect=CONNECT_SECONDS),
         skip_auto_headers=("Accept", "Accept-Encoding", "User-Agent", "Content-Type"),
--- /dev/null
+++ b/tarragonshelf/daemons/tests/test_upstream.py
@@ -0,0 +1,137 @@
+"""Attempts over real sockets against targets that break off in every way."""
+
+import asyncio
+
+import pytest
+from multidict import CIMultiDict
+
+from ...execution import Attempt, AttemptEnded, EndKind
+from ...execution.tests.fakes import LOOKUP, ORDER, create_request, create_target
+from .._upstream import Upstream
+
+WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
+SHORT = b"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nshort"
+UNBOUNDED = b"HTTP/1.1 200 OK\r\n\r\nopen end"
+HALF_CHUNK = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n"
+REFUSAL = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+
+
+class FakeTarget:
+    """A server that answers each request with the next of some scripted answers.
+
+    None stands for an answer that never comes; ``end`` closes the connection and the server.
+    """
+
+    def __init__(self, *answers: bytes | None):
+        self.answers = list(answers)
+        self.requests: list[tuple[int, bytes]] = []
+        self.connections = 0
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> str:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    async def stop(self) -> None:
+        self._server.close()
+
+    async def _serve(self, reader, writer) -> None:
+        self.connections += 1
+        number = self.connections
+        while True:
+            try:
+                request = await reader.readuntil(b"\r\n\r\n")
+            except asyncio.IncompleteReadError:
+                return
+            self.requests.append((number, request))
+            answer = self.answers.pop(0) if self.answers else b"end"
+            if answer is None:
+                await reader.read()
+                return
+            if answer == b"end":
+                self._server.close()
+                writer.close()
+                return
+            writer.write(answer)
+            if answer in (SHORT, UNBOUNDED, HALF_CHUNK):
+                writer.close()
+                return
+
+
+async def run_attempts(
+    target: FakeTarget, *, route=LOOKUP, count: int = 1, timeout: float = 5.0
+) -> list[AttemptEnded]:
+    """Run attempts one after another and return how each ended."""
+    address = await target.start()
+    upstream = Upstream(maximum_answer=1000)
+    await upstream.start()
+    ended = []
+    try:
+        for number in range(count):
+            attempt = Attempt(number, create_target(address), timeout, timeout)
+            request = create_request(route, key="k")
+            ended.append(await upstream.run(request, attempt, CIMultiDict(), b""))
+    finally:
+        await upstream.stop()
+        await target.stop()
+    return ended
+
+
+def run(target: FakeTarget, **options) -> list[AttemptEnded]:
+    return asyncio.run(run_attempts(target, **options))
+
+
+class TestUpstream:
+    def test_whole_answer(self):
+        (ended,) = run(FakeTarget(WHOLE))
+        assert (ended.kind, ended.answer.body) == (EndKind.ANSWERED, b"whole")
+
+    @pytest.mark.parametrize(
+        "answer", [SHORT, HALF_CHUNK, UNBOUNDED], ids=["short", "chunk", "open"]
+    )
+    def test_answer_that_may_not_be_whole_is_never_passed_on(self, answer):
+        (ended,) = run(FakeTarget(answer))
+        assert (ended.kind, ended.answer) == (EndKind.BROKEN, None)
+
+    def test_refusal_is_proof(self):
+        (ended,) = run(FakeTarget(REFUSAL))
+        assert ended.kind == EndKind.REFUSED
+
+    def test_refused_connection_is_proof(self):
+        target = FakeTarget()
+
+        async def check():
+            address = await target.start()
+            await target.stop()
+            upstream = Upstream(maximum_answer=1000)
+            await upstream.start()
+            attempt = Attempt(1, create_target(address), 5.0, 5.0)
+            try:
+                return await upstream.run(create_request(LOOKUP), attempt, CIMultiDict(), b"")
+            finally:
+                await upstream.stop()
+
+        assert asyncio.run(check()).kind == EndKind.NOT_SENT
+
+    def test_crash_on_a_used_connection_is_no_proof(self):
+        # The library tries once more by itself and is refused: the request was sent before.
+        target = FakeTarget(WHOLE, b"end")
+        first, second = run(target, count=2)
+        assert first.kind == EndKind.ANSWERED
+        assert second.kind == EndKind.BROKEN
+
+    def test_connection_of_a_timed_out_attempt_is_not_used_again(self):
+        target = FakeTarget(WHOLE, None, WHOLE)
+        kinds = [ended.kind for ended in run(target, count=3, timeout=0.5)]
+        assert kinds == [EndKind.ANSWERED, EndKind.TIMED_OUT, EndKind.ANSWERED]
+        assert [number for number, _ in target.requests] == [1, 1, 2]
+
+    def test_each_order_gets_a_connection_of_its_own(self):
+        target = FakeTarget(WHOLE, WHOLE)
+        run(target, route=ORDER, count=2)
+        assert [number for number, _ in target.requests] == [1, 2]
+
+    def test_oversized_answer_is_not_passed_on(self):
+        large = b"HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" + b"x" * 2000
+        (ended,) = run(FakeTarget(large))
+        assert (ended.kind, ended.answer) == (EndKind.UNUSABLE, None)
--- a/tarragonshelf/entry/_node.py
+++ b/tarragonshelf/entry/_node.py
@@ -147,9 +147,12 @@
             self._evidence_at = now
             effects += self._send_evidence(now)
             effects += self._report_health(now)
-        effects += self._pending
-        self._pending = []
-        return effects
+        return effects + self.take_pending()
+
+    def take_pending(self) -> list[Effect]:
+        """Return what requests gave rise to, which must not wait for the next tick."""
+        pending, self._pending = self._pending, []
+        return pending
 
     def follow(self, now: float, source: str, followed: Followed) -> list[Effect]:
         """Take the word of a control, or of another entry while no control is reached."""
--- a/tarragonshelf/entry/tests/test_fleet.py
+++ b/tarragonshelf/entry/tests/test_fleet.py
@@ -390,3 +390,18 @@
         fleet._fetch = whole
         fleet.advance(2)
         assert fleet.entries["e0"].follower.version == 2
+
+
+class TestPoison:
+    def count_quarantined(self, seconds: float, entries: int = 48) -> int:
+        fleet = create_fleet(entries)
+        fleet.delay = 0.02
+        for n in range(2):
+            node = fleet.entries["e0"]
+            node.record_crash(fleet.now, "digest", node.gossip.targets.get_record(f"t{n}"))
+            fleet._carry_out("e0", node.take_pending())
+        fleet.advance(seconds)
+        return sum(node.is_quarantined(fleet.now, "digest") for node in fleet.entries.values())
+
+    def test_news_of_a_crash_does_not_wait_for_a_round_of_gossip(self):
+        assert self.count_quarantined(0.4) == 48
--- a/tarragonshelf/execution/_lookup.py
+++ b/tarragonshelf/execution/_lookup.py
@@ -64,6 +64,8 @@
 
     def _may_retry(self, now: float, ended: AttemptEnded) -> bool:
         is_safe = ended.kind in _PROOF_OF_NOT_RUN or not self.request.route.not_repeatable
-        if not is_safe or self.context.is_quarantined(now, self.request.digest):
+        if not is_safe or ended.kind == EndKind.UNUSABLE:
+            return False
+        if self.context.is_quarantined(now, self.request.digest):
             return False
         return self.context.spend_retry()
--- a/tarragonshelf/execution/_messages.py
+++ b/tarragonshelf/execution/_messages.py
@@ -92,13 +92,17 @@
 
 
 class EndKind(StrEnum):
-    """How an attempt ended; the first two prove that the target did not run the request."""
+    """How an attempt ended; the first two prove that the target did not run the request.
+
+    ``UNUSABLE`` is an answer that is too large, or whose end a broken connection could fake.
+    """
 
     NOT_SENT = "not-sent"
     REFUSED = "refused"
     ANSWERED = "answered"
     BROKEN = "broken"
     TIMED_OUT = "timed-out"
+    UNUSABLE = "unusable"
 
 
 @dataclass(frozen=True, slots=True)
--- a/tarragonshelf/execution/_request.py
+++ b/tarragonshelf/execution/_request.py
@@ -121,4 +121,5 @@
     EndKind.REFUSED: Outcome.SHED,
     EndKind.BROKEN: Outcome.FAILED,
     EndKind.TIMED_OUT: Outcome.HUNG,
+    EndKind.UNUSABLE: Outcome.ANSWERED,
 }
--- a/tarragonshelf/execution/tests/test_order.py
+++ b/tarragonshelf/execution/tests/test_order.py
@@ -110,7 +110,12 @@
     )
     def end_attempt(self, place, kind, ran):
         case = self._find(place, Attempt)
-        certain = {EndKind.ANSWERED: True, EndKind.NOT_SENT: False, EndKind.REFUSED: False}
+        certain = {
+            EndKind.ANSWERED: True,
+            EndKind.UNUSABLE: True,
+            EndKind.NOT_SENT: False,
+            EndKind.REFUSED: False,
+        }
         if certain.get(kind, ran):
             self.runs[case["key"]] += 1
             case["ran"] += 1
--- a/tarragonshelf/membership/_gossip.py
+++ b/tarragonshelf/membership/_gossip.py
@@ -48,9 +48,10 @@
         for record in (message.source, *message.entries):
             self.entries.merge(now, record)
         changed = [self.targets.merge(now, record) for record in message.targets]
-        for note in message.poisons:
-            self._record_poison(now, note)
         effects: list[Effect] = []
+        if any([self._record_poison(now, note) for note in message.poisons]):
+            # The caller may send the request again at once, to any entry.
+            effects += self._gossip(now, URGENT_FAN_OUT)
         wanted = self._find_wanted(now, message) if not any(changed) else ()
         if not message.is_reply or message.wanted or wanted:
             answer = self._create_gossip(
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools beside the system: stand-in target, caller, fleet, demonstration."""
--- a/tools/caller.py
+++ b/tools/caller.py
@@ -83,6 +83,7 @@
     pause: float = 0.02
     seen: list[Seen] = field(default_factory=list)
     orders: dict[str, Seen] = field(default_factory=dict)
+    lookups: list[tuple[str, Seen]] = field(default_factory=list)
     _is_on: bool = True
 
     async def run(self) -> None:
@@ -106,7 +107,9 @@
         while self._is_on:
             number += 1
             if number % 5:
-                seen = await caller.request("GET", f"{self.path}/{caller.name}/{number}")
+                path = f"{self.path}/{caller.name}/{number}"
+                seen = await caller.request("GET", path)
+                self.lookups.append((path, seen))
             else:
                 key = uuid.uuid4().hex
                 seen = await caller.request("POST", self.path, key=key)
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -165,7 +165,7 @@
         async with self.load() as load:
             os.kill(victim["pid"], signal.SIGKILL)
             await asyncio.sleep(4)
-        lookups = [item for item in load.seen if item not in load.orders.values()]
+        lookups = [seen for _, seen in load.lookups]
         bad = [item for item in lookups if item.status != 200]
         self.check("lookups are served without the leader", not bad, f"{len(lookups)} lookups")
         self.check_orders(load, "orders run or are told not-run as the leader is killed")
