Charge a quarter of a retry for a refused attempt

Cause: 12 targets of 3 slots behind 48 entries refuse 18% of attempts at 60% of capacity; a budget of 10% of requests ran dry on these. Ruled out: a metastable state (goodput after the overload stays within 5% of that before once the reserve is spent); idle reports of targets (they are not ours and mislead). Change: a retry after a refusal costs a quarter, as it took no slot.

--- a/tarragonshelf/entry/_node.py
+++ b/tarragonshelf/entry/_node.py
@@ -190,9 +190,9 @@
         """Return a target that was not tried, or None."""
         return self.balancer.choose(now, service, tried)
 
-    def spend_retry(self) -> bool:
-        """Take a retry from the budget, or return False."""
-        return self.budget.spend()
+    def spend_retry(self, cost: float) -> bool:
+        """Take a retry of some cost from the budget, or return False."""
+        return self.budget.spend(cost)
 
     def compute_hang_seconds(self, service: Service) -> float:
         """Return after how many seconds an unanswered attempt counts as hung."""
--- a/tarragonshelf/execution/_lookup.py
+++ b/tarragonshelf/execution/_lookup.py
@@ -10,7 +10,7 @@
     Respond,
     Started,
 )
-from ._request import RequestMachine
+from ._request import RETRY_COST, RequestMachine
 
 _PROOF_OF_NOT_RUN = (EndKind.NOT_SENT, EndKind.REFUSED)
 
@@ -37,7 +37,7 @@
 
     def _handle_slow(self, now: float) -> list[Effect]:
         slow = self._attempt
-        if self.request.route.not_repeatable or not self.context.spend_retry():
+        if self.request.route.not_repeatable or not self.context.spend_retry(RETRY_COST):
             return []
         attempt = self._start_attempt(now)
         if attempt is None:
@@ -68,4 +68,4 @@
             return False
         if self.context.is_quarantined(now, self.request.digest):
             return False
-        return self.context.spend_retry()
+        return self._spend_retry(ended)
--- a/tarragonshelf/execution/_messages.py
+++ b/tarragonshelf/execution/_messages.py
@@ -44,8 +44,8 @@
         """Return a target that was not tried, or None."""
 
     @abstractmethod
-    def spend_retry(self) -> bool:
-        """Take a retry from the budget, or return False."""
+    def spend_retry(self, cost: float) -> bool:
+        """Take a retry of some cost from the budget, or return False."""
 
     @abstractmethod
     def compute_hang_seconds(self, service: Service) -> float:
--- a/tarragonshelf/execution/_order.py
+++ b/tarragonshelf/execution/_order.py
@@ -125,7 +125,7 @@
             self._answer = ended.answer
             return [SubmitSettle(self._create_settle(ended.answer), SETTLE_SECONDS)]
         if ended.kind in (EndKind.NOT_SENT, EndKind.REFUSED):
-            if self.context.spend_retry():
+            if self._spend_retry(ended):
                 return self._try_target(now)
             return [Command(AbandonKey(self._claim, self.key)), self._reject_without_target()]
         reason = f"target {target.address} gave no whole answer ({ended.kind})"
--- a/tarragonshelf/execution/_request.py
+++ b/tarragonshelf/execution/_request.py
@@ -18,6 +18,8 @@
 
 RETRY_AFTER_SECONDS = 1.0
 MAXIMUM_ATTEMPTS = 4
+RETRY_COST = 1.0
+REFUSED_RETRY_COST = 0.25  # A refused attempt took no slot of any target.
 
 
 class RequestMachine(StateMachine):
@@ -86,6 +88,10 @@
         )
         return self._attempt
 
+    def _spend_retry(self, ended: AttemptEnded) -> bool:
+        is_refused = ended.kind == EndKind.REFUSED
+        return self.context.spend_retry(REFUSED_RETRY_COST if is_refused else RETRY_COST)
+
     def _note_end(self, now: float, attempt: Attempt, ended: AttemptEnded) -> None:
         service = self.request.service.name
         if ended.kind == EndKind.ANSWERED:
--- a/tarragonshelf/execution/tests/fakes.py
+++ b/tarragonshelf/execution/tests/fakes.py
@@ -54,7 +54,7 @@
         left = [item for item in self.targets if item.address not in tried]
         return Choice(left[0], False) if left else None
 
-    def spend_retry(self):
+    def spend_retry(self, cost):
         self.retries -= 1
         return self.retries >= 0
 
--- a/tarragonshelf/limits/_retries.py
+++ b/tarragonshelf/limits/_retries.py
@@ -20,9 +20,9 @@
         """Count a request."""
         self._balance = min(BUDGET_RESERVE, self._balance + self.ratio)
 
-    def spend(self) -> bool:
-        """Take one retry from the budget, or return False if it is used up."""
-        if self._balance < 1:
+    def spend(self, cost: float = 1.0) -> bool:
+        """Take a retry of some cost from the budget, or return False if it is used up."""
+        if self._balance < cost:
             return False
-        self._balance -= 1
+        self._balance -= cost
         return True
