Condemn nobody while a whole service slows, but for outliers

Cause: the detection driver showed 4 healthy targets ejected as a whole service became ten times slower: the first target with two hung requests was judged against peers whose last seconds were still healthy. Ruled out: a longer memory of peers (older health makes it worse); waiting half a second for confirmation (detection of a hang would near the 2 s aimed at). Change: while most targets show failures, only one far worse than the median is condemned; peers are never taken to fail at less than 5%.

--- a/tarragonshelf/health/_detector.py
+++ b/tarragonshelf/health/_detector.py
@@ -3,17 +3,20 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from math import exp, log
+from statistics import median
 
 from ._messages import Evidence
 
 FAILING_RATE = 0.5
-MINIMUM_PEER_RATE = 0.01
+MINIMUM_PEER_RATE = 0.05
 MAXIMUM_PEER_RATE = 0.35
 MEMORY_SECONDS = 5.0
 RECENT_SECONDS = 1.0
-RECENTLY_FAILING_RATE = 0.3
 RECENT_OUTCOMES = 0.5
+RECENTLY_FAILING_RATE = 0.05
 COMMON_SHARE = 0.5
+OUTLIER_RATE = 0.5
+OUTLIER_FACTOR = 3.0
 SOURCE_MEMORY_SECONDS = 5.0
 
 
@@ -76,9 +79,10 @@
     Notes
     -----
     The hypothesis of health is the failure rate of the better half of the service's other
-    targets, so that some failing ones do not excuse each other. While most of the targets fail
-    at once, the cause is not in any of them, and nobody is condemned. The score never falls
-    below zero: a long healthy past does not delay detection.
+    targets, so that some failing ones do not excuse each other. While most of the targets show
+    failures at once, the cause is not in any of them, and only one that is far worse than the
+    others is condemned. The score never falls below zero: a long healthy past does not delay
+    detection.
 
     References
     ----------
@@ -103,24 +107,34 @@
 
     def list_condemned(self) -> list[TargetScore]:
         """Return targets whose score reached the threshold, worst first."""
-        if self.is_common():
-            return []
+        is_common = self.is_common()
         found = [
             _describe(target, track)
             for target, track in self._tracks.items()
-            if track.score >= self.threshold
+            if track.score >= self.threshold and (not is_common or self._is_outlier(target))
         ]
         return sorted(found, key=lambda item: -item.score)
 
     def is_common(self) -> bool:
-        """Tell whether most targets that were used of late fail."""
-        rates = [
-            track.recent.bad / track.recent.total
-            for track in self._tracks.values()
-            if track.recent.total >= RECENT_OUTCOMES
+        """Tell whether most targets that were used of late show failures."""
+        used = [item.recent for item in self._tracks.values() if _is_used(item)]
+        failing = sum(
+            1
+            for item in used
+            if item.bad >= RECENT_OUTCOMES and item.bad >= RECENTLY_FAILING_RATE * item.total
+        )
+        return len(used) > 1 and failing > COMMON_SHARE * len(used)
+
+    def _is_outlier(self, target: str) -> bool:
+        own = self._tracks[target].recent
+        if own.bad < OUTLIER_RATE * own.total:
+            return False
+        others = [
+            item.recent.bad / item.recent.total
+            for name, item in self._tracks.items()
+            if name != target and _is_used(item)
         ]
-        failing = sum(1 for rate in rates if rate >= RECENTLY_FAILING_RATE)
-        return len(rates) > 1 and failing > COMMON_SHARE * len(rates)
+        return not others or own.bad >= OUTLIER_FACTOR * median(others) * own.total
 
     def record(self, now: float, source: str, items: Sequence[Evidence]) -> None:
         """Take one entry's evidence about the service's targets in."""
@@ -178,6 +192,10 @@
         return min(MAXIMUM_PEER_RATE, max(MINIMUM_PEER_RATE, pooled.rate))
 
 
+def _is_used(track: _Track) -> bool:
+    return track.recent.total >= RECENT_OUTCOMES
+
+
 def _describe(target: str, track: _Track) -> TargetScore:
     return TargetScore(
         target, track.incarnation, track.score, len(track.sources), track.failed, track.hung
