Find orphaned targets by their registrars

Ruled out: gossip and watching (1.6% with all entries alive, trial). Change: targets indexed by registrar, unsettled entries kept as a set; ended records are looked for every 30 s. The driver answers gossip now, so that the measured entry is not isolated.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -158,14 +158,14 @@
 
 
 def answer_gossip(node: EntryNode, now: float) -> list:
-    """Let the known peers answer, so that nobody is suspected; return what was sent."""
+    """Let the peers that gossip was sent to answer it; return what was sent."""
     sent = node.tick(now)
+    by_address = {record.peer: record for record in node.gossip.entries.list_peers()}
     for effect in sent:
-        message = getattr(effect, "message", None)
-        if isinstance(message, Gossip):
-            for record in node.gossip.entries.list_peers():
-                if record.peer == effect.address:
-                    node.gossip.entries.note_heard(record.vm)
+        source = by_address.get(getattr(effect, "address", ""))
+        if source is not None:
+            buckets = node.gossip._list_buckets()
+            node.handle(now, Gossip(source, buckets=buckets, is_reply=True))
     return sent
 
 
--- a/tarragonshelf/membership/_entries.py
+++ b/tarragonshelf/membership/_entries.py
@@ -25,6 +25,7 @@
         self.digest = 0
         self._records: dict[str, EntryRecord] = {}
         self._alive: tuple[str, ...] | None = None
+        self._unsettled: set[str] = set()
         self._changed_at: dict[str, float] = {}
         self._unanswered_since: dict[str, float] = {}
         self._set_own(own)
@@ -53,10 +54,9 @@
             self._alive = tuple(sorted(alive))
         return self._alive
 
-    @property
-    def has_doubts(self) -> bool:
-        """Whether any entry is suspected, leaving or failed."""
-        return len(self.list_alive()) < len(self._records)
+    def list_unsettled(self) -> tuple[str, ...]:
+        """Return the VMs of entries that are suspected, leaving or failed."""
+        return tuple(self._unsettled)
 
     def get_record(self, vm: str) -> EntryRecord | None:
         """Return the record of a VM."""
@@ -122,9 +122,8 @@
             del self._unanswered_since[vm]
             if record.state == EntryState.ALIVE:
                 self._put(now, replace(record, state=EntryState.SUSPECTED))
-        if self.has_doubts:
-            for record in list(self._records.values()):
-                self._age_record(now, record)
+        for vm in self.list_unsettled():
+            self._age_record(now, self._records[vm])
 
     def _age_record(self, now: float, record: EntryRecord) -> None:
         age = now - self._changed_at.get(record.vm, now)
@@ -160,9 +159,12 @@
 
     def _replace(self, vm: str, record: EntryRecord | None) -> None:
         self._alive = None
+        self._unsettled.discard(vm)
         known = self._records.pop(vm, None)
         if known is not None:
             self.digest ^= compute_record_digest(vm, known.rank)
         if record is not None:
             self.digest ^= compute_record_digest(vm, record.rank)
             self._records[vm] = record
+            if record.state != EntryState.ALIVE:
+                self._unsettled.add(vm)
--- a/tarragonshelf/membership/_targets.py
+++ b/tarragonshelf/membership/_targets.py
@@ -9,7 +9,7 @@
 
 LEASE_SECONDS = 3.0
 FORGET_SECONDS = 300.0
-SCAN_SECONDS = 5.0
+FORGET_SCAN_SECONDS = 30.0
 BUCKETS = 16
 
 
@@ -31,7 +31,8 @@
         self._renewed: dict[str, tuple[float, Announcement]] = {}
         self._ready: dict[str, dict[str, TargetRecord]] = {}
         self._ready_sorted: dict[str, list[TargetRecord]] = {}
-        self._scanned_at = float("-inf")
+        self._by_registrar: dict[str, set[str]] = {}
+        self._forgotten_at = float("-inf")
         self._changed_at: dict[str, float] = {}
         self._digests = [0] * BUCKETS
 
@@ -110,19 +111,25 @@
             if now - renewed_at >= LEASE_SECONDS:
                 del self._renewed[address]
                 changed += self._resign(now, address, announcement.sequence, entries)
-        if entries.has_doubts or now - self._scanned_at >= SCAN_SECONDS:
-            self._scanned_at = now
-            changed += self._scan(now, entries)
+        changed += self._silence_orphans(now, entries)
+        if now - self._forgotten_at >= FORGET_SCAN_SECONDS:
+            self._forgotten_at = now
+            self._forget_ended(now)
         return changed
 
-    def _scan(self, now: float, entries: EntryTable) -> list[TargetRecord]:
+    def _silence_orphans(self, now: float, entries: EntryTable) -> list[TargetRecord]:
         changed = []
+        for vm in entries.list_unsettled():
+            for address in list(self._by_registrar.get(vm, ())):
+                record = self._records[address]
+                if address not in self._renewed and _is_orphaned(now, record, entries):
+                    changed += self._silence(now, record, record.sequence)
+        return changed
+
+    def _forget_ended(self, now: float) -> None:
         for record in list(self._records.values()):
-            if record.address not in self._renewed and _is_orphaned(now, record, entries):
-                changed += self._silence(now, record, record.sequence)
-            elif record.state in (TargetState.SILENT, TargetState.LEAVING):
+            if record.state in (TargetState.SILENT, TargetState.LEAVING):
                 self._forget(now, record)
-        return changed
 
     def _resign(
         self, now: float, address: str, sequence: int, entries: EntryTable
@@ -173,7 +180,11 @@
         self.rumors.add(record.address, record)
 
     def _index(self, known: TargetRecord | None, record: TargetRecord | None) -> None:
-        """Keep the ready targets by service, as each request asks for them."""
+        """Keep targets by registrar, and the ready ones by service, for quick access."""
+        for vm in known.registrars if known is not None else ():
+            self._by_registrar[vm].discard(known.address)
+        for vm in record.registrars if record is not None else ():
+            self._by_registrar.setdefault(vm, set()).add(record.address)
         if known is not None:
             self._ready.get(known.service, {}).pop(known.address, None)
             self._ready_sorted.pop(known.service, None)
