--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-PYTHON ?= python3.11
+PYTHON ?= $(shell command -v python3.11 || command -v python3)
 BIN := .venv/bin
 
 .PHONY: demo test lint prove benchmark
@@ -25,3 +25,14 @@
 prove: .venv/ready
 	PROVE_EXAMPLES=$(EXAMPLES) $(BIN)/python -m pytest --hypothesis-seed=$(SEED) -m "not process"
 	@echo "seed $(SEED), examples $(EXAMPLES)"
+
+benchmark: .venv/ready
+	$(BIN)/pip install --quiet --requirement requirements-benchmark.txt
+	mkdir -p benchmarks/results
+	$(BIN)/python -m benchmarks.slopes > benchmarks/results/slopes.json
+	$(BIN)/python -m benchmarks.path > benchmarks/results/path.json
+	$(BIN)/python -m benchmarks.detection > benchmarks/results/detection.json
+	$(BIN)/python -m benchmarks.capacity benchmarks/results/slopes.json \
+		benchmarks/results/path.json > docs/CAPACITY.md
+	$(BIN)/python -m benchmarks.pages benchmarks/results/detection.json \
+		benchmarks/results/slopes.json
