Stop a control whose memory may be ahead of its disk, and let no removed one in again

Cause, found by reading: an error in the middle of a batch lost the saves of that batch while the process went on; a retired control that still ran asked to be let in again; claim ids used an incarnation that an earlier process may have had. Ruled out: catching errors message by message (the log in memory would differ from the disk).

--- a/tarragonshelf/control/_node.py
+++ b/tarragonshelf/control/_node.py
@@ -348,6 +348,10 @@
             self._reply(call, Refused(RefusedReason.UNKNOWN_NAME, detail=detail))
             return
         kept = tuple(item for item in membership.members if item.vm != message.vm)
+        if not Membership(kept).voters:
+            detail = f"VM {message.vm!r} holds the last voter"
+            self._reply(call, Refused(RefusedReason.UNKNOWN_NAME, detail=detail))
+            return
         self._propose_membership(now, call, Membership(kept))
 
     def _propose_membership(self, now: float, call: int | None, membership: Membership) -> None:
--- a/tarragonshelf/daemons/_callers.py
+++ b/tarragonshelf/daemons/_callers.py
@@ -94,7 +94,12 @@
         if request.path == "/announcements" and request.method == "POST":
             return await self._take_announcement(request)
         started_at = _read_time()
-        response = await self._serve(request, started_at)
+        try:
+            response = await self._serve(request, started_at)
+        except Exception as error:
+            self.report("request_failed", problem=repr(error))
+            reason = "this entry failed on the request"
+            response = _reject(Reject(500, CertainOutcome.UNKNOWN, reason))
         outcome = ("outcome", response.headers.get(OUTCOME_HEADER, ""))
         self.metrics.count("requests_total", outcome, ("status", str(response.status)))
         self.metrics.observe("request_seconds", _read_time() - started_at, outcome)
--- a/tarragonshelf/daemons/_control.py
+++ b/tarragonshelf/daemons/_control.py
@@ -18,7 +18,7 @@
     Trace,
 )
 from ..settings import ControlSettings
-from ..storage import ReplicaStore, create_local_file_system
+from ..storage import CorruptionError, ReplicaStore, create_local_file_system
 from ..transport import CallTimeoutError, Connection, Frame, PeerServer, UnreachableError
 from ._administration import AdministrationServer, Metrics
 from ._logs import create_clock, create_logger
@@ -67,7 +67,11 @@
 
     async def on_start(self) -> None:
         """Restore the data folder and listen."""
-        self.node = self._restore()
+        try:
+            self.node = self._restore()
+        except CorruptionError as error:
+            self._report("control_refused_to_start", problem=str(error))
+            raise SystemExit(1) from error
         host, _, port = self.settings.peer.rpartition(":")
         await self.server.start(host, int(port))
         await self.administration.start(self.settings.administration)
@@ -84,8 +88,7 @@
     @Service.task
     async def _tick(self) -> None:
         while not self.should_stop:
-            self._carry_out(self.node.tick(self._read_time()))
-            self._process()
+            self._process(is_tick=True)
             await asyncio.sleep(TICK_SECONDS)
 
     @Service.task
@@ -93,8 +96,8 @@
         """Ask to be let in while the data folder is empty; a folder never forms a system."""
         own = Join(self.node.identity, self.settings.vm, self.settings.peer)
         while not self.should_stop:
-            is_member = self.node.identity in self.node.replica.membership.identities
-            if not is_member:
+            # One that holds a log and is no member was removed, and stays so.
+            if not self.node.is_initialized:
                 for control in self.settings.controls:
                     await self._ask_to_join(control.address, own)
             await asyncio.sleep(JOIN_SECONDS)
@@ -144,21 +147,28 @@
             self._is_scheduled = True
             asyncio.get_running_loop().call_soon(self._process)
 
-    def _process(self) -> None:
+    def _process(self, *, is_tick: bool = False) -> None:
         """Handle everything that arrived as one batch with one sync."""
         self._is_scheduled = False
-        now = self._read_time()
         inbox, self._inbox = self._inbox, []
-        effects: list[Effect] = []
+        try:
+            self._carry_out(self._handle_batch(inbox, is_tick=is_tick))
+        except Exception as error:
+            # Memory may be ahead of the disk now, so nothing more must be acknowledged.
+            self._report("control_failed", problem=repr(error))
+            raise SystemExit(1) from error
+
+    def _handle_batch(self, inbox: list[Message], *, is_tick: bool) -> list[Effect]:
+        now = self._read_time()
+        effects = self.node.tick(now) if is_tick else []
         for message in inbox:
             effects += self.node.handle(now, message)
-        effects += self.node.flush(now)
-        self._carry_out(effects)
+        return effects + self.node.flush(now)
 
     def _carry_out(self, effects: list[Effect]) -> None:
         saves = [effect for effect in effects if isinstance(effect, SAVES)]
         if saves:
-            self._save(saves)
+            self.store.save(saves)
         for effect in effects:
             if isinstance(effect, Send):
                 self._send(effect)
@@ -167,14 +177,6 @@
             elif isinstance(effect, Trace):
                 self._report(effect.event, **effect.fields)
 
-    def _save(self, saves: list[Effect]) -> None:
-        try:
-            self.store.save(saves)
-        except OSError as error:
-            # What is not saved must not be acknowledged, and memory is ahead of the disk now.
-            self._report("storage_failed", problem=str(error))
-            raise SystemExit(1) from error
-
     def _send(self, effect: Send) -> None:
         address = effect.address or self._find_address(effect.identity)
         if address:
@@ -196,8 +198,7 @@
         deadline = self._read_time() + HANDOVER_SECONDS
         while self.node.replica.is_leader and self._read_time() < deadline:
             await asyncio.sleep(TICK_SECONDS)
-            self._carry_out(self.node.tick(self._read_time()))
-            self._process()
+            self._process(is_tick=True)
 
     def _report(self, event: str, **fields) -> None:
         self.metrics.count("events_total", ("event", event))
--- a/tarragonshelf/entry/_node.py
+++ b/tarragonshelf/entry/_node.py
@@ -38,6 +38,7 @@
 )
 
 WATCHERS_PER_SERVICE = 2
+BOOT_BITS = 64
 EVIDENCE_SECONDS = 0.25
 WARM_SECONDS = 5.0
 CONTROL_SILENCE_SECONDS = 3.0
@@ -79,6 +80,8 @@
         self._evidence_at = float("-inf")
         self._control_heard_at = float("-inf")
         self._started_at: float | None = None
+        # Not the incarnation: that may be an earlier process's, taken up to outdo gossip of it.
+        self._boot = f"{random.getrandbits(BOOT_BITS):x}"
         self._claims = 0
         self._pending: list[Effect] = []
 
@@ -202,7 +205,7 @@
     def mint_claim(self) -> ClaimId:
         """Return a claim that was never used before."""
         self._claims += 1
-        return ClaimId(self.own_vm, str(self.own.incarnation), self._claims)
+        return ClaimId(self.own_vm, self._boot, self._claims)
 
     def is_quarantined(self, now: float, digest: str) -> bool:
         """Tell whether a request crashed too many targets."""
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -9,6 +9,10 @@
 
 import pytest
 
+from tarragonshelf.consensus import LogEntry, SaveEntries
+from tarragonshelf.storage import ReplicaStore, create_local_file_system
+from tarragonshelf.transport import create_codec
+
 from .processes import list_processes, read_runs, run_command, start_fleet
 
 WAIT_SECONDS = 20.0
@@ -241,3 +245,31 @@
 
 def run_timeline(logs: list[str]) -> str:
     return run_command("timeline", *logs, "--order", "followed").stdout
+
+
+class TestDataFolder:
+    def test_damaged_journal_is_named_with_its_offset(self, tmp_path):
+        files = create_local_file_system(str(tmp_path / "data"))
+        store = ReplicaStore(files, create_codec())
+        store.restore(lambda: "1")
+        for index in (1, 2, 3):
+            store.save([SaveEntries(index, (LogEntry(index, 1, payload=b"x" * 100),))])
+        files.close()
+        journal = tmp_path / "data" / "journal-000000000000"
+        content = bytearray(journal.read_bytes())
+        content[50] ^= 0xFF
+        journal.write_bytes(bytes(content))
+        (tmp_path / "secret").write_text("a secret of enough length")
+        settings = {
+            "vm": "c",
+            "data_centre": "n1",
+            "peer": "127.0.0.1:0",
+            "administration": "127.0.0.1:0",
+            "data_folder": str(tmp_path / "data"),
+            "secret_file": "secret",
+            "controls": [{"vm": "c", "address": "127.0.0.1:1"}],
+        }
+        (tmp_path / "settings.json").write_text(json.dumps(settings))
+        done = run_command("control", "--settings", str(tmp_path / "settings.json"))
+        assert done.returncode == 1
+        assert "file 'journal-000000000000' is damaged at offset 0" in done.stdout
