Split the replica into elections, leading and following

Ruled out: separate objects for each duty (they share nearly all state). Change: mixins over one state class; no behaviour changed.

--- a/tarragonshelf/consensus/__init__.py
+++ b/tarragonshelf/consensus/__init__.py
@@ -25,7 +25,8 @@
     VoteReply,
     VoteRequest,
 )
-from ._replica import Replica, Role, Timing
+from ._replica import Replica
+from ._state import Role, Timing
 
 __all__ = [
     "AppendReply",
--- /dev/null
+++ b/tarragonshelf/consensus/_state.py
@@ -0,0 +1,168 @@
+"""What one replica knows, and the steps that all its duties share."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+from random import Random
+
+from ..base import Effect, Message, StateMachine
+from ._log import Log
+from ._messages import (
+    Commit,
+    EntryKind,
+    HardState,
+    LogEntry,
+    RoleChanged,
+    SaveHardState,
+    Send,
+)
+from ._progress import IncomingSnapshot, Progress, Read
+
+
+class Role(StrEnum):
+    """What a replica does in its term."""
+
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre-candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@dataclass(frozen=True, slots=True)
+class Timing:
+    """Times in seconds and sizes in bytes or entries."""
+
+    heartbeat: float = 0.1
+    election: float = 0.8
+    append_entries: int = 256
+    append_bytes: int = 1 << 20
+    snapshot_part: int = 1 << 18
+
+
+class ReplicaState(StateMachine):
+    """The state of a replica; the mixins beside this module act on it."""
+
+    def __init__(
+        self,
+        *,
+        identity: str,
+        log: Log,
+        hard_state: HardState,
+        random: Random,
+        timing: Timing = Timing(),
+    ):
+        self.identity = identity
+        self.log = log
+        self.hard_state = hard_state
+        self.random = random
+        self.timing = timing
+        self.role = Role.FOLLOWER
+        self.leader = ""
+        self.commit = log.base_index
+        self.membership_index, self.membership = log.find_membership()
+        self.heard_leader_at = float("-inf")
+        self._votes: set[str] = set()
+        self._progress: dict[str, Progress] = {}
+        self._reads: list[Read] = []
+        self._round = 0
+        self._deadline: float | None = None
+        self._next_heartbeat = 0.0
+        self._led_since = 0.0
+        self._time_base = 0.0
+        self._is_standing_for_transfer = False
+        self._transfer_target = ""
+        self._incoming: IncomingSnapshot | None = None
+        self._effects: list[Effect] = []
+
+    # Queries
+
+    @property
+    def term(self) -> int:
+        """The current term."""
+        return self.hard_state.term
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this replica leads its term."""
+        return self.role == Role.LEADER
+
+    @property
+    def is_voter(self) -> bool:
+        """Whether this replica counts towards a quorum."""
+        return self.identity in self.membership.voters
+
+    @property
+    def has_committed_in_term(self) -> bool:
+        """Whether a leader knows all entries of earlier terms to be committed."""
+        return self.is_leader and self.log.get_term(self.commit) == self.term
+
+    def is_current(self, now: float) -> bool:
+        """Tell whether a quorum or a leader was heard within an election timeout."""
+        if self.is_leader:
+            return self._hears_quorum(now)
+        return now - self.heard_leader_at < 2 * self.timing.election
+
+    def get_match_index(self, identity: str) -> int:
+        """Return how far a follower's log is known to match."""
+        progress = self._progress.get(identity)
+        return progress.match_index if progress else 0
+
+    def compute_log_time(self, now: float) -> float:
+        """Return the time for a new entry, which never goes back and never jumps.
+
+        It advances with this leader's monotonic clock from the last entry of its log, so that
+        a change of wall clock neither shortens nor lengthens a retention.
+        """
+        return max(self.log.last_time, self._time_base + now - self._led_since)
+
+    # Shared steps
+
+    def _append(self, now: float, kind: EntryKind, *, payload=b"", membership=None) -> int:
+        index = self.log.last_index + 1
+        time = self.compute_log_time(now)
+        self.log.append(LogEntry(index, self.term, kind, payload, membership, time))
+        if kind == EntryKind.MEMBERSHIP:
+            self._update_membership(now)
+        return index
+
+    def _commit_to(self, index: int) -> None:
+        if index > self.commit:
+            entries = self.log.get_entries(self.commit + 1, index)
+            self.commit = index
+            self._effects.append(Commit(entries))
+
+    def _update_membership(self, now: float) -> None:
+        self.membership_index, self.membership = self.log.find_membership()
+        if self.is_leader:
+            self._update_progress(now)
+
+    def _update_progress(self, now: float) -> None:
+        names = self.membership.identities | {self.identity}
+        for name in names - self._progress.keys():
+            self._progress[name] = Progress(next_index=self.log.last_index + 1, heard_at=now)
+        for name in self._progress.keys() - names:
+            del self._progress[name]
+
+    def _become(self, now: float, role: Role) -> None:
+        self.role = role
+        self._reset_deadline(now)
+        self._effects.append(RoleChanged(role, self.term, self.leader))
+
+    def _reset_deadline(self, now: float) -> None:
+        self._deadline = now + self.timing.election * self.random.uniform(1.0, 2.0)
+
+    def _save_hard_state(self, hard_state: HardState) -> None:
+        self.hard_state = hard_state
+        self._effects.append(SaveHardState(hard_state))
+
+    def _list_others(self) -> list[str]:
+        return sorted(self.membership.identities - {self.identity})
+
+    def _send(self, identity: str, message: Message) -> None:
+        member = self.membership.get_member(identity)
+        address = member.address if member else ""
+        self._effects.append(Send(identity, address, message))
+
+    def _take_effects(self) -> list[Effect]:
+        effects = self._effects
+        self._effects = []
+        return effects
