Test drain, unresolved orders and two planned stops over processes

Cause: these commands and stops were built but had no process test. Ruled out: nothing failed. Change: tests only.

--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -227,6 +227,66 @@
         assert all(victim["http"] in broken for broken in load.list_broken())
 
 
+class TestOperators:
+    async def send(self, entry: dict, path: str, headers: dict | None = None, method="POST"):
+        async with create_session() as session:
+            url = f"http://{entry['http']}{path}"
+            async with session.request(method, url, headers=headers) as response:
+                return response.headers.get("Tarragonshelf-Outcome"), await response.text()
+
+    def test_unresolved_order_is_listed_and_settled(self, fleet):
+        targets = [item for item in fleet["targets"] if item["service"] == "firmas"]
+        for target in targets:
+            set_mode(target, "hang")
+        entry = list_processes(fleet, "entry")[0]
+        key = uuid.uuid4().hex
+        headers = {"Idempotency-Key": key, "Tarragonshelf-Deadline": "1500"}
+        first, _ = asyncio.run(self.send(entry, "/firmas", headers))
+        for target in targets:
+            set_mode(target, "normal")
+        assert first == "unknown"
+        order = f"anonymous|POST /firmas|{key}"
+        settings = ("--settings", fleet["settings"])
+        wait_until(lambda: order in run_command("unresolved", *settings).stdout, "it is listed")
+        again, _ = asyncio.run(self.send(entry, "/firmas", headers))
+        assert again == "unknown"
+        assert run_command("settle", order, "ran", *settings).returncode == 0
+        settled, text = asyncio.run(self.send(entry, "/firmas", headers))
+        assert settled == "replayed"
+        assert "operator" in text
+        assert run_command("settle", order, "ran", *settings).returncode == 1
+
+    def test_drained_entry_is_not_named_until_it_is_back(self, fleet):
+        drained, other = list_processes(fleet, "entry")[:2]
+        settings = ("--settings", fleet["settings"])
+
+        def is_named() -> bool:
+            _, text = asyncio.run(self.send(other, "/entries?caller=a", method="GET"))
+            return drained["http"] in json.loads(text)["addresses"]
+
+        assert is_named()
+        assert run_command("drain", drained["vm"], *settings).returncode == 0
+        wait_until(lambda: not is_named(), "the drained entry is not named")
+        assert run_command("drain", drained["vm"], *settings, "--undo").returncode == 0
+        wait_until(is_named, "the entry is named again")
+
+
+class TestPlannedStops:
+    def test_entry_and_target_at_once(self, fleet):
+        entry = list_processes(fleet, "entry")[-1]
+        target = next(item for item in fleet["targets"] if item["service"] == "rondas")
+
+        def stop() -> None:
+            for item in (entry, target):
+                os.kill(item["pid"], signal.SIGTERM)
+            wait_until(lambda: not is_alive(entry["pid"]), "the entry ends")
+
+        load = asyncio.run(run_load(fleet, stop))
+        start_again(fleet, entry)
+        check_orders(fleet, load)
+        assert [seen for seen in load.seen if seen.status != 200] == []
+
+
 class TestTargets:
     def find_targets(self, fleet, service: str) -> list[dict]:
         return [item for item in fleet["targets"] if item["service"] == service]
