Plan changes of membership in functions of their own

Cause: the control's node had grown to 427 lines, with membership arithmetic among its calls. Ruled out: a mixin (the arithmetic needs no state). Change: plan_join, plan_retirement, plan_admission; the double that swaps two voters proposes on the replica directly.

--- a/tarragonshelf/control/_node.py
+++ b/tarragonshelf/control/_node.py
@@ -3,6 +3,8 @@
 from dataclasses import replace
 from random import Random
 
+from expression import Result
+
 from ..base import Codec, Effect, Message, StateMachine
 from ..configuration import Chunk
 from ..consensus import (
@@ -12,7 +14,6 @@
     InstallSnapshot,
     Log,
     LogEntry,
-    Member,
     Membership,
     ReadReady,
     Replica,
@@ -22,6 +23,7 @@
     Snapshot,
     Timing,
 )
+from ._admission import plan_admission, plan_join, plan_retirement
 from ._machine import ControlMachine, ControlSnapshot
 from ._messages import (
     COMMANDS,
@@ -51,8 +53,6 @@
 from ._waiters import FollowWaiter, Waiters
 
 FOLLOW_SECONDS = 1.0
-CATCH_UP_ENTRIES = 16
-MAXIMUM_VOTERS = 8
 ATTACHED_SECONDS = 30.0
 CLOCK_SECONDS = 0.5
 
@@ -328,63 +328,36 @@
         membership = self.replica.membership
         if not self.replica.has_committed_in_term:
             self._refuse_as_follower(call)
-            return
-        if message.identity in membership.identities:
+        elif message.identity in membership.identities:
             self._reply(call, Done(self.replica.commit))
-            return
-        if len(membership.voters) >= MAXIMUM_VOTERS and not _find_by_vm(membership, message.vm):
-            detail = f"there are {MAXIMUM_VOTERS} voters already"
-            self._reply(call, Refused(RefusedReason.BUSY, detail=detail))
-            return
-        learner = Member(message.identity, message.vm, message.address, voting=False)
-        stale = [item for item in _find_by_vm(membership, message.vm) if not item.voting]
-        members = tuple(item for item in membership.members if item not in stale)
-        self._propose_membership(now, call, Membership((*members, learner)))
+        else:
+            self._propose_planned(now, call, plan_join(membership, message))
 
     def _retire(self, now: float, call: int, message: Retire) -> None:
-        membership = self.replica.membership
-        if not _find_by_vm(membership, message.vm):
-            detail = f"VM {message.vm!r} holds no replica"
-            self._reply(call, Refused(RefusedReason.UNKNOWN_NAME, detail=detail))
-            return
-        kept = tuple(item for item in membership.members if item.vm != message.vm)
-        if not Membership(kept).voters:
-            detail = f"VM {message.vm!r} holds the last voter"
-            self._reply(call, Refused(RefusedReason.UNKNOWN_NAME, detail=detail))
-            return
-        self._propose_membership(now, call, Membership(kept))
+        self._propose_planned(now, call, plan_retirement(self.replica.membership, message.vm))
 
-    def _propose_membership(self, now: float, call: int | None, membership: Membership) -> None:
-        index = self.replica.propose_membership(now, membership)
-        if call is None:
+    def _propose_planned(
+        self, now: float, call: int, planned: Result[Membership, Refused]
+    ) -> None:
+        if planned.is_error():
+            self._reply(call, planned.error)
             return
+        index = self.replica.propose_membership(now, planned.ok)
         if index is None:
             self._refuse_as_follower(call)
             return
         self._waiters.add_proposal(index, self.replica.term, call)
 
     def _admit_learners(self, now: float) -> None:
-        """Take the next step for a learner that has caught up, one voter at a time.
-
-        The old incarnation is removed before the new one is added: a majority of a set that
-        swaps two voters at once need not meet a majority of the set before.
-        """
         replica = self.replica
         if replica.membership_index > replica.commit:
             return
-        for learner in replica.membership.members:
-            behind = replica.commit - replica.get_match_index(learner.identity)
-            if learner.voting or behind > CATCH_UP_ENTRIES:
-                continue
-            lost = [item for item in _find_by_vm(replica.membership, learner.vm) if item.voting]
-            members = tuple(item for item in replica.membership.members if item not in lost)
-            if not lost:
-                admitted = replace(learner, voting=True)
-                members = tuple(admitted if item == learner else item for item in members)
-            self._propose_membership(now, None, Membership(members))
-            fields = {"learner": learner.identity, "removed": [item.identity for item in lost]}
+        planned = plan_admission(
+            replica.membership, lambda name: replica.commit - replica.get_match_index(name)
+        )
+        if planned is not None and replica.propose_membership(now, planned) is not None:
+            fields = {"voters": sorted(planned.voters)}
             self._effects.append(Trace("voters_changing", fields))
-            return
 
     # Time
 
@@ -425,7 +398,3 @@
         effects = self._effects
         self._effects = []
         return effects
-
-
-def _find_by_vm(membership: Membership, vm: str) -> list[Member]:
-    return [member for member in membership.members if member.vm == vm]
--- a/tarragonshelf/control/tests/test_replication.py
+++ b/tarragonshelf/control/tests/test_replication.py
@@ -145,10 +145,8 @@
         if not learners or self.replica.membership_index > self.replica.commit:
             return
         kept = tuple(item for item in membership.members if item.vm != learners[0].vm)
-        swapped = type(learners[0])(
-            learners[0].identity, learners[0].vm, learners[0].address, True
-        )
-        self._propose_membership(now, None, Membership((*kept, swapped)))
+        swapped = Membership((*kept, replace(learners[0], voting=True)))
+        self.replica.propose_membership(now, swapped)
 
 
 class TestLostDisk:
