--- a/tarragonshelf/control/tests/test_replication.py
+++ b/tarragonshelf/control/tests/test_replication.py
@@ -1,5 +1,7 @@
 """Replication and claims under drops, cuts, crashes, freezes and lost disks."""
 
+from dataclasses import replace
+
 import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
