Close kept connections of an entry that stops, and list the commands in help

Cause, found by reading: a caller's kept connection could be cut between two requests as an entry ended; fire showed no commands for a class. Ruled out: a longer wait (the connection would only live longer). Change: an entry that withdrew closes each connection with its answer; fire gets an instance.

--- a/tarragonshelf/cli.py
+++ b/tarragonshelf/cli.py
@@ -320,4 +320,4 @@
 
 def main() -> None:
     """Run the command line."""
-    fire.Fire(CommandLine, name="tarragonshelf")
+    fire.Fire(CommandLine(), name="tarragonshelf")
--- a/tarragonshelf/daemons/_callers.py
+++ b/tarragonshelf/daemons/_callers.py
@@ -100,6 +100,9 @@
             self.report("request_failed", problem=repr(error))
             reason = "this entry failed on the request"
             response = _reject(Reject(500, CertainOutcome.UNKNOWN, reason))
+        if self.node.is_stopping:
+            # A connection that is kept would be cut as the process ends.
+            response.force_close()
         outcome = ("outcome", response.headers.get(OUTCOME_HEADER, ""))
         self.metrics.count("requests_total", outcome, ("status", str(response.status)))
         self.metrics.observe("request_seconds", _read_time() - started_at, outcome)
