Report no suspects that left, and ask less often for what the floor bars

Cause, found by reading: a condemned target that left stayed condemned, and one that the floor kept was asked for each 0.25 s by each watcher: four log entries a second and watcher, for as long as it lasted. Ruled out: letting the control drop such reports (they would be in the log all the same). Change: only ready targets keep a score; a request that is not granted is repeated after 0.25, 0.5, 1, 2, 4 and then every 5 s.

--- a/tarragonshelf/health/_detector.py
+++ b/tarragonshelf/health/_detector.py
@@ -159,6 +159,11 @@
         """Drop what is known of a target."""
         self._tracks.pop(target, None)
 
+    def retain(self, targets: set[str]) -> None:
+        """Drop what is known of all other targets."""
+        for target in self._tracks.keys() - targets:
+            del self._tracks[target]
+
     def _score(self, now: float, source: str, item: Evidence) -> None:
         track = self._tracks[item.target]
         bad = item.failed + item.hung
--- a/tarragonshelf/health/_watcher.py
+++ b/tarragonshelf/health/_watcher.py
@@ -48,6 +48,8 @@
         self._strikes: dict[str, int] = {}
         self._reported_ready: tuple[ReadyTarget, ...] = ()
         self._reported_at = float("-inf")
+        self._asked: tuple[frozenset[str], tuple[str, ...]] = (frozenset(), ())
+        self._repeat_seconds = REPEAT_SECONDS
         self._faded_at = 0.0
 
     def record(self, now: float, digest: EvidenceDigest) -> None:
@@ -67,8 +69,10 @@
 
         While no target is suspected or ejected there is none, so that healthy services cost
         the log nothing. With ejections in force a change of the ready targets is reported at
-        once, as it may end some of them, and the view is refreshed before it gets too old.
+        once, as it may end some of them, and the view is refreshed before it gets too old. What
+        is asked for in vain, as the floor bars it, is asked for less and less often.
         """
+        self.detector.retain({item.address for item in ready})
         self.detector.fade(now - self._faded_at, now)
         self._faded_at = now
         self._note_ejections(now, ejections)
@@ -76,14 +80,25 @@
         recovered = self._list_recovered(now)
         report = ReportHealth(self.service, self.name, ready, suspects, recovered)
         is_changed = bool(ejections) and ready != self._reported_ready
-        age = now - self._reported_at
-        is_due = age >= REPEAT_SECONDS if suspects or recovered else age >= REFRESH_SECONDS
-        if is_changed or ((suspects or recovered or ejections) and is_due):
+        if is_changed or self._is_due(now, report, is_watched=bool(ejections)):
             self._reported_ready = ready
             self._reported_at = now
             return report
         return None
 
+    def _is_due(self, now: float, report: ReportHealth, *, is_watched: bool) -> bool:
+        asked = (frozenset(item.address for item in report.suspects), report.recovered)
+        if asked != self._asked:
+            self._asked = asked
+            self._repeat_seconds = REPEAT_SECONDS
+        age = now - self._reported_at
+        if not report.suspects and not report.recovered:
+            return is_watched and age >= REFRESH_SECONDS
+        if age < self._repeat_seconds:
+            return False
+        self._repeat_seconds = min(REFRESH_SECONDS, 2 * self._repeat_seconds)
+        return True
+
     def _list_suspects(self, entries: int) -> tuple[Suspect, ...]:
         needed = min(2, entries)
         return tuple(
