Check a document at the leader before it reaches the log

Cause, found by reading: only the command line checked documents. One that lacks a service's floor, sent by any other client, raised KeyError as it was applied; since an error of a batch ends the process, every control would have ended, and again at each start. Ruled out: skipping what cannot be applied (replicas must not differ by what they understand). Change: the leader assembles and checks a document and refuses it with all findings; such a refusal is final for the client. Figures: test_unsound_document_never_reaches_the_log fails without the check with KeyError: 'floor', and passes with it.

--- a/features/steps/orders.py
+++ b/features/steps/orders.py
@@ -2,10 +2,8 @@
 
 from behave import given, then, when
 
-from tarragonshelf.configuration import ApplyConfiguration, Chunk
-from tarragonshelf.control.tests.fakes import FakeFleet
+from tarragonshelf.control.tests.fakes import FakeFleet, create_change
 from tarragonshelf.ledger import Answer, ClaimId, ClaimKey, OrderKey, SettleKey
-from tarragonshelf.utils import compute_digest
 
 
 @given("three controls with a leader")
@@ -47,9 +45,7 @@
 
 @when('operator "{operator}" replaces version {version:d}')
 def change(context, operator, version):
-    content = f'{{"rest": {{"by": "{operator}"}}}}'.encode()
-    chunk = Chunk(compute_digest(content), content)
-    command = ApplyConfiguration(operator, version, operator, (chunk.digest,), (chunk,))
+    command = create_change(operator, version, f"by {operator}")
     context.last = context.fleet.submit(command)
 
 
--- a/tarragonshelf/configuration/_chunks.py
+++ b/tarragonshelf/configuration/_chunks.py
@@ -8,6 +8,7 @@
 from zlib import crc32
 
 from ..utils import compute_digest
+from ._document import Finding, check_document
 from ._messages import Chunk
 
 ACCOUNTS_PER_CHUNK = 64
@@ -43,6 +44,16 @@
     return document
 
 
+def find_faults(contents: list[bytes]) -> list[Finding]:
+    """Return all findings of a document that is given by chunk contents in order."""
+    try:
+        document = assemble_document(contents)
+    except (ValueError, AttributeError, TypeError) as error:
+        return [Finding("chunks", f"are no parts of a document: {error}")]
+    checked = check_document(document)
+    return checked.error if checked.is_error() else []
+
+
 def _deal(name: str, items: list, identify, per_chunk: int) -> list[dict[str, list]]:
     # The count of buckets doubles, so that growth seldom deals all items anew.
     buckets = 1
--- a/tarragonshelf/configuration/_register.py
+++ b/tarragonshelf/configuration/_register.py
@@ -43,7 +43,7 @@
             return known.result
         if command.base_version != self.current.version:
             return self._remember(command.change_id, digest, self._describe(ApplyState.CONFLICT))
-        chunks = self._collect_chunks(command)
+        chunks = self.collect_chunks(command)
         if chunks is None:
             return self._describe(ApplyState.INCOMPLETE)
         self.chunks = chunks
@@ -56,7 +56,8 @@
         )
         return self._remember(command.change_id, digest, self._describe(ApplyState.ACCEPTED))
 
-    def _collect_chunks(self, command: ApplyConfiguration) -> dict[str, bytes] | None:
+    def collect_chunks(self, command: ApplyConfiguration) -> dict[str, bytes] | None:
+        """Return the contents that a change's manifest names, or None if one is missing."""
         brought = {compute_digest(chunk.content): chunk.content for chunk in command.chunks}
         available = self.chunks | brought
         if any(digest not in available for digest in command.manifest):
--- a/tarragonshelf/control/_finder.py
+++ b/tarragonshelf/control/_finder.py
@@ -2,6 +2,8 @@
 
 from ._messages import Refused, RefusedReason
 
+FINAL_REASONS = (RefusedReason.UNKNOWN_NAME, RefusedReason.INVALID)
+
 
 class LeaderFinder:
     """Remembers the leader's address and goes round the controls while it is not known.
@@ -27,7 +29,7 @@
 
     def note_refused(self, address: str, refused: Refused) -> bool:
         """Take a refusal of an address in and return whether another try may do better."""
-        if refused.reason == RefusedReason.UNKNOWN_NAME:
+        if refused.reason in FINAL_REASONS:
             return False
         if not refused.leader or refused.leader == address:
             self.note_failed(address)
--- a/tarragonshelf/control/_messages.py
+++ b/tarragonshelf/control/_messages.py
@@ -55,6 +55,7 @@
     NOT_INITIALIZED = "not-initialized"
     ALREADY_INITIALIZED = "already-initialized"
     UNKNOWN_NAME = "unknown-name"
+    INVALID = "invalid"
     BUSY = "busy"
 
 
--- a/tarragonshelf/control/_node.py
+++ b/tarragonshelf/control/_node.py
@@ -6,7 +6,7 @@
 from expression import Result
 
 from ..base import Codec, Effect, Message, StateMachine
-from ..configuration import Chunk
+from ..configuration import ApplyConfiguration, Chunk, find_faults
 from ..consensus import (
     Commit,
     EntryKind,
@@ -223,6 +223,9 @@
 
     def _handle_call(self, now: float, received: CallReceived) -> None:
         message = received.message
+        if isinstance(message, ApplyConfiguration):
+            self._apply_configuration(now, received.call, message)
+            return
         if isinstance(message, COMMANDS):
             self._propose(now, received.call, message)
             return
@@ -242,6 +245,17 @@
             return
         handler(now, received.call, message)
 
+    def _apply_configuration(self, now: float, call: int, command: ApplyConfiguration) -> None:
+        """Propose a document only if it is sound: once in the log it reaches every process."""
+        contents = self.machine.register.collect_chunks(command)
+        if contents is not None:
+            findings = find_faults([contents[digest] for digest in command.manifest])
+            if findings:
+                detail = "\n".join(str(finding) for finding in findings)
+                self._reply(call, Refused(RefusedReason.INVALID, detail=detail))
+                return
+        self._propose(now, call, command)
+
     def _propose(self, now: float, call: int, command: Message) -> None:
         index = self.replica.propose(now, self.codec.encode(command))
         if index is None:
--- a/tarragonshelf/control/tests/fakes.py
+++ b/tarragonshelf/control/tests/fakes.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from ...configuration import ApplyConfiguration, split_document
 from ...consensus import (
     EntryKind,
     Member,
@@ -26,6 +27,19 @@
 SAVES = (SaveHardState, SaveEntries, SaveSnapshot)
 
 
+def create_change(change_id: str, base: int, name: str) -> ApplyConfiguration:
+    """Return a change to a small document of a name, by an author named as the change."""
+    content = {
+        "name": name,
+        "regions": [{"name": "norte", "data_centres": ["n1"]}],
+        "services": [{"name": "rondas", "targets": 3, "floor": 2}],
+        "routes": [{"path": "/rondas", "service": "rondas"}],
+    }
+    chunks = split_document(content)
+    manifest = tuple(chunk.digest for chunk in chunks)
+    return ApplyConfiguration(change_id, base, change_id, manifest, chunks)
+
+
 @dataclass
 class FakeControl:
     """One control VM: its disk, and its process while it runs."""
--- a/tarragonshelf/control/tests/test_replication.py
+++ b/tarragonshelf/control/tests/test_replication.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from ...configuration import ApplyConfiguration, ApplyState, Chunk
+from ...configuration import ApplyState, Chunk
 from ...consensus import Member, Membership, Replica, SaveSnapshot, Snapshot
 from ...control import (
     ControlNode,
@@ -15,13 +15,14 @@
     Follow,
     Followed,
     Refused,
+    RefusedReason,
     StopRequested,
     UnresolvedRequest,
 )
 from ...ledger import ClaimId, ClaimKey, ClaimState, OrderKey
 from ...storage import ReplicaStore
 from ...utils import compute_digest
-from .fakes import FakeEntry, FakeFleet
+from .fakes import FakeEntry, FakeFleet, create_change
 
 NAMES = ["a", "b", "c"]
 vms = st.sampled_from(NAMES)
@@ -317,24 +318,20 @@
 
 
 class TestConfiguration:
-    def create_change(self, change_id: str, base: int, text: bytes) -> ApplyConfiguration:
-        chunk = Chunk(compute_digest(text), text)
-        return ApplyConfiguration(change_id, base, change_id, (chunk.digest,), (chunk,))
-
     def test_of_racing_operators_one_wins_and_the_other_learns_who(self):
         fleet = create_fleet()
-        first = fleet.submit(self.create_change("ana", 0, b'{"rest":{"a":1}}'))
-        second = fleet.submit(self.create_change("ben", 0, b'{"rest":{"b":1}}'))
+        first = fleet.submit(create_change("ana", 0, "a"))
+        second = fleet.submit(create_change("ben", 0, "b"))
         assert first.state == ApplyState.ACCEPTED
         assert (second.state, second.author) == (ApplyState.CONFLICT, "ana")
 
     def test_resend_after_many_changes_and_a_restart_gets_the_first_answer(self):
         fleet = create_fleet()
         fleet.snapshot_entries = 200
-        first = fleet.submit(self.create_change("change-0", 0, b'{"rest":{"n":0}}'))
+        first = fleet.submit(create_change("change-0", 0, "n0"))
         for n in range(1, 1001):
             leader = fleet.wait_for_leader()
-            change = self.create_change(f"change-{n}", n, f'{{"rest":{{"n":{n}}}}}'.encode())
+            change = create_change(f"change-{n}", n, f"n{n}")
             fleet.call(leader, change)
             if n % 50 == 0:
                 fleet.advance(0.5)
@@ -343,17 +340,30 @@
             fleet.crash(vm)
             fleet.start(vm)
         fleet.wait_for_leader()
-        again = fleet.submit(self.create_change("change-0", 0, b'{"rest":{"n":0}}'))
+        again = fleet.submit(create_change("change-0", 0, "n0"))
         assert again == first
         machine = fleet.controls[fleet.wait_for_leader()].node.machine
         assert machine.register.current.version == 1001
 
     def test_same_id_with_other_content_is_refused(self):
         fleet = create_fleet()
-        fleet.submit(self.create_change("ana", 0, b'{"rest":{"a":1}}'))
-        again = fleet.submit(self.create_change("ana", 1, b'{"rest":{"a":2}}'))
+        fleet.submit(create_change("ana", 0, "a"))
+        again = fleet.submit(create_change("ana", 1, "a2"))
         assert again.state == ApplyState.REUSED
 
+    def test_unsound_document_never_reaches_the_log(self):
+        fleet = create_fleet()
+        sound = create_change("ana", 0, "a")
+        broken = b'{"services":[{"name":"rondas"}]}'
+        for content in (broken, b"not json", b"[]"):
+            chunk = Chunk(compute_digest(content), content)
+            bad = replace(sound, manifest=(chunk.digest,), chunks=(chunk,))
+            call = fleet.call(fleet.wait_for_leader(), bad)
+            fleet.advance(1)
+            assert fleet.replies[call].reason == RefusedReason.INVALID
+            assert fleet.replies[call].detail
+        assert fleet.submit(sound).version == 1
+
     def test_lagging_control_takes_a_snapshot(self):
         fleet = create_fleet()
         leader = fleet.wait_for_leader()
