Test that a vanished caller's attempt is cancelled

Ruled out: taking a fall of requests under way for proof (the deadline would bring it about too), so the log's word is checked. Change: test only.

--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -62,6 +62,12 @@
     return sum(float(line.split()[-1]) for line in lines)
 
 
+def set_mode(target: dict, mode: str) -> None:
+    """Tell a target how to misbehave."""
+    body = json.dumps({"mode": mode}).encode()
+    assert ask(target["address"], "/control", method="POST", body=body)[0] == 200
+
+
 def wait_until(is_true) -> None:
     deadline = time.monotonic() + WAIT_SECONDS
     while not is_true():
@@ -139,6 +145,19 @@
                 connection.close()
         wait_until(lambda: read_metric(entry, "requests_under_way") == 0)
 
+    def test_vanished_caller_holds_no_slot(self, fleet, entry):
+        target = next(item for item in fleet["targets"] if item["service"] == "archivo")
+        set_mode(target, "hang")
+        host, _, port = entry["http"].rpartition(":")
+        with socket.create_connection((host, int(port))) as connection:
+            connection.sendall(b"GET /archivo/7 HTTP/1.1\r\nHost: a\r\n\r\n")
+            wait_until(lambda: read_metric(entry, "requests_under_way") == 1)
+        wait_until(lambda: read_metric(entry, "requests_under_way") == 0)
+        set_mode(target, "normal")
+        with open(entry["log"]) as log:
+            ends = [line for line in log if "attempt_ended" in line and target["address"] in line]
+        assert '"kind":"cancelled"' in ends[-1]
+
     def test_malformed_announcement_is_told_its_findings(self, entry):
         status, _, body = ask(entry["http"], "/announcements", method="POST", body=b'{"slots": 1}')
         assert status == 400
