Remove what nothing calls

Cause: reading the whole change: a method of PeerLinks, a length of RumorQueue and a constant of the intake were never used. Ruled out: removing is_remote of attempts (golden file; it is what counting cross-region bytes will need). Change: three removals; no behaviour changed.

--- a/tarragonshelf/daemons/_peers.py
+++ b/tarragonshelf/daemons/_peers.py
@@ -45,11 +45,6 @@
             )
         return self._links[address]
 
-    def retain(self, addresses: set[str]) -> None:
-        """Close links to addresses that are no longer in use."""
-        for address in self._links.keys() - addresses:
-            self._links.pop(address).close()
-
     def close(self) -> None:
         """Close all links."""
         for link in self._links.values():
--- a/tarragonshelf/entry/_intake.py
+++ b/tarragonshelf/entry/_intake.py
@@ -9,7 +9,6 @@
 from ..limits import Priority
 from ._node import EntryNode
 
-HTTP_METHODS_WITHOUT_BODY = ("GET", "HEAD", "OPTIONS")
 ANONYMOUS = "anonymous"
 MAXIMUM_KEY_LENGTH = 200
 RETRY_AFTER_SECONDS = 1.0
--- a/tarragonshelf/membership/_rumors.py
+++ b/tarragonshelf/membership/_rumors.py
@@ -18,9 +18,6 @@
     def __init__(self):
         self._items: dict[object, tuple[object, int]] = {}
 
-    def __len__(self) -> int:
-        return len(self._items)
-
     def add(self, key, item) -> None:
         """Pass a change on, anew if an older one of the key was under way."""
         self._items[key] = (item, 0)
