Let learners answer a leader that their membership does not name yet

Cause: a learner without a log found no address for its replies, so the leader took it in by a short log's luck and removed it as silent after 20 s; its entries stayed on an old version. Ruled out: lost frames (both followed the leader).

--- a/tarragonshelf/hub/_node.py
+++ b/tarragonshelf/hub/_node.py
@@ -28,6 +28,7 @@
     Role,
     RoleChanged,
     SaveSnapshot,
+    Send,
     Snapshot,
     Timing,
 )
@@ -165,6 +166,8 @@
         """Tell whether this hub leads a quorum or heard a leader a moment ago."""
         if self.replica.is_leader:
             return self.replica.is_current(now)
+        if not self.replica.log.last_index:
+            return False
         return now - self.replica.heard_leader_at < CURRENT_SECONDS
 
     def needs_to_join(self, now: float) -> bool:
@@ -239,9 +242,20 @@
                 self._answer_read(effect)
             elif isinstance(effect, RoleChanged):
                 self._change_role(effect)
+            elif isinstance(effect, Send) and not effect.address:
+                address = self._derive_address(effect.identity)
+                self._effects.append(Send(effect.identity, address, effect.message))
             else:
                 self._effects.append(effect)
 
+    def _derive_address(self, identity: str) -> str:
+        """Return where a replica is that this one's membership does not name yet.
+
+        A VM's name is its host, and hubs listen on the same port on all VMs of a site.
+        """
+        port = self.record.address.rpartition(":")[2]
+        return f"{identity.partition('/')[0]}:{port}"
+
     def _apply(self, now: float, entries: tuple[LogEntry, ...]) -> None:
         version = self.register.state.version
         for entry in entries:
@@ -287,6 +301,7 @@
         planned = plan_admission(
             replica.membership,
             lambda name: replica.commit - replica.get_match_index(name),
+            holds_nothing=lambda name: replica.get_match_index(name) == 0,
             replaceable=silent,
         )
         if planned is None:
