Tell load between hubs, and treat avoidance as a cost

Ruled out: too few slots (the service was used by two fifths). Change: the hub nearest to a target knows its load and tells others when it is busy; avoided targets cost more instead of being left out; a 504 within the limit is no evidence; a smaller bucket for repeats, as 36 full ones went beyond the fleet's budget.

--- a/tarragonshelf/avoidance/_book.py
+++ b/tarragonshelf/avoidance/_book.py
@@ -23,6 +23,9 @@
 # Weak signs within this time add up.
 MEMORY_SECONDS = 4.0
 
+# What no weak sign told of, such as a refused connection, counts so much.
+MINIMUM_DOUBT = 0.5
+
 _WEIGHTS = {
     EvidenceKind.BROKEN: 1.0,
     EvidenceKind.ERROR: 0.6,
@@ -76,10 +79,10 @@
         record = self._records.get(target)
         return record is not None and now < record.full_until
 
-    def get_return_time(self, target: str) -> float:
-        """Return when an avoided target may be tried again."""
+    def get_doubt(self, target: str) -> float:
+        """Return how strong the evidence against a target is, from 0 to 1."""
         record = self._records.get(target)
-        return max(record.trial_at, record.trial_until) if record else 0.0
+        return min(1.0, max(record.weight, MINIMUM_DOUBT)) if record else 0.0
 
     def count_avoided(self, now: float) -> int:
         """Return how many targets are avoided."""
--- a/tarragonshelf/edge/_hubs.py
+++ b/tarragonshelf/edge/_hubs.py
@@ -11,6 +11,8 @@
 STALE_SECONDS = 0.3
 # A hub that failed is tried again after so long, unless all failed.
 FAILED_SECONDS = 3.0
+# While all fail, each is tried again after so long.
+PAUSE_SECONDS = 0.4
 # A nearer hub is taken up once the present one was followed so long.
 SETTLED_SECONDS = 4.0
 
@@ -100,8 +102,11 @@
         others = (name for name in self._records if name != self.address)
         return any(self._is_usable(now, name) for name in others)
 
+    def _get_failed_at(self, address: str) -> float:
+        return self._failed_at.get(address, float("-inf"))
+
     def _is_usable(self, now: float, address: str) -> bool:
-        return now - self._failed_at.get(address, float("-inf")) >= FAILED_SECONDS
+        return now - self._get_failed_at(address) >= FAILED_SECONDS
 
     def _is_worth_moving(self, now: float, nearest: str) -> bool:
         is_settled = now - self._followed_at >= SETTLED_SECONDS
@@ -112,8 +117,10 @@
         if not usable and self.address:
             return self.address
         if not usable:
-            usable = list(self._records)
-            return min(usable, key=lambda name: self._failed_at.get(name, 0.0), default=None)
+            # All failed a moment ago: begin again with the one that did so first.
+            first = min(self._records, key=self._get_failed_at, default=None)
+            is_due = first is not None and now - self._get_failed_at(first) >= PAUSE_SECONDS
+            return first if is_due else None
         if self.address in usable:
             # An equally near one is no reason to move.
             return min(usable, key=lambda name: (self._measure(name), name != self.address))
--- a/tarragonshelf/edge/_node.py
+++ b/tarragonshelf/edge/_node.py
@@ -200,7 +200,12 @@
             if before is None or before.started != entry.started:
                 self.avoidance.forget(entry.identity)
             held = self.targets.get(entry.identity)
-            fields = {"target": held.identity, "state": held.state, "service": held.service}
+            fields = {
+                "target": held.identity,
+                "state": held.state,
+                "service": held.service,
+                "data_centre": held.data_centre,
+            }
             self._pending.append(Trace("target_changed", fields))
         self._has_targets = self._has_targets or bool(self.targets.list_all())
 
--- a/tarragonshelf/forwarding/_balancer.py
+++ b/tarragonshelf/forwarding/_balancer.py
@@ -21,6 +21,9 @@
 # A trial may cost the request if it cannot be repeated.
 TRIAL_COST = 0.02
 ORDER_TRIAL_COST = 0.15
+# An avoided target fails most of what it gets; one that cannot be repeated is lost then.
+AVOIDED_COST = 1.0
+ORDER_AVOIDED_COST = 2.0
 # A target that is full just now would refuse.
 FULL_COST = 0.5
 # Requests beyond its slots that a target queues before it refuses.
@@ -106,21 +109,11 @@
         candidates = [item for item in usable if item.identity not in tried]
         if not candidates:
             return RefusalReason.NO_TARGET
-        trusted = [item for item in candidates if self._may_use(now, item)]
-        if not trusted:
-            # All are avoided: the one whose time is up first is the likeliest to work again.
-            return min(candidates, key=lambda t: self.avoidance.get_return_time(t.identity))
-        best = min(trusted, key=lambda item: self._estimate_cost(now, request, profile, item))
+        best = min(candidates, key=lambda item: self._estimate_cost(now, request, profile, item))
         if self._is_hopeless(now, request, profile, best):
             return RefusalReason.ALL_FULL
         return best
 
-    def _may_use(self, now: float, target: TargetEntry) -> bool:
-        standing = self.avoidance.get_standing(now, target.identity)
-        if standing == Standing.ON_TRIAL:
-            return not self._outstanding.get(target.identity)
-        return standing == Standing.TRUSTED
-
     def _estimate_cost(
         self, now: float, request: ForwardRequest, profile: ServiceProfile, target: TargetEntry
     ) -> float:
@@ -132,12 +125,21 @@
         latency = self._estimate_wait(profile, target) + profile.work_seconds + travel
         spent = now - request.arrived_at
         cost += LATENCY_COST * ((spent + latency) / max(0.05, route.objective)) ** 2
-        if self.avoidance.get_standing(now, target.identity) == Standing.ON_TRIAL:
-            cost += TRIAL_COST if route.is_repeatable else ORDER_TRIAL_COST
+        cost += self._estimate_risk(now, route.is_repeatable, target)
         if self.avoidance.is_full(now, target.identity):
             cost += FULL_COST
         return cost + self.random.uniform(0.0, 0.005)
 
+    def _estimate_risk(self, now: float, is_repeatable: bool, target: TargetEntry) -> float:
+        """Return what the chance of a failure is expected to cost."""
+        standing = self.avoidance.get_standing(now, target.identity)
+        if standing == Standing.TRUSTED:
+            return 0.0
+        if standing == Standing.ON_TRIAL and not self._outstanding.get(target.identity):
+            return TRIAL_COST if is_repeatable else ORDER_TRIAL_COST
+        doubt = self.avoidance.get_doubt(target.identity)
+        return doubt * (AVOIDED_COST if is_repeatable else ORDER_AVOIDED_COST)
+
     def _estimate_wait(self, profile: ServiceProfile, target: TargetEntry) -> float:
         """Return how many seconds a request would wait for a slot."""
         slots = max(1.0, target.slots * (WARM_FACTOR if target.warm_seconds > 0 else 1.0))
--- a/tarragonshelf/forwarding/_budget.py
+++ b/tarragonshelf/forwarding/_budget.py
@@ -22,9 +22,9 @@
     """
 
     RATIO_SHARE = 0.85
-    SLACK_SHARE = 0.6
-    # A token bucket lets a window of twice its level pass; it holds what a quiet while earns.
-    MAXIMUM_TOKENS = 4.0
+    SLACK_SHARE = 0.3
+    # What a quiet while leaves; a window may see this of every entry besides what it earns.
+    MAXIMUM_TOKENS = 1.2
 
     def __init__(self, *, ratio: float, slack: float, window: float):
         self.ratio = ratio * self.RATIO_SHARE
--- a/tarragonshelf/forwarding/_request.py
+++ b/tarragonshelf/forwarding/_request.py
@@ -21,6 +21,7 @@
 
 # Statuses from here on say that the target failed.
 SERVER_ERROR = 500
+GATEWAY_TIMEOUT = 504
 # Less time than this is no offer to a target: its answer would come too late.
 MINIMUM_SECONDS = 0.02
 # A request goes to at most so many targets that did not take it, which run nothing.
@@ -146,7 +147,7 @@
             size = len(answer.body) + self.request.size
             self.context.record_success(self.request.service, ended.seconds, size)
             return self._respond(now, answer, target.identity)
-        self.context.record_evidence(now, self.request, target, EvidenceKind.ERROR)
+        self._record_error(now, target, ended)
         self._may_have_run = True
         self._failure = (answer, target.identity)
         if self._open:
@@ -155,6 +156,13 @@
             return self._respond(now, answer, target.identity)
         return self._try_next(now)
 
+    def _record_error(self, now: float, target: TargetEntry, ended: AttemptEnded) -> None:
+        """Take an error in as evidence, unless the target only kept to its time limit."""
+        if ended.answer.status != GATEWAY_TIMEOUT:
+            self.context.record_evidence(now, self.request, target, EvidenceKind.ERROR)
+        elif ended.seconds >= self.context.compute_hang_seconds(self.request.service):
+            self.context.record_evidence(now, self.request, target, EvidenceKind.HUNG)
+
     def _record_failure(self, now: float, target: TargetEntry, outcome: AttemptOutcome) -> None:
         if outcome == AttemptOutcome.MISDIRECTED:
             self.context.record_departed(now, target)
@@ -191,17 +199,12 @@
 
     def _miss_deadline(self, now: float) -> list[Effect]:
         self._may_have_run = self._may_have_run or bool(self._open)
-        for number, target in self._open.items():
-            if number not in self._hung:
-                self.context.record_evidence(now, self.request, target, EvidenceKind.HUNG)
         return self._fail(now, RefusalReason.DEADLINE)
 
     # Ends
 
     def _fail(self, now: float, reason: RefusalReason) -> list[Effect]:
         """End with what a target said last, or with an answer of the entry's own."""
-        if self._open:
-            return []
         if self._failure is not None:
             return self._respond(now, *self._failure)
         return self._refuse(now, reason)
--- /dev/null
+++ b/tarragonshelf/forwarding/tests/fakes.py
@@ -0,0 +1,85 @@
+"""An entry around one request, as a list of what it was told."""
+
+from random import Random
+
+from ...avoidance import AvoidanceBook, EvidenceKind
+from ...catalogue import Route, WeightedService
+from ...forwarding import (
+    AttemptEnded,
+    AttemptOutcome,
+    ContextQueries,
+    ForwardRequest,
+    RefusalReason,
+    RequestMachine,
+    Started,
+    TargetAnswer,
+)
+from ...registry import TargetEntry, TargetState
+
+RANDOM = Random(1)
+
+
+def create_route(*, is_repeatable: bool, attempts: int = 2, timeout: float = 2.0) -> Route:
+    shares = (WeightedService("s", 1.0),)
+    return Route("r", "h", "/", is_repeatable, timeout, 1.0, 1, attempts, shares)
+
+
+def create_target(name: str, **fields) -> TargetEntry:
+    values = {"service": "s", "data_centre": "z", "slots": 3, "address": f"{name}:80"}
+    return TargetEntry(name, 1, 1, TargetState.READY, **{**values, **fields})
+
+
+class FakeContext(ContextQueries):
+    """Gives out targets in order, with a budget of some repeats."""
+
+    def __init__(self, *targets: str, repeats: int = 10):
+        self.targets = [create_target(name) for name in targets]
+        self.repeats = repeats
+        self.held: list[str] = []
+        self.evidence: list[tuple[str, EvidenceKind | None]] = []
+        self.departed: list[str] = []
+        self.held_back: set[int] = set()
+        self.avoidance = AvoidanceBook(RANDOM)
+
+    def choose_target(self, now, request, tried):
+        left = [item for item in self.targets if item.identity not in tried]
+        return left[0] if left else RefusalReason.NO_TARGET
+
+    def spend_retry(self, now, service):
+        self.repeats -= 1
+        return self.repeats >= 0
+
+    def is_held_back(self, now, digest):
+        return digest in self.held_back
+
+    def compute_hang_seconds(self, service):
+        return 1.0
+
+    def compute_retry_after(self, now, service):
+        return 0.3
+
+    def record_start(self, now, request, target):
+        self.held.append(target.identity)
+
+    def record_end(self, now, target):
+        self.held.remove(target.identity)
+
+    def record_evidence(self, now, request, target, kind):
+        self.evidence.append((target.identity, kind))
+
+    def record_success(self, service, seconds, size):
+        pass
+
+    def record_departed(self, now, target):
+        self.departed.append(target.identity)
+
+
+def start(context: FakeContext, route: Route) -> tuple[RequestMachine, list]:
+    request = ForwardRequest("q", route, "s", 0.0, route.timeout, digest=7)
+    machine = RequestMachine(request, context)
+    return machine, machine.handle(0.0, Started())
+
+
+def end(machine, number: int, outcome: AttemptOutcome, *, status: int = 0, now: float = 0.1):
+    answer = TargetAnswer(status, (), b"") if status else None
+    return machine.handle(now, AttemptEnded(number, outcome, now, answer))
--- /dev/null
+++ b/tarragonshelf/forwarding/tests/test_balancer.py
@@ -0,0 +1,107 @@
+"""Where work goes: near, free and working targets first."""
+
+from random import Random
+
+from ...avoidance import AvoidanceBook, EvidenceItem, EvidenceKind
+from ...forwarding import (
+    Balancer,
+    ForwardRequest,
+    Places,
+    RefusalReason,
+    RetryBudgets,
+    ServiceProfile,
+)
+from ...registry import TargetBook
+from .fakes import create_route, create_target
+
+PLACES = Places("z", {"z": "r1", "y": "r1", "x": "r2"})
+NOTHING = frozenset()
+
+
+class Fixture:
+    """A balancer over some targets."""
+
+    def __init__(self, *targets):
+        self.book = TargetBook()
+        for target in targets:
+            self.book.merge(0.0, target)
+        self.avoidance = AvoidanceBook(Random(1))
+        self.balancer = Balancer(
+            places=PLACES, targets=self.book, avoidance=self.avoidance, random=Random(2)
+        )
+        self.profile = ServiceProfile()
+
+    def choose(self, *, is_repeatable=True, now=0.0, tried=NOTHING):
+        request = ForwardRequest("q", create_route(is_repeatable=is_repeatable), "s", now, now + 2)
+        return self.balancer.choose(now, request, self.profile, tried)
+
+
+class TestBalancer:
+    def test_a_near_target_is_taken_while_it_is_free(self):
+        fixture = Fixture(create_target("near"), create_target("far", data_centre="x"))
+        assert fixture.choose().identity == "near"
+
+    def test_a_busy_near_target_sends_work_to_its_region(self):
+        fixture = Fixture(create_target("near"), create_target("next", data_centre="y"))
+        for _ in range(9):
+            fixture.balancer.acquire("near")
+        assert fixture.choose().identity == "next"
+
+    def test_what_other_entries_hold_counts(self):
+        fixture = Fixture(create_target("near"), create_target("next", data_centre="y"))
+        fixture.balancer.set_elsewhere({"near": 9})
+        assert fixture.choose().identity == "next"
+
+    def test_a_failing_target_loses_work_to_another_region(self):
+        fixture = Fixture(create_target("near"), create_target("far", data_centre="x"))
+        fixture.avoidance.record(0.0, EvidenceItem("near", EvidenceKind.BROKEN))
+        assert fixture.choose().identity == "far"
+
+    def test_lookups_try_a_returning_target_before_orders_do(self):
+        fixture = Fixture(create_target("near"), create_target("next", data_centre="y"))
+        fixture.avoidance.record(0.0, EvidenceItem("near", EvidenceKind.BROKEN))
+        assert fixture.choose(now=20.0, is_repeatable=True).identity == "near"
+
+    def test_if_all_are_avoided_the_work_is_spread_all_the_same(self):
+        fixture = Fixture(create_target("a"), create_target("b"))
+        for name in "ab":
+            fixture.avoidance.record(0.0, EvidenceItem(name, EvidenceKind.BROKEN))
+        first = fixture.choose().identity
+        for _ in range(6):
+            fixture.balancer.acquire(first)
+        assert fixture.choose().identity != first
+
+    def test_hopeless_work_is_refused_at_once(self):
+        fixture = Fixture(create_target("near"))
+        for _ in range(12):
+            fixture.balancer.acquire("near")
+        assert fixture.choose() == RefusalReason.ALL_FULL
+
+    def test_a_tried_target_is_not_tried_again(self):
+        fixture = Fixture(create_target("near"))
+        assert fixture.choose(tried=frozenset({"near"})) == RefusalReason.NO_TARGET
+
+
+class TestRetryBudgets:
+    def test_entries_together_stay_below_the_fleets_budget(self):
+        ratio, slack, window, entries = 0.2, 58.0, 10.0, 36
+        budgets = [RetryBudgets(ratio=ratio, slack=slack, window=window) for _ in range(entries)]
+        spent = requests = 0
+        for budget in budgets:
+            budget.entries = entries
+        for step in range(200):
+            now = step * window / 200
+            budget = budgets[step % entries]
+            for _ in range(5):
+                budget.record_request(now, "s")
+                requests += 1
+            while budget.spend(now, "s"):
+                spent += 1
+        assert spent <= ratio * requests + slack
+
+    def test_a_quiet_entry_may_repeat_now_and_then(self):
+        budget = RetryBudgets(ratio=0.2, slack=58.0, window=10.0)
+        budget.entries = 36
+        assert budget.spend(0.0, "s")
+        assert not budget.spend(0.0, "s")
+        assert budget.spend(30.0, "s")
--- a/tarragonshelf/hub/_messages.py
+++ b/tarragonshelf/hub/_messages.py
@@ -87,6 +87,22 @@
     items: tuple[LoadItem, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class HubLoad(Message):
+    """All that the entries of one hub hold at targets whose home is the receiver."""
+
+    vm: str
+    items: tuple[LoadItem, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class HubBusy(Message):
+    """Targets of the sender that became busy, or with a count of 0 that no longer are."""
+
+    vm: str
+    items: tuple[LoadItem, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Announce(Message):
     """A target's own word, as a hub received it."""
--- a/tarragonshelf/hub/_node.py
+++ b/tarragonshelf/hub/_node.py
@@ -54,10 +54,13 @@
     TargetState,
 )
 from ._drains import PendingDrains
+from ._loads import LoadBook
 from ._messages import (
     Announce,
     Announced,
     HubBeat,
+    HubBusy,
+    HubLoad,
     HubNews,
     HubRecord,
     LoadReport,
@@ -146,6 +149,7 @@
         self.targets = TargetBook()
         self.registrar = Registrar(record, places)
         self.subscribers = Subscribers(record.data_centre)
+        self.loads = LoadBook(record.vm)
         self._drains = PendingDrains()
         self._waiters = Waiters()
         self._effects: list[Effect] = []
@@ -219,7 +223,7 @@
             self._reply(call, Refused(RefusedReason.BUSY, detail=detail))
         self._spread_changes(now, self.registrar.expire(now, self.targets))
         self.targets.forget_departed(now)
-        self._effects += self.subscribers.push_load(now)
+        self._exchange_loads(now)
         self._beat(now)
         return self._take_effects()
 
@@ -427,6 +431,10 @@
             self._compare(message)
         elif isinstance(message, EvidenceNews):
             self._effects += self.subscribers.push_all(message)
+        elif isinstance(message, HubLoad):
+            self.loads.record_away(message)
+        elif isinstance(message, HubBusy):
+            self.loads.record_busy(message)
         elif isinstance(message, HubNews):
             if self.registrar.note_hubs(now, message.hubs):
                 self._effects += self.subscribers.push_all(self.registrar.describe_hubs())
@@ -499,6 +507,25 @@
         total = len(serving) + sum(self._edges_elsewhere.values())
         return self.subscribers.describe(total)
 
+    def _exchange_loads(self, now: float) -> None:
+        self.loads.set_own(self.subscribers.compute_load())
+        for vm in self.registrar.list_silent(now):
+            self.loads.forget_hub(vm)
+        targets = self.targets.list_all()
+        homes = {}
+        for data_centre in {item.data_centre for item in targets}:
+            homes[data_centre] = self.registrar.find_home(now, data_centre)
+        away, busy = self.loads.exchange(
+            now,
+            {item.identity: homes[item.data_centre] for item in targets},
+            {item.identity: item.slots for item in targets},
+        )
+        for vm, news in away.items():
+            self._effects.append(SendHub(self.registrar.find_address(vm), news))
+        if busy is not None:
+            self._effects += (SendHub(address, busy) for address in self.list_peers())
+        self._effects += self.subscribers.push_load(now, self.loads.compute_totals())
+
     # Time
 
     def _create_beat(self, now: float) -> HubBeat:
--- a/tarragonshelf/hub/_registrar.py
+++ b/tarragonshelf/hub/_registrar.py
@@ -74,14 +74,29 @@
         self._greeted_at[address] = now
         return True
 
+    def is_alive(self, now: float, vm: str) -> bool:
+        """Tell whether a hub is this one or was heard a moment ago."""
+        heard_at = self._heard_at.get(vm, float("-inf"))
+        return vm == self.own.vm or now - heard_at < HUB_ALIVE_SECONDS
+
+    def find_home(self, now: float, data_centre: str) -> str:
+        """Return the VM of the hub that knows the load of a data centre's targets."""
+        alive = [item for item in self._hubs.values() if self.is_alive(now, item.vm)]
+        region = self.places.get(data_centre)
+
+        def measure(item: HubRecord) -> tuple:
+            is_far = self.places.get(item.data_centre) != region
+            return (item.data_centre != data_centre, is_far, item.vm)
+
+        return min(alive, key=measure).vm
+
+    def list_silent(self, now: float) -> list[str]:
+        """Return the VMs of hubs that are known and not heard."""
+        return [vm for vm in self._hubs if not self.is_alive(now, vm)]
+
     def choose_hub(self, now: float, data_centre: str) -> str:
         """Return where a target of a data centre does best to announce itself."""
-        alive = [
-            item
-            for item in self._hubs.values()
-            if item.vm == self.own.vm
-            or now - self._heard_at.get(item.vm, float("-inf")) < HUB_ALIVE_SECONDS
-        ]
+        alive = [item for item in self._hubs.values() if self.is_alive(now, item.vm)]
         region = self.places.get(data_centre)
 
         def measure(item: HubRecord) -> tuple:
--- a/tarragonshelf/hub/_subscribers.py
+++ b/tarragonshelf/hub/_subscribers.py
@@ -40,7 +40,6 @@
     def __init__(self, data_centre: str):
         self.data_centre = data_centre
         self._items: dict[int, Subscriber] = {}
-        self._is_load_new = False
 
     @property
     def serving(self) -> tuple[EdgeRecord, ...]:
@@ -69,8 +68,7 @@
     def remove(self, number: int) -> bool:
         """Forget an entry and tell whether the serving entries changed."""
         before = self.serving
-        if self._items.pop(number, None) is not None:
-            self._is_load_new = True
+        self._items.pop(number, None)
         return self.serving != before
 
     def push_all(self, message: Message, *, besides: int = 0) -> list[Effect]:
@@ -86,28 +84,26 @@
         subscriber = self._items.get(number)
         if subscriber is not None:
             subscriber.load = {item.target: item.count for item in report.items}
-            self._is_load_new = True
 
-    def push_load(self, now: float) -> list[Effect]:
-        """Return the effects that tell entries what the others have at targets."""
-        if not self._is_load_new:
-            return []
+    def compute_load(self) -> dict[str, int]:
+        """Return what all entries together hold at targets."""
         totals: dict[str, int] = {}
         for item in self._items.values():
             for target, count in item.load.items():
                 totals[target] = totals.get(target, 0) + count
+        return totals
+
+    def push_load(self, now: float, totals: dict[str, int]) -> list[Effect]:
+        """Return the effects that tell entries what targets hold besides their own."""
         effects: list[Effect] = []
-        is_all_told = True
         for number, item in self._items.items():
             is_near = item.record.data_centre == self.data_centre
             if now - item.told_at < (LOAD_SECONDS if is_near else FAR_LOAD_SECONDS):
-                is_all_told = False
                 continue
             news = _take_off(totals, item.load)
             if news != item.told:
                 item.told, item.told_at = news, now
                 effects.append(Push(number, LoadNews(news)))
-        self._is_load_new = not is_all_told
         return effects
 
 
--- a/tarragonshelf/transport/tarragonshelf.thrift
+++ b/tarragonshelf/transport/tarragonshelf.thrift
@@ -597,6 +597,16 @@
   1: optional list<LoadItem> items
 }
 
+struct HubLoad {
+  1: optional string vm
+  2: optional list<LoadItem> items
+}
+
+struct HubBusy {
+  1: optional string vm
+  2: optional list<LoadItem> items
+}
+
 struct Body {
   1: optional Member member
   2: optional Membership membership
@@ -687,6 +697,8 @@
   87: optional LoadItem loadItem
   88: optional LoadReport loadReport
   89: optional LoadNews loadNews
+  90: optional HubLoad hubLoad
+  91: optional HubBusy hubBusy
 }
 
 // One frame: `call` is 0 for a one-way message, `is_reply` tells an answer from a call.
