--- a/tarragonshelf/control/_admission.py
+++ b/tarragonshelf/control/_admission.py
@@ -44,7 +44,7 @@
     membership: Membership,
     count_behind: Callable[[str], int],
     *,
-    holds_nothing: Callable[[str], bool] = lambda identity: False,
+    must_wait: Callable[[str], bool] = lambda identity: False,
     replaceable: frozenset[str] = frozenset(),
 ) -> Membership | None:
     """Return the next step for a learner that has caught up, or None without one.
@@ -58,15 +58,15 @@
         The committed membership.
     count_behind : callable
         Returns how many committed entries a replica still lacks.
-    holds_nothing : callable
-        Tells whether a replica has not even a snapshot yet; a short log hides that.
+    must_wait : callable
+        Tells whether a replica may not vote yet, however short the log.
     replaceable : frozenset of str
         Voters whose place a learner of another VM takes, as they fell silent.
     """
     for learner in membership.members:
         if learner.voting or count_behind(learner.identity) > CATCH_UP_ENTRIES:
             continue
-        if holds_nothing(learner.identity):
+        if must_wait(learner.identity):
             continue
         lost = [item for item in _find_by_vm(membership, learner.vm) if item.voting]
         if not lost and len(membership.voters) > MINIMUM_VOTERS_TO_REPLACE:
--- /dev/null
+++ b/tarragonshelf/edge/tests/test_edge.py
@@ -0,0 +1,160 @@
+"""What an entry believes, and which hub it follows."""
+
+from dataclasses import replace
+from random import Random
+
+from ...avoidance import EvidenceItem, EvidenceKind, EvidenceNews, Standing
+from ...catalogue import CatalogueCopy
+from ...control import Trace
+from ...edge import EdgeNode, EdgeSettings, FollowHub, HubLost, HubReceived, SendToHub
+from ...hub import EdgeNews, EdgeRecord, HubBeat, HubNews, HubRecord, LoadReport, Subscribe
+from ...hub.tests.fakes import FakeReader
+from ...registry import TargetEntry, TargetNews, TargetState
+
+PLACES = {"z0": "r0", "z1": "r0", "z2": "r1"}
+SETTINGS = EdgeSettings(
+    vm="e0",
+    address="e0:80",
+    data_centre="z0",
+    places=PLACES,
+    hubs=("h1:7", "h2:7"),
+    retry_ratio=0.2,
+    retry_slack=50.0,
+    retry_window=10.0,
+    address_seconds=1.5,
+)
+TARGET = TargetEntry("i-1", 1000, 1, TargetState.READY, "10.0.0.1:80", "s", "z0", 3)
+HUBS = (
+    HubRecord("h0", "h0:7", "h0:80", "z0"),
+    HubRecord("h1", "h1:7", "h1:80", "z1"),
+    HubRecord("h2", "h2:7", "h2:80", "z2"),
+)
+
+
+class Fixture:
+    """An entry that is told things by the hub that it follows."""
+
+    def __init__(self):
+        self.node = EdgeNode(settings=SETTINGS, reader=FakeReader(), random=Random(1))
+        self.now = 10.0
+        self.effects = []
+
+    def tick(self, seconds: float = 0.05):
+        self.now += seconds
+        self.effects = self.node.tick(self.now)
+        return self
+
+    def tell(self, *messages):
+        for message in messages:
+            received = HubReceived(self.node.hubs.address, message)
+            self.effects = self.node.handle(self.now, received)
+        return self
+
+    def find(self, kind):
+        return [item for item in self.effects if isinstance(item, kind)]
+
+    def serve(self):
+        self.tick()
+        return self.tell(
+            HubBeat("h1", True), CatalogueCopy(3, b"3"), TargetNews((TARGET,)), HubNews(HUBS)
+        )
+
+
+class TestReadiness:
+    def test_it_needs_a_catalogue_and_targets(self):
+        fixture = Fixture().tick()
+        assert not fixture.node.is_ready
+        fixture.tell(CatalogueCopy(3, b"3"))
+        assert not fixture.node.is_ready
+        fixture.tell(TargetNews((TARGET,)))
+        assert fixture.node.is_ready
+        assert [item.message.is_serving for item in fixture.find(SendToHub)] == [True]
+
+    def test_a_stop_withdraws_it_at_once(self):
+        fixture = Fixture().serve()
+        effects = fixture.node.stop()
+        assert isinstance(effects[0].message, Subscribe)
+        assert not effects[0].message.is_serving
+        assert not fixture.node.is_ready
+
+
+class TestCatalogueInForce:
+    def test_it_never_goes_back(self):
+        fixture = Fixture().serve().tell(CatalogueCopy(2, b"2"))
+        assert fixture.node.version == 3
+        fixture.tell(CatalogueCopy(4, b"4"))
+        assert fixture.node.version == 4
+        assert any(item.event == "catalogue_in_force" for item in fixture.find(Trace))
+
+    def test_it_lasts_without_any_hub(self):
+        fixture = Fixture().serve()
+        fixture.node.handle(fixture.now, HubLost(fixture.node.hubs.address))
+        fixture.tick(60.0)
+        assert fixture.node.is_ready
+
+
+class TestHubs:
+    def test_a_silent_hub_is_left_for_another(self):
+        fixture = Fixture().serve()
+        first = fixture.node.hubs.address
+        fixture.tick(1.3)
+        assert fixture.node.hubs.address not in ("", first)
+        assert fixture.find(FollowHub)
+
+    def test_a_hub_that_is_cut_off_from_the_others_is_left(self):
+        fixture = Fixture().serve()
+        first = fixture.node.hubs.address
+        fixture.tell(HubBeat("h1", False)).tick(0.2)
+        assert fixture.node.hubs.address == first
+        fixture.tell(HubBeat("h1", False)).tick(0.2)
+        assert fixture.node.hubs.address != first
+
+    def test_the_nearest_hub_is_taken_up_in_time(self):
+        fixture = Fixture().serve()
+        for _ in range(100):
+            fixture.tell(HubBeat("h", True)).tick(0.05)
+        assert fixture.node.hubs.address == "h0:7"
+
+    def test_while_all_fail_they_are_tried_again_with_a_pause(self):
+        fixture = Fixture().tick()
+        tries = 0
+        for _ in range(40):
+            effects = fixture.node.handle(fixture.now, HubLost(fixture.node.hubs.address))
+            tries += sum(isinstance(item, FollowHub) for item in effects)
+            tries += len(fixture.tick(0.05).find(FollowHub))
+        assert 4 <= tries <= 14
+
+
+class TestAddresses:
+    def test_callers_are_sent_to_entries_of_their_data_centre(self):
+        edges = (EdgeRecord("e0:80", "z0"), EdgeRecord("e1:80", "z0"), EdgeRecord("e2:80", "z1"))
+        fixture = Fixture().serve().tell(EdgeNews(edges, 3))
+        assert fixture.node.list_addresses("z0", "r0") == ("e0:80", "e1:80")
+        assert fixture.node.list_addresses("z1", "r0") == ("e2:80",)
+        assert fixture.node.list_addresses("z2", "r1") == ("e0:80", "e1:80", "e2:80")
+
+    def test_an_entry_that_stops_names_the_others(self):
+        edges = (EdgeRecord("e0:80", "z0"), EdgeRecord("e1:80", "z0"))
+        fixture = Fixture().serve().tell(EdgeNews(edges, 2))
+        fixture.node.stop()
+        assert fixture.node.list_addresses("z0", "r0") == ("e1:80",)
+
+
+class TestEvidence:
+    def test_what_another_entry_saw_counts_at_once(self):
+        fixture = Fixture().serve()
+        fixture.tell(EvidenceNews((EvidenceItem("i-1", EvidenceKind.BROKEN),)))
+        assert fixture.node.avoidance.get_standing(fixture.now, "i-1") == Standing.AVOIDED
+
+    def test_a_new_start_begins_without_it(self):
+        fixture = Fixture().serve()
+        fixture.tell(EvidenceNews((EvidenceItem("i-1", EvidenceKind.BROKEN),)))
+        fixture.tell(TargetNews((replace(TARGET, started=2000),)))
+        assert fixture.node.avoidance.get_standing(fixture.now, "i-1") == Standing.TRUSTED
+
+    def test_load_is_told_when_it_changed(self):
+        fixture = Fixture().serve()
+        fixture.node.balancer.acquire("i-1")
+        fixture.tick(0.5)
+        assert [type(item.message) for item in fixture.find(SendToHub)] == [LoadReport]
+        assert not fixture.tick(0.5).find(SendToHub)
--- a/tarragonshelf/hub/_node.py
+++ b/tarragonshelf/hub/_node.py
@@ -80,6 +80,8 @@
 DIGEST_SECONDS = 1.0
 # A follower that heard no leader for so long may miss what the others acknowledge.
 CURRENT_SECONDS = 1.0
+# A learner waits so long for its vote: by then it is known whether it replaces a lost voter.
+LEARNER_SECONDS = 1.7
 # A voter that was silent so long gives way to one that takes its place.
 REPLACED_SILENT_SECONDS = 1.5
 # A voter that was silent so long is removed without one; if it comes back it joins again.
@@ -156,6 +158,7 @@
         self._beat_at = 0.0
         self._digest_at = 0.0
         self._was_current = False
+        self._learning_since: dict[str, float] = {}
         self._edges_elsewhere: dict[str, int] = {}
 
     # Queries
@@ -285,6 +288,7 @@
     def _change_role(self, effect: RoleChanged) -> None:
         fields = {"replica_role": effect.role, "term": effect.term, "leader": effect.leader}
         self._effects.append(Trace("replica_role_changed", fields))
+        self._learning_since = {}
         if effect.role != Role.LEADER:
             refused = Refused(RefusedReason.LEADERSHIP_LOST, self.leader_address)
             for call in self._waiters.take_all_of_leader():
@@ -305,7 +309,7 @@
         planned = plan_admission(
             replica.membership,
             lambda name: replica.commit - replica.get_match_index(name),
-            holds_nothing=lambda name: replica.get_match_index(name) == 0,
+            must_wait=lambda name: self._must_learner_wait(now, name),
             replaceable=silent,
         )
         if planned is None:
@@ -316,6 +320,10 @@
         if planned is not None and replica.propose_membership(now, planned) is not None:
             self._effects.append(Trace("voters_changing", {"voters": sorted(planned.voters)}))
 
+    def _must_learner_wait(self, now: float, identity: str) -> bool:
+        since = self._learning_since.setdefault(identity, now)
+        return now - since < LEARNER_SECONDS or self.replica.get_match_index(identity) == 0
+
     # Calls
 
     def _handle_call(self, now: float, call: int, message: Message) -> None:
--- /dev/null
+++ b/tarragonshelf/hub/tests/test_site.py
@@ -0,0 +1,286 @@
+"""What was acknowledged lasts, whatever hubs are lost, and reaches every entry."""
+
+from dataclasses import replace
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from ...avoidance import EvidenceItem, EvidenceKind, EvidenceNews
+from ...catalogue import CatalogueCopy, PutCatalogue
+from ...control import Refused, RefusedReason
+from ...hub import (
+    Announce,
+    Announced,
+    EdgeNews,
+    LoadItem,
+    LoadNews,
+    LoadReport,
+    SubscriberLost,
+    SubscriberReceived,
+)
+from ...registry import TargetEntry, TargetNews, TargetState
+from .fakes import FakeSite
+
+TARGET = TargetEntry("i-1", 1000, 1, TargetState.READY, "10.0.0.1:80", "s", "z0", 3)
+
+
+def list_pushed(site: FakeSite, kind: type) -> list:
+    return [(vm, number, message) for vm, number, message in site.pushed if type(message) is kind]
+
+
+class TestFirstStart:
+    @pytest.mark.parametrize("count", [1, 3, 5, 7, 11])
+    def test_all_hubs_vote_without_an_operator(self, count):
+        site = FakeSite(count)
+        assert site.voters == set(site.hubs)
+        assert site.put(1)
+        site.advance(1.0)
+        for hub in site.hubs.values():
+            assert hub.node.register.copy.version == 1
+
+    def test_an_empty_disk_alone_forms_nothing(self):
+        site = FakeSite(3)
+        for vm in site.hubs:
+            site.stop(vm, loses_disk=True)
+            site.start(vm)
+        site.advance(10.0)
+        assert site.leader is None
+
+
+class TestReplacedHubs:
+    def test_a_lost_disk_joins_again_and_votes(self):
+        site = FakeSite(5)
+        assert site.put(1)
+        site.stop("vm1", loses_disk=True)
+        site.start("vm1")
+        site.advance(6.0)
+        assert site.voters == set(site.hubs)
+        assert site.hubs["vm1"].node.register.copy.version == 1
+
+    def test_a_replacement_at_another_address_takes_the_lost_ones_place(self):
+        site = FakeSite(5)
+        assert site.put(1)
+        site.stop("vm1", loses_disk=True)
+        site.add("vm9", "z1")
+        site.start("vm9")
+        site.advance(8.0)
+        assert site.voters == {"vm0", "vm2", "vm3", "vm4", "vm9"}
+        assert site.put(2)
+
+    def test_a_voter_removed_for_its_silence_votes_again_when_it_is_back(self):
+        site = FakeSite(5)
+        site.cut("vm4")
+        site.advance(30.0)
+        assert "vm4" not in site.voters
+        site.cuts.clear()
+        site.advance(5.0)
+        assert "vm4" in site.voters
+
+    def test_acknowledged_just_before_a_disk_is_lost_and_all_lose_power(self):
+        site = FakeSite(5, seed=3)
+        assert site.put(7)
+        for vm in site.hubs:
+            site.stop(vm, loses_power=True, loses_disk=vm == "vm0")
+        for vm in site.hubs:
+            site.start(vm)
+        site.advance(8.0)
+        assert site.read().version == 7
+
+
+class TestCatalogue:
+    def test_an_unsound_document_never_reaches_the_log(self):
+        site = FakeSite(3)
+        number = site.call(site.leader, PutCatalogue(5, b"5 bad"))
+        assert site.replies[number].reason == RefusedReason.INVALID
+
+    def test_a_lower_version_is_acknowledged_and_changes_nothing(self):
+        site = FakeSite(3)
+        assert site.put(5)
+        assert site.put(4)
+        assert site.read().version == 5
+
+    def test_a_read_without_a_quorum_is_not_answered(self):
+        site = FakeSite(3)
+        assert site.put(5)
+        leader = site.leader
+        site.cut(leader)
+        number = site.call(leader, PutCatalogue(5, b"5"))
+        site.advance(0.5)
+        assert number not in site.replies or isinstance(site.replies[number], Refused)
+
+    def test_entries_get_a_version_as_soon_as_it_is_committed(self):
+        site = FakeSite(5)
+        for vm in site.hubs:
+            site.subscribe(vm, 1, f"entry of {vm}")
+        site.put(3)
+        reached = {vm for vm, _, copy in list_pushed(site, CatalogueCopy) if copy.version == 3}
+        assert reached == set(site.hubs)
+
+
+class TestTargets:
+    def test_news_reaches_the_entries_of_all_hubs(self):
+        site = FakeSite(5)
+        for vm in site.hubs:
+            site.subscribe(vm, 1, f"entry of {vm}")
+        site.pushed.clear()
+        number = site.call("vm2", Announce(TARGET))
+        site.advance(0.5)
+        assert isinstance(site.replies[number], Announced)
+        assert {vm for vm, _, _ in list_pushed(site, TargetNews)} == set(site.hubs)
+
+    def test_a_drain_is_acknowledged_once_a_majority_holds_it(self):
+        site = FakeSite(5)
+        site.call("vm2", Announce(TARGET))
+        site.advance(0.5)
+        draining = replace(TARGET, sequence=2, state=TargetState.DRAINING)
+        number = site.call("vm2", Announce(draining))
+        assert number not in site.replies
+        site.advance(0.3)
+        assert isinstance(site.replies[number], Announced)
+        held = [hub.node.targets.list_usable("s") for hub in site.hubs.values()]
+        assert sum(not usable for usable in held) >= 3
+
+    def test_a_hub_that_is_cut_off_acknowledges_no_drain(self):
+        site = FakeSite(5)
+        site.call("vm2", Announce(TARGET))
+        site.advance(0.5)
+        site.cut("vm2")
+        draining = replace(TARGET, sequence=2, state=TargetState.DRAINING)
+        number = site.call("vm2", Announce(draining))
+        site.advance(2.0)
+        assert isinstance(site.replies[number], Refused)
+
+    def test_hubs_agree_again_after_a_cut(self):
+        site = FakeSite(5)
+        site.cut("vm2")
+        site.call("vm2", Announce(TARGET))
+        site.advance(1.0)
+        site.cuts.clear()
+        site.advance(4.0)
+        digests = {hub.node.targets.digest for hub in site.hubs.values()}
+        assert len(digests) == 1
+
+    def test_one_that_leaves_and_was_never_heard_of_is_acknowledged(self):
+        site = FakeSite(3)
+        number = site.call("vm0", Announce(TargetEntry("i-9", 0, 0, TargetState.LEFT)))
+        assert isinstance(site.replies[number], Announced)
+
+    def test_a_silent_target_is_gone_in_the_end(self):
+        site = FakeSite(3)
+        site.call("vm0", Announce(TARGET))
+        site.advance(40.0)
+        assert all(not hub.node.targets.list_usable("s") for hub in site.hubs.values())
+
+
+class TestEvidence:
+    def test_what_one_entry_saw_reaches_all_others_at_once(self):
+        site = FakeSite(5)
+        for vm in site.hubs:
+            site.subscribe(vm, 1, f"entry of {vm}")
+            site.subscribe(vm, 2, f"other of {vm}")
+        site.pushed.clear()
+        news = EvidenceNews((EvidenceItem("i-1", EvidenceKind.BROKEN),))
+        site.receive("vm0", SubscriberReceived(1, news))
+        site.advance(0.1)
+        told = {(vm, number) for vm, number, _ in list_pushed(site, EvidenceNews)}
+        assert told == {(vm, number) for vm in site.hubs for number in (1, 2)} - {("vm0", 1)}
+
+
+class TestLoads:
+    def test_entries_of_one_hub_learn_what_the_others_hold(self):
+        site = FakeSite(3)
+        site.call("vm0", Announce(TARGET))
+        site.subscribe("vm0", 1, "a")
+        site.subscribe("vm0", 2, "b")
+        site.receive("vm0", SubscriberReceived(1, LoadReport((LoadItem("i-1", 2),))))
+        site.advance(0.2)
+        told = [item for vm, number, item in list_pushed(site, LoadNews) if number == 2]
+        assert told[-1].items == (LoadItem("i-1", 2),)
+
+    def test_a_target_that_is_busy_elsewhere_is_known_everywhere(self):
+        site = FakeSite(5)
+        site.call("vm0", Announce(TARGET))
+        for vm in site.hubs:
+            site.subscribe(vm, 1, f"entry of {vm}")
+        site.advance(3.0)
+        for vm in ("vm1", "vm2"):
+            report = LoadReport((LoadItem("i-1", 4),))
+            site.receive(vm, SubscriberReceived(1, report))
+        site.advance(1.0)
+        told = [item for vm, _, item in list_pushed(site, LoadNews) if vm == "vm3"]
+        assert told[-1].items == (LoadItem("i-1", 8),)
+
+
+class TestEntries:
+    def test_entries_learn_who_serves_and_who_no_longer_does(self):
+        site = FakeSite(3)
+        site.subscribe("vm0", 1, "a")
+        site.subscribe("vm0", 2, "b")
+        edges = list_pushed(site, EdgeNews)[-1][2].edges
+        assert {item.address for item in edges} == {"a:80", "b:80"}
+        site.receive("vm0", SubscriberLost(2))
+        edges = list_pushed(site, EdgeNews)[-1][2].edges
+        assert {item.address for item in edges} == {"a:80"}
+
+
+class SiteMachine(RuleBasedStateMachine):
+    """Crashes, cuts and lost disks in any order, one disk at a time."""
+
+    @initialize(seed=st.integers(0, 2**16))
+    def begin(self, seed):
+        self.site = FakeSite(5, seed=seed)
+        self.version = 0
+        self.acknowledged = 0
+
+    @rule()
+    def put(self):
+        self.version += 1
+        if self.site.put(self.version):
+            self.acknowledged = self.version
+
+    @rule(index=st.integers(0, 4), loses_power=st.booleans())
+    def crash(self, index, loses_power):
+        vm = f"vm{index}"
+        self.site.stop(vm, loses_power=loses_power)
+        self.site.advance(0.5)
+        self.site.start(vm)
+
+    @rule(index=st.integers(0, 4))
+    def lose_disk(self, index):
+        vm = f"vm{index}"
+        self.site.cuts.clear()
+        self.site.advance(6.0)
+        self.site.stop(vm, loses_disk=True)
+        self.site.start(vm)
+        self.site.advance(6.0)
+
+    @rule(index=st.integers(0, 4), seconds=st.sampled_from([0.5, 3.0]))
+    def cut(self, index, seconds):
+        self.site.cut(f"vm{index}")
+        self.site.advance(seconds)
+        self.site.cuts.clear()
+
+    @rule()
+    def lose_power_everywhere(self):
+        for vm in self.site.hubs:
+            self.site.stop(vm, loses_power=True)
+        for vm in self.site.hubs:
+            self.site.start(vm)
+
+    @invariant()
+    def nothing_acknowledged_is_lost(self):
+        copy = self.site.read()
+        if isinstance(copy, CatalogueCopy):
+            assert copy.version >= self.acknowledged
+
+    def teardown(self):
+        if hasattr(self, "site"):
+            self.site.cuts.clear()
+            self.site.advance(8.0)
+            assert self.site.read().version >= self.acknowledged
+
+
+TestSiteMachine = SiteMachine.TestCase
+TestSiteMachine.settings = settings(max_examples=15, stateful_step_count=12, deadline=None)
--- /dev/null
+++ b/tarragonshelf/platform/tests/test_platform.py
@@ -0,0 +1,242 @@
+"""The platform's words, decoded once; anything malformed is told apart."""
+
+import json
+
+import pytest
+
+from ...catalogue import UnreadableCatalogueError, find_faults
+from ...forwarding import AttemptOutcome, RefusalReason, Refuse, TargetAnswer
+from ...registry import TargetEntry, TargetState
+from .._control_calls import read_announcement, read_leave
+from .._documents import DocumentReader
+from .._entry_calls import EntryDialect
+from .._settings import create_edge_settings, create_hub_settings, read_seed_hubs
+from .._values import MalformedError, read_seconds
+
+ROUTES = {
+    "columns": [
+        "name",
+        "host",
+        "path_prefix",
+        "kind",
+        "timeout",
+        "target_latency",
+        "priority",
+        "service",
+        "max_attempts",
+        "traffic_split",
+    ],
+    "rows": [
+        ["r1", "a.example", "/x/", "unsafe", "2500ms", "1s", 1, "s", 2, None],
+        [
+            "r2",
+            "a.example",
+            "/y/",
+            "safe",
+            "1.5s",
+            None,
+            None,
+            None,
+            None,
+            [{"service": "s", "weight": 90}, {"service": "t", "weight": 10}],
+        ],
+    ],
+}
+SERVICES = {"columns": ["name", "max_conns"], "rows": [["s", 330], ["t", 330]]}
+LIMITS = {
+    "max_header_bytes": 16384,
+    "max_body_bytes": 1000,
+    "header_timeout": "3000ms",
+    "idle_timeout": "15000ms",
+}
+DOCUMENT = {"version": "0000000c", "routes": ROUTES, "services": SERVICES, "limits": LIMITS}
+BEAT = {
+    "address": "10.0.0.1:80",
+    "born": 1700,
+    "info": {"service": "s", "version": "v1", "zone": "z", "slots": 3},
+    "status": {"state": "ready", "seq": 4, "warmup_left": "500ms"},
+}
+SETTINGS = {
+    "node_name": "n1",
+    "ip": "10.0.0.1",
+    "zone": "z",
+    "zones": {"z": "r"},
+    "listen": {
+        "front": "10.0.0.1:1",
+        "ready": "10.0.0.1:2",
+        "directory": "10.0.0.1:3",
+        "control": "10.0.0.1:4",
+    },
+    "internal_ports": [7620, 7635],
+    "seeds": ["10.0.0.7:4", "10.0.0.8:4"],
+    "bootstrap": True,
+    "data_dir": "/data",
+    "something_new": {"a": 1},
+}
+
+
+def encode(value) -> bytes:
+    return json.dumps(value).encode()
+
+
+def change(table: dict, path: str, value) -> dict:
+    """Return a copy of nested tables with one value changed."""
+    copy = json.loads(json.dumps(table))
+    *parents, last = path.split(".")
+    place = copy
+    for name in parents:
+        place = place[name]
+    place[last] = value
+    return copy
+
+
+class TestDocuments:
+    def test_a_document_is_read_in_full(self):
+        catalogue = DocumentReader().read(encode(DOCUMENT))
+        first, second = catalogue.routes
+        assert catalogue.version == 12
+        assert (first.is_repeatable, first.timeout, first.objective) == (False, 2.5, 1.0)
+        assert (second.is_repeatable, second.timeout, second.objective) == (True, 1.5, 1.5)
+        assert [item.weight for item in second.services] == [90, 10]
+        assert catalogue.limits.idle_seconds == 15.0
+        assert find_faults(catalogue) == ()
+
+    @pytest.mark.parametrize(
+        ("path", "value"),
+        [
+            ("version", "c"),
+            ("version", 12),
+            ("routes.rows", [["r1"]]),
+            ("routes", []),
+            ("services", None),
+            ("limits.max_body_bytes", "many"),
+            ("limits", None),
+        ],
+    )
+    def test_what_cannot_be_read_is_refused(self, path, value):
+        with pytest.raises(UnreadableCatalogueError):
+            DocumentReader().read(encode(change(DOCUMENT, path, value)))
+
+    def test_one_that_is_cut_short_is_refused(self):
+        with pytest.raises(UnreadableCatalogueError):
+            DocumentReader().read(encode(DOCUMENT)[:-20])
+
+
+class TestAnnouncements:
+    def test_a_target_is_read(self):
+        entry = read_announcement("i-1", encode(BEAT))
+        assert (entry.identity, entry.started, entry.sequence) == ("i-1", 1700, 4)
+        assert (entry.state, entry.slots, entry.warm_seconds) == (TargetState.READY, 3, 0.5)
+
+    @pytest.mark.parametrize(
+        ("path", "value"),
+        [
+            ("born", "1700"),
+            ("born", None),
+            ("address", 7),
+            ("info", None),
+            ("info.service", 3),
+            ("info.slots", "3"),
+            ("status.state", "sleeping"),
+            ("status.seq", True),
+        ],
+    )
+    def test_another_writers_word_names_no_target(self, path, value):
+        with pytest.raises(MalformedError):
+            read_announcement("i-1", encode(change(BEAT, path, value)))
+
+    @pytest.mark.parametrize("content", [b"", b"\xff\xfe", b"[]", b'{"born": "x"}'])
+    def test_who_leaves_needs_no_body(self, content):
+        assert read_leave("i-1", content).state == TargetState.LEFT
+
+
+class TestHeaders:
+    def test_only_the_deadline_and_the_expected_target_are_set(self):
+        headers = [
+            (b"Host", b"h"),
+            (b"Request-Id", b"q"),
+            (b"Deadline-Ms", b"2500"),
+            (b"Connection", b"keep-alive, X-Hop"),
+            (b"X-Hop", b"1"),
+            (b"X-Own", b"2"),
+        ]
+        target = TargetEntry("i-1", 1, 1, TargetState.READY)
+        written = dict(EntryDialect().write_headers(headers, target, 1.2345, 3))
+        assert written == {
+            b"Host": b"h",
+            b"Request-Id": b"q",
+            b"X-Own": b"2",
+            b"Deadline-Ms": b"1234",
+            b"Expect-Instance": b"i-1",
+            b"Content-Length": b"3",
+        }
+
+    @pytest.mark.parametrize(
+        ("status", "headers", "outcome"),
+        [
+            (200, (), AttemptOutcome.ANSWERED),
+            (500, (), AttemptOutcome.ANSWERED),
+            (503, ((b"Not-Executed", b"1"),), AttemptOutcome.REFUSED),
+            (503, (), AttemptOutcome.ANSWERED),
+            (421, (), AttemptOutcome.MISDIRECTED),
+        ],
+    )
+    def test_only_the_target_proves_that_nothing_ran(self, status, headers, outcome):
+        assert EntryDialect().classify(TargetAnswer(status, headers, b"")) == outcome
+
+    @pytest.mark.parametrize(
+        ("reason", "has_run", "status"),
+        [
+            (RefusalReason.NO_TARGET, False, 503),
+            (RefusalReason.MAY_HAVE_RUN, True, 502),
+            (RefusalReason.DEADLINE, True, 504),
+        ],
+    )
+    def test_a_promise_is_only_given_with_proof(self, reason, has_run, status):
+        response = EntryDialect().create_refusal(Refuse(reason, has_run, 0.3), b"q")
+        assert response.status == status
+        assert ("Retry-After" in response.headers) == (status == 503)
+
+
+class TestSettings:
+    def test_an_entry(self):
+        settings, addresses = create_edge_settings(SETTINGS)
+        assert settings.hubs == ("10.0.0.7:7620", "10.0.0.8:7620")
+        assert addresses.questions == ("10.0.0.1:2", "10.0.0.1:3")
+
+    @pytest.mark.parametrize(
+        "bounds",
+        [
+            ["retry_budget_ratio=0.3", "budget_window=5s", "ttl_max=1s", "unknown=1"],
+            {"retry_budget_ratio": 0.3, "budget_window": "5s", "ttl_max": "1s", "unknown": 1},
+        ],
+    )
+    def test_bounds_stand_as_texts_or_as_a_table(self, bounds):
+        settings, _ = create_edge_settings({**SETTINGS, "bounds": bounds})
+        assert (settings.retry_ratio, settings.retry_window) == (0.3, 5.0)
+        assert settings.address_seconds == 1.0
+
+    def test_a_control(self):
+        settings = create_hub_settings(SETTINGS)
+        assert settings.record.address == "10.0.0.1:7620"
+        assert settings.seeds == ("10.0.0.7", "10.0.0.8")
+        assert settings.is_first_start
+
+    @pytest.mark.parametrize("name", ["listen", "zone", "internal_ports", "seeds", "node_name"])
+    def test_what_is_missing_is_named(self, name):
+        with pytest.raises(MalformedError, match=name):
+            create_edge_settings({**SETTINGS, name: None})
+
+    def test_few_seeds_are_enough(self):
+        assert read_seed_hubs({**SETTINGS, "seeds": ["10.0.0.9:4"]}) == ("10.0.0.9:7620",)
+
+
+class TestTimes:
+    @pytest.mark.parametrize(("text", "seconds"), [("1500ms", 1.5), ("2.5s", 2.5), ("0ms", 0.0)])
+    def test_times_have_a_unit(self, text, seconds):
+        assert read_seconds(text, "x") == seconds
+
+    @pytest.mark.parametrize("value", ["15", 15, "-1s", "1m", None])
+    def test_anything_else_is_malformed(self, value):
+        with pytest.raises(MalformedError):
+            read_seconds(value, "x")
