Pack documents, look for the nearest hub first, and tell entries only of near ones

Ruled out: replication (100 KB) and load news between hubs (58 KB). Change: an entry hears only of hubs until it knows the nearest; entry lists hold one data centre and are told together; documents are packed.

--- a/tarragonshelf/catalogue/__init__.py
+++ b/tarragonshelf/catalogue/__init__.py
@@ -15,6 +15,7 @@
     UnreadableCatalogueError,
     WeightedService,
 )
+from ._packing import pack_content, unpack_content
 from ._register import CatalogueRegister
 from ._table import Matched, RouteTable
 
@@ -35,4 +36,6 @@
     "UnreadableCatalogueError",
     "WeightedService",
     "find_faults",
+    "pack_content",
+    "unpack_content",
 ]
--- a/tarragonshelf/catalogue/_messages.py
+++ b/tarragonshelf/catalogue/_messages.py
@@ -75,7 +75,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PutCatalogue(Message):
-    """Asks to put a document in force; ``content`` is kept byte for byte."""
+    """Asks to put a document in force; ``content`` is packed and kept byte for byte."""
 
     version: int
     content: bytes
@@ -95,7 +95,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CatalogueCopy(Message):
-    """A document and its version; version 0 means that there is none."""
+    """A packed document and its version; version 0 means that there is none."""
 
     version: int
     content: bytes = b""
--- a/tarragonshelf/edge/_hubs.py
+++ b/tarragonshelf/edge/_hubs.py
@@ -13,6 +13,8 @@
 FAILED_SECONDS = 3.0
 # While all fail, each is tried again after so long.
 PAUSE_SECONDS = 0.4
+# So long the nearest hub is looked for; all start within some tenths of a second.
+LOOK_SECONDS = 2.0
 # A nearer hub is taken up once the present one was followed so long.
 SETTLED_SECONDS = 4.0
 
@@ -40,6 +42,9 @@
         self._followed_at = float("-inf")
         self._heard_at = float("-inf")
         self._stale_since: float | None = None
+        self._began_at: float | None = None
+        # At first only the nearest hub is looked for: what a far one tells is dear to move.
+        self.is_looking = True
 
     def is_heard(self, now: float) -> bool:
         """Tell whether a current hub is followed."""
@@ -80,6 +85,8 @@
 
     def choose(self, now: float) -> str | None:
         """Return the hub to follow from now on, or None to stay."""
+        if self.is_looking:
+            self._end_look(now)
         if self.address and self._needs_other(now):
             self._failed_at[self.address] = now
             self.address = ""
@@ -93,6 +100,16 @@
         self._stale_since = None
         return nearest
 
+    def _end_look(self, now: float) -> None:
+        """Settle for a hub once a near one is known, or none is found in time."""
+        if self._began_at is None:
+            self._began_at = now
+        distances = {self._measure(name) for name, item in self._records.items() if item}
+        is_found = 0 in distances or (1 in distances and now - self._began_at >= LOOK_SECONDS / 2)
+        if is_found or now - self._began_at >= LOOK_SECONDS:
+            self.is_looking = False
+            self._followed_at = float("-inf")
+
     def _needs_other(self, now: float) -> bool:
         if now - self._heard_at >= SILENT_SECONDS:
             return True
--- a/tarragonshelf/edge/_node.py
+++ b/tarragonshelf/edge/_node.py
@@ -17,6 +17,7 @@
     CatalogueReader,
     Matched,
     RouteTable,
+    unpack_content,
 )
 from ..control import Trace
 from ..forwarding import (
@@ -125,6 +126,7 @@
             settings.data_centre,
             self.version,
             self.is_ready,
+            self.hubs.is_looking,
         )
 
     # Commands
@@ -165,8 +167,13 @@
     # The hub's word
 
     def _choose_hub(self, now: float) -> list[Effect]:
+        was_looking = self.hubs.is_looking
         address = self.hubs.choose(now)
-        return [] if address is None else [FollowHub(address)]
+        if address is not None:
+            return [FollowHub(address)]
+        if was_looking and not self.hubs.is_looking:
+            return [SendToHub(self.describe_subscription())]
+        return []
 
     def _take(self, now: float, message: Message) -> None:
         if isinstance(message, CatalogueCopy):
@@ -188,7 +195,7 @@
         """Move to a higher version, never back."""
         if copy.version <= self.version:
             return
-        self.catalogue = self.reader.read(copy.content)
+        self.catalogue = self.reader.read(unpack_content(copy.content))
         self._table = RouteTable(self.catalogue, self.random)
         self._pending.append(Trace("catalogue_in_force", {"version": copy.version}))
 
--- a/tarragonshelf/hub/_messages.py
+++ b/tarragonshelf/hub/_messages.py
@@ -33,7 +33,10 @@
 
 @dataclass(frozen=True, slots=True)
 class EdgeNews(Message):
-    """All serving entries that follow the sender, and how many there are in the whole site."""
+    """Serving entries of the receiver's data centre that follow the sender.
+
+    ``total`` is how many there are in the whole site.
+    """
 
     edges: tuple[EdgeRecord, ...]
     total: int = 0
@@ -43,7 +46,8 @@
 class Subscribe(Message):
     """An entry asks for all news, or tells that it no longer serves.
 
-    ``version`` is the catalogue that it has in force.
+    ``version`` is the catalogue that it has in force. With ``is_lookup`` it only wants to hear
+    of hubs, to find the nearest.
     """
 
     vm: str
@@ -51,6 +55,7 @@
     data_centre: str
     version: int
     is_serving: bool
+    is_lookup: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tarragonshelf/hub/_node.py
+++ b/tarragonshelf/hub/_node.py
@@ -13,6 +13,7 @@
     ReadCatalogue,
     UnreadableCatalogueError,
     find_faults,
+    unpack_content,
 )
 from ..consensus import (
     Commit,
@@ -88,6 +89,8 @@
 REMOVED_SILENT_SECONDS = 20.0
 MINIMUM_VOTERS = 3
 SNAPSHOT_ENTRIES = 60
+# Changes among the entries are told together: many come at a start.
+EDGES_SECONDS = 0.2
 
 
 def create_first_membership(vms: tuple[str, ...], port: int) -> Membership:
@@ -160,6 +163,8 @@
         self._was_current = False
         self._learning_since: dict[str, float] = {}
         self._edges_elsewhere: dict[str, int] = {}
+        self._edges_changed = False
+        self._edges_at = 0.0
 
     # Queries
 
@@ -211,7 +216,7 @@
             self._handle_subscriber(now, message.subscriber, message.message)
         elif isinstance(message, SubscriberLost):
             if self.subscribers.remove(message.subscriber):
-                self._push_edges()
+                self._edges_changed = True
         elif isinstance(message, StopRequested):
             self._carry(now, self.replica.transfer_leadership(now))
         return self._take_effects()
@@ -227,6 +232,7 @@
         self._spread_changes(now, self.registrar.expire(now, self.targets))
         self.targets.forget_departed(now)
         self._exchange_loads(now)
+        self._push_edges(now)
         self._beat(now)
         return self._take_effects()
 
@@ -341,7 +347,7 @@
 
     def _put(self, now: float, call: int, message: PutCatalogue) -> None:
         try:
-            faults = find_faults(self.reader.read(message.content))
+            faults = find_faults(self.reader.read(unpack_content(message.content)))
         except UnreadableCatalogueError as error:
             faults = (str(error),)
         if faults:
@@ -445,12 +451,13 @@
             self.loads.record_busy(message)
         elif isinstance(message, HubNews):
             if self.registrar.note_hubs(now, message.hubs):
-                self._effects += self.subscribers.push_all(self.registrar.describe_hubs())
+                news = self.registrar.describe_hubs()
+                self._effects += self.subscribers.push_all(news, lookups=True)
         elif isinstance(message, HubBeat):
             self.registrar.note_heard(now, message.vm)
             if self._edges_elsewhere.get(message.vm) != message.edges:
                 self._edges_elsewhere[message.vm] = message.edges
-                self._push_edges()
+                self._edges_changed = True
         else:
             self._carry(now, self.replica.handle(now, message))
 
@@ -496,24 +503,29 @@
 
     def _subscribe(self, now: float, number: int, message: Subscribe) -> None:
         is_known = number in self.subscribers.numbers
+        if message.is_lookup:
+            self.subscribers.put_lookup(number)
+            self._effects.append(Push(number, self._create_beat(now)))
+            self._effects.append(Push(number, self.registrar.describe_hubs()))
+            return
         if self.subscribers.put(number, message):
-            self._push_edges()
+            self._edges_changed = True
         if is_known:
             return
         pushed: list[Message] = [self._create_beat(now), self.registrar.describe_hubs()]
         if self.register.state.version > message.version:
             pushed.append(self.register.copy)
         pushed.append(TargetNews(self.targets.list_all(), is_whole=True))
-        pushed.append(self._describe_edges())
         self._effects += (Push(number, item) for item in pushed)
+        self._edges_changed = True
 
-    def _push_edges(self) -> None:
-        self._effects += self.subscribers.push_all(self._describe_edges())
-
-    def _describe_edges(self):
-        serving = self.subscribers.serving
-        total = len(serving) + sum(self._edges_elsewhere.values())
-        return self.subscribers.describe(total)
+    def _push_edges(self, now: float) -> None:
+        """Tell entries who serves, several changes at once."""
+        if not self._edges_changed or now - self._edges_at < EDGES_SECONDS:
+            return
+        self._edges_changed, self._edges_at = False, now
+        total = len(self.subscribers.serving) + sum(self._edges_elsewhere.values())
+        self._effects += self.subscribers.push_edges(total)
 
     def _exchange_loads(self, now: float) -> None:
         self.loads.set_own(self.subscribers.compute_load())
@@ -547,7 +559,8 @@
             self._beat_at = 0.0
         if now - self._beat_at >= BEAT_SECONDS:
             self._beat_at = now
-            self._effects += self.subscribers.push_all(self._create_beat(now))
+            beat = self._create_beat(now)
+            self._effects += self.subscribers.push_all(beat, lookups=True)
         if now - self._digest_at >= DIGEST_SECONDS:
             self._digest_at = now
             self._greet_peers(now)
--- a/tarragonshelf/hub/_subscribers.py
+++ b/tarragonshelf/hub/_subscribers.py
@@ -26,6 +26,7 @@
     load: dict[str, int] = field(default_factory=dict)
     told: tuple[LoadItem, ...] = ()
     told_at: float = 0.0
+    told_edges: EdgeNews | None = None
 
 
 class Subscribers:
@@ -40,6 +41,7 @@
     def __init__(self, data_centre: str):
         self.data_centre = data_centre
         self._items: dict[int, Subscriber] = {}
+        self._lookups: set[int] = set()
 
     @property
     def serving(self) -> tuple[EdgeRecord, ...]:
@@ -52,9 +54,14 @@
         """Numbers of all connections."""
         return tuple(self._items)
 
+    def put_lookup(self, number: int) -> None:
+        """Let an entry hear of hubs only, until it subscribes here or elsewhere."""
+        self._lookups.add(number)
+
     def put(self, number: int, record: Subscribe) -> bool:
         """Take an entry's word in and tell whether the serving entries changed."""
         before = self.serving
+        self._lookups.discard(number)
         stale = [key for key, item in self._items.items() if item.record.vm == record.vm]
         for key in stale:
             if key != number:
@@ -69,15 +76,29 @@
         """Forget an entry and tell whether the serving entries changed."""
         before = self.serving
         self._items.pop(number, None)
+        self._lookups.discard(number)
         return self.serving != before
 
-    def push_all(self, message: Message, *, besides: int = 0) -> list[Effect]:
+    def push_all(
+        self, message: Message, *, besides: int = 0, lookups: bool = False
+    ) -> list[Effect]:
         """Return the effects that tell every entry but one."""
-        return [Push(number, message) for number in self._items if number != besides]
-
-    def describe(self, total: int) -> EdgeNews:
-        """Return who serves callers."""
-        return EdgeNews(self.serving, total)
+        numbers = [*self._items, *self._lookups] if lookups else self._items
+        return [Push(number, message) for number in numbers if number != besides]
+
+    def push_edges(self, total: int) -> list[Effect]:
+        """Return the effects that tell every entry who serves in its data centre."""
+        by_centre: dict[str, EdgeNews] = {}
+        for item in self.serving:
+            known = by_centre.get(item.data_centre, EdgeNews((), total))
+            by_centre[item.data_centre] = EdgeNews((*known.edges, item), total)
+        effects: list[Effect] = []
+        for number, item in self._items.items():
+            news = by_centre.get(item.record.data_centre, EdgeNews((), total))
+            if news != item.told_edges:
+                item.told_edges = news
+                effects.append(Push(number, news))
+        return effects
 
     def record_load(self, number: int, report: LoadReport) -> None:
         """Take in what an entry has at targets."""
--- a/tarragonshelf/platform/_control_calls.py
+++ b/tarragonshelf/platform/_control_calls.py
@@ -5,7 +5,14 @@
 import orjson
 from aiohttp import web
 
-from ..catalogue import CatalogueCopy, PutCatalogue, ReadCatalogue, UnreadableCatalogueError
+from ..catalogue import (
+    CatalogueCopy,
+    PutCatalogue,
+    ReadCatalogue,
+    UnreadableCatalogueError,
+    pack_content,
+    unpack_content,
+)
 from ..control import Refused, RefusedReason
 from ..hub import Announced
 from ..registry import TargetEntry, TargetState
@@ -59,14 +66,14 @@
             return _say(503, "which version is the newest is not known")
         if not copy.version:
             return _say(503, "there is no version yet")
-        return web.Response(body=copy.content, content_type="application/json")
+        return web.Response(body=unpack_content(copy.content), content_type="application/json")
 
     async def _put(self, port: HubPort, content: bytes) -> web.Response:
         try:
             version = read_document_version(content)
         except UnreadableCatalogueError as error:
             return _say(400, str(error))
-        answer = await port.submit(PutCatalogue(version, content))
+        answer = await port.submit(PutCatalogue(version, pack_content(content)))
         if isinstance(answer, Refused) and answer.reason == RefusedReason.INVALID:
             return _say(400, answer.detail)
         if answer is None or isinstance(answer, Refused):
--- a/tarragonshelf/transport/tarragonshelf.thrift
+++ b/tarragonshelf/transport/tarragonshelf.thrift
@@ -576,6 +576,7 @@
   3: optional string data_centre
   4: optional i64 version
   5: optional bool is_serving
+  6: optional bool is_lookup
 }
 
 struct HubBeat {
