Remember the last committed document across a restart of a hub

Cause: after a restart of all hubs an entry got its catalogue only once a leader was elected. Change: a hub keeps the newest document that it saw committed in a file of its own. Before: a test without a leader found nothing to serve with.

--- a/tarragonshelf/hub/_messages.py
+++ b/tarragonshelf/hub/_messages.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from ..base import Effect, Message
+from ..catalogue import CatalogueCopy
 from ..registry import TargetEntry, TargetNews
 
 
@@ -152,6 +153,13 @@
     news: TargetNews
 
 
+@dataclass(frozen=True, slots=True)
+class SaveCatalogue(Effect):
+    """Keep a committed document, for entries that start before the next leader is known."""
+
+    copy: CatalogueCopy
+
+
 @dataclass(frozen=True, slots=True)
 class SendHub(Effect):
     """Send a message to another hub."""
--- a/tarragonshelf/hub/_node.py
+++ b/tarragonshelf/hub/_node.py
@@ -5,6 +5,7 @@
 from ..avoidance import EvidenceNews
 from ..base import Codec, Effect, Message, StateMachine
 from ..catalogue import (
+    CatalogueCopy,
     CatalogueReader,
     CatalogueRegister,
     CatalogueState,
@@ -66,6 +67,7 @@
     HubRecord,
     LoadReport,
     Push,
+    SaveCatalogue,
     SaveTargets,
     SendHub,
     Subscribe,
@@ -166,6 +168,8 @@
         self._was_current = False
         self._learning_since: dict[str, float] = {}
         self._edges_elsewhere: dict[str, int] = {}
+        # The newest document that was ever committed here, which a restart does not forget.
+        self._remembered = CatalogueCopy(0)
         self._saved_digest = self.targets.digest
         self._saved_at = 0.0
         self._edges_changed = False
@@ -211,13 +215,21 @@
             Trace("initialized", {"voters": sorted(membership.voters)}),
         ]
 
-    def restore_targets(self, now: float, news: TargetNews) -> None:
-        """Begin with targets that were known before this process started."""
+    def restore_memory(self, now: float, news: TargetNews, copy: CatalogueCopy) -> None:
+        """Begin with targets and the document that were known before this process started."""
+        self._remembered = copy
         for entry in news.targets:
             if self.targets.merge(now, entry):
                 self.registrar.note_target(now, entry.identity)
         self._saved_digest = self.targets.digest
 
+    def take_memory(self, previous: "HubNode") -> None:
+        """Take over what lives in memory of a node whose replica has to start again."""
+        self.targets = previous.targets
+        self.registrar = previous.registrar
+        self.subscribers = previous.subscribers
+        self._remembered = previous._remembered
+
     def handle(self, now: float, message: Message) -> list[Effect]:
         """Take a message of a peer, an entry, a target or an operator in."""
         if isinstance(message, CallReceived):
@@ -302,8 +314,11 @@
                 self._carry(now, self.replica.announce_commit(now))
 
     def _push_catalogue(self) -> None:
-        if self.register.state.version:
-            self._effects += self.subscribers.push_all(self.register.copy)
+        copy = self.register.copy
+        if copy.version > self._remembered.version:
+            self._remembered = copy
+            self._effects.append(SaveCatalogue(copy))
+            self._effects += self.subscribers.push_all(copy)
 
     def _change_role(self, effect: RoleChanged) -> None:
         fields = {"replica_role": effect.role, "term": effect.term, "leader": effect.leader}
@@ -536,8 +551,8 @@
         if is_known:
             return
         pushed: list[Message] = [self._create_beat(now), self.registrar.describe_hubs()]
-        if self.register.state.version > message.version:
-            pushed.append(self.register.copy)
+        if self._remembered.version > message.version:
+            pushed.append(self._remembered)
         pushed.append(TargetNews(self.targets.list_all(), is_whole=True))
         self._effects += (Push(number, item) for item in pushed)
         self._edges_changed = True
--- a/tarragonshelf/hub/tests/fakes.py
+++ b/tarragonshelf/hub/tests/fakes.py
@@ -4,6 +4,7 @@
 
 from ...catalogue import (
     Catalogue,
+    CatalogueCopy,
     CatalogueReader,
     PutCatalogue,
     ReadCatalogue,
@@ -18,14 +19,16 @@
     HubNode,
     HubRecord,
     Push,
+    SaveCatalogue,
     SaveTargets,
     SendHub,
     Subscribe,
     SubscriberReceived,
     create_first_membership,
 )
+from ...registry import TargetNews
 from ...replication import CallReceived, Join, PeerReceived, Reply
-from ...storage import ReplicaStore, TargetStore
+from ...storage import MessageFile, ReplicaStore
 from ...storage.tests.fakes import FakeFileSystem
 from ...transport import create_codec
 
@@ -59,7 +62,8 @@
         self.files = FakeFileSystem()
         self.node: HubNode | None = None
         self.store: ReplicaStore | None = None
-        self.targets: TargetStore | None = None
+        self.targets: MessageFile | None = None
+        self.catalogue: MessageFile | None = None
         self.is_refusing = False
 
 
@@ -91,7 +95,8 @@
         """Start a hub from what its disk holds."""
         hub = self.hubs[vm]
         hub.store = ReplicaStore(hub.files, CODEC)
-        hub.targets = TargetStore(hub.files, CODEC)
+        hub.targets = MessageFile(hub.files, CODEC, "targets")
+        hub.catalogue = MessageFile(hub.files, CODEC, "catalogue")
         is_first = is_first and vm in self.seeds
         restored = hub.store.restore(lambda: "first" if is_first else self._mint())
         hub.node = HubNode(
@@ -106,7 +111,8 @@
             entries=restored.entries,
             timing=Timing(heartbeat=0.3, election=1.0, first_election=0.35),
         )
-        hub.node.restore_targets(self.now, hub.targets.load()[0])
+        news = hub.targets.load(TargetNews(()))[0]
+        hub.node.restore_memory(self.now, news, hub.catalogue.load(CatalogueCopy(0))[0])
         if is_first and restored.snapshot is None:
             membership = create_first_membership(self.seeds, PORT)
             self._carry_out(hub, hub.node.initialize(membership))
@@ -222,6 +228,8 @@
         for effect in effects:
             if isinstance(effect, SaveTargets):
                 hub.targets.save(effect.news)
+            elif isinstance(effect, SaveCatalogue):
+                hub.catalogue.save(effect.copy)
         for effect in effects:
             if isinstance(effect, Send | SendHub):
                 self._send(hub.record.vm, effect.address.partition(":")[0], effect.message)
--- a/tarragonshelf/hub/tests/test_site.py
+++ b/tarragonshelf/hub/tests/test_site.py
@@ -172,6 +172,18 @@
             site.start(vm)
             assert [item.identity for item in site.hubs[vm].node.targets.list_usable("s")]
 
+    def test_an_entry_gets_a_document_before_there_is_a_leader(self):
+        site = FakeSite(5)
+        assert site.put(4)
+        site.advance(1.0)
+        for vm in site.hubs:
+            site.stop(vm, loses_power=True)
+        site.start("vm2")
+        site.pushed.clear()
+        site.subscribe("vm2", 1, "a")
+        assert [copy.version for _, _, copy in list_pushed(site, CatalogueCopy)] == [4]
+        assert site.read() is None
+
     def test_an_acknowledged_drain_outlasts_a_loss_of_power_everywhere(self):
         site = FakeSite(5)
         site.call("vm2", Announce(TARGET))
--- a/tarragonshelf/site/_hub.py
+++ b/tarragonshelf/site/_hub.py
@@ -10,7 +10,7 @@
 
 from ..avoidance import EvidenceNews
 from ..base import Effect, Message
-from ..catalogue import CatalogueReader
+from ..catalogue import CatalogueCopy, CatalogueReader
 from ..consensus import SaveEntries, SaveHardState, SaveSnapshot, Send, Timing
 from ..hub import (
     Announce,
@@ -18,6 +18,7 @@
     HubRecord,
     LoadReport,
     Push,
+    SaveCatalogue,
     SaveTargets,
     SendHub,
     Subscribe,
@@ -25,7 +26,7 @@
     SubscriberReceived,
     create_first_membership,
 )
-from ..registry import TargetEntry
+from ..registry import TargetEntry, TargetNews
 from ..replication import (
     CallReceived,
     Join,
@@ -36,7 +37,7 @@
     StopRequested,
     Trace,
 )
-from ..storage import CorruptionError, ReplicaStore, TargetStore, create_local_file_system
+from ..storage import CorruptionError, MessageFile, ReplicaStore, create_local_file_system
 from ..telemetry import AdministrationServer, LogBudget, Metrics, create_clock, create_logger
 from ..transport import (
     SITE_PACKAGES,
@@ -128,7 +129,8 @@
         self.seeds = list(settings.seeds)
         self.node: HubNode | None = None
         self.store: ReplicaStore | None = None
-        self.target_store: TargetStore | None = None
+        self.target_file: MessageFile | None = None
+        self.catalogue_file: MessageFile | None = None
         self._inbox: list[Message] = []
         self._is_scheduled = False
         self._number = 0
@@ -217,7 +219,9 @@
             self.store = ReplicaStore(
                 create_local_file_system(settings.data_folder), self.links.frames.codec
             )
-            self.target_store = TargetStore(self.store.files, self.links.frames.codec)
+            codec = self.links.frames.codec
+            self.target_file = MessageFile(self.store.files, codec, "targets")
+            self.catalogue_file = MessageFile(self.store.files, codec, "catalogue")
             restored = self.store.restore(lambda: _mint_incarnation(is_first))
         except CorruptionError as error:
             self._report("control_refused_to_start", problem=str(error))
@@ -246,24 +250,23 @@
         )
         if previous is not None:
             # What lives in memory is not touched by a disk that refuses writes.
-            self.node.targets = previous.targets
-            self.node.registrar = previous.registrar
-            self.node.subscribers = previous.subscribers
+            self.node.take_memory(previous)
             self._fail_calls()
         else:
-            self._restore_targets()
+            self._restore_memory()
         is_empty = restored.snapshot is None and not restored.entries
         if is_first and is_empty and self.node.identity.endswith("/first"):
             port = settings.record.address.rpartition(":")[2]
             membership = create_first_membership(settings.seeds, int(port))
             self._carry_out(self.node.initialize(membership))
 
-    def _restore_targets(self) -> None:
-        """Begin with the targets that were known before the process ended."""
-        news, problem = self.target_store.load()
-        if problem:
-            self._report("targets_not_restored", problem=problem)
-        self.node.restore_targets(_read_time(), news)
+    def _restore_memory(self) -> None:
+        """Begin with the targets and the document that were known before the process ended."""
+        news, problem = self.target_file.load(TargetNews(()))
+        copy, other = self.catalogue_file.load(CatalogueCopy(0))
+        if problem or other:
+            self._report("memory_not_restored", problem=problem or other)
+        self.node.restore_memory(_read_time(), news, copy)
 
     def _note_disk(self, error: OSError) -> None:
         self._disk_failed_at = _read_time()
@@ -364,9 +367,11 @@
         saves = [effect for effect in effects if isinstance(effect, SAVES)]
         if saves:
             self.store.save(saves)
-        targets = [effect for effect in effects if isinstance(effect, SaveTargets)]
-        if targets:
-            self.target_store.save(targets[-1].news)
+        for effect in effects:
+            if isinstance(effect, SaveTargets):
+                self.target_file.save(effect.news)
+            elif isinstance(effect, SaveCatalogue):
+                self.catalogue_file.save(effect.copy)
         for effect in effects:
             if isinstance(effect, Send | SendHub):
                 if effect.address:
--- a/tarragonshelf/storage/__init__.py
+++ b/tarragonshelf/storage/__init__.py
@@ -2,19 +2,19 @@
 
 from ._files import FileSystem, LocalFileSystem, create_local_file_system
 from ._journal import CorruptionError, Journal, Recovery, TornTail, encode_frame
+from ._message_file import MessageFile
 from ._store import ReplicaStore, RestoredState
-from ._targets import TargetStore
 
 __all__ = [
     "CorruptionError",
     "FileSystem",
     "Journal",
     "LocalFileSystem",
+    "MessageFile",
     "Recovery",
     "ReplicaStore",
     "RestoredState",
     "TornTail",
-    "TargetStore",
     "create_local_file_system",
     "encode_frame",
 ]
