Explain a request from the logs, and write down whom an entry avoids

Cause: nothing led from a request's id to its cause. Change: tarragonshelf explain ID LOG...; entries log when a target is avoided or trusted again with the evidence and its source, and each failed attempt with what was believed of its target. Before: no command. After: tests/test_explain.py for refusals, lost orders and late answers.

--- a/tarragonshelf/avoidance/_book.py
+++ b/tarragonshelf/avoidance/_book.py
@@ -79,6 +79,11 @@
         record = self._records.get(target)
         return record is not None and now < record.full_until
 
+    def get_avoided_seconds(self, now: float, target: str) -> float:
+        """Return how long a target is avoided from now on."""
+        record = self._records.get(target)
+        return max(0.0, record.trial_at - now) if record else 0.0
+
     def get_doubt(self, target: str) -> float:
         """Return how strong the evidence against a target is, from 0 to 1."""
         record = self._records.get(target)
--- a/tarragonshelf/cli.py
+++ b/tarragonshelf/cli.py
@@ -225,6 +225,21 @@
                 if shown.includes(event):
                     print(_format_json(event.fields) if json else queries.format_event(event))
 
+    def explain(self, request: str, *logs: str) -> None:
+        """Tell why a request ended as it did, from the logs of all processes.
+
+        Example: tarragonshelf explain 9c41d07be2a35f68 entry-*.log control-*.log
+        """
+        if not logs:
+            print("explain needs at least one log file", file=sys.stderr)
+            _exit(EXIT_USAGE)
+        with ExitStack() as stack:
+            files = [stack.enter_context(_open_log(log)) for log in logs]
+            explanation = queries.explain_request(queries.merge_logs(files), str(request))
+        print("\n".join(queries.format_explanation(explanation)))
+        if not explanation.events:
+            _exit(EXIT_REFUSED)
+
 
 def _call(settings: str, control: str, secret_file: str, run) -> Any:
     """Run a call against the fleet, or exit with what was refused."""
--- a/tarragonshelf/edge/_node.py
+++ b/tarragonshelf/edge/_node.py
@@ -216,11 +216,27 @@
             self._pending.append(Trace("target_changed", fields))
         self._has_targets = self._has_targets or bool(self.targets.list_all())
 
-    def _take_evidence(self, now: float, item: EvidenceItem) -> None:
+    def _take_evidence(self, now: float, item: EvidenceItem, source: str = "hub") -> None:
+        before = self.avoidance.get_standing(now, item.target)
         self.avoidance.record(now, item)
+        self._trace_standing(now, item, before, source)
         if item.kind == EvidenceKind.BROKEN:
             self.suspects.record_break(now, item.request_digest, item.target)
 
+    def _trace_standing(
+        self, now: float, item: EvidenceItem, before: Standing, source: str
+    ) -> None:
+        """Write down that a target is believed to fail or to work again."""
+        after = self.avoidance.get_standing(now, item.target)
+        if after == before:
+            return
+        fields = {"target": item.target, "evidence": item.kind.name.lower(), "source": source}
+        if after == Standing.AVOIDED and item.kind != EvidenceKind.TRIAL:
+            seconds = self.avoidance.get_avoided_seconds(now, item.target)
+            self._pending.append(Trace("target_avoided", {**fields, "seconds": round(seconds, 2)}))
+        elif after == Standing.TRUSTED:
+            self._pending.append(Trace("target_recovered", fields))
+
     def _report_load(self, now: float) -> None:
         pause = LOAD_SECONDS
         if self.hubs.address and not self.hubs.is_near():
@@ -284,6 +300,15 @@
         """Take in how long a target took and how many bytes moved."""
         self._get_profile(service).record(seconds, size)
 
+    def describe_target(self, now: float, target: TargetEntry) -> dict:
+        """Return what the entry believes of a target, for the log."""
+        return {
+            "standing": self.avoidance.get_standing(now, target.identity),
+            "held": self.balancer.count_held(target.identity),
+            "data_centre": target.data_centre,
+            "version": self.version,
+        }
+
     def record_departed(self, now: float, target: TargetEntry) -> None:
         """Take in that another target has the address."""
         left = TargetEntry(
@@ -299,7 +324,7 @@
         self.targets.merge(now, left)
 
     def _tell(self, now: float, item: EvidenceItem) -> None:
-        self._take_evidence(now, item)
+        self._take_evidence(now, item, source="own")
         self._pending.append(SendToHub(EvidenceNews((item,))))
 
     def _get_profile(self, service: str) -> ServiceProfile:
--- a/tarragonshelf/forwarding/_messages.py
+++ b/tarragonshelf/forwarding/_messages.py
@@ -170,6 +170,10 @@
     def record_success(self, service: str, seconds: float, size: int) -> None:
         """Take in how long a target took and how many bytes moved."""
 
+    @abstractmethod
+    def describe_target(self, now: float, target: TargetEntry) -> dict:
+        """Return what the entry believes of a target, for the log."""
+
     @abstractmethod
     def record_departed(self, now: float, target: TargetEntry) -> None:
         """Take in that another target has the address."""
--- a/tarragonshelf/forwarding/tests/fakes.py
+++ b/tarragonshelf/forwarding/tests/fakes.py
@@ -70,6 +70,9 @@
     def record_success(self, service, seconds, size):
         pass
 
+    def describe_target(self, now, target):
+        return {}
+
     def record_departed(self, now, target):
         self.departed.append(target.identity)
 
--- a/tarragonshelf/queries/__init__.py
+++ b/tarragonshelf/queries/__init__.py
@@ -1,5 +1,6 @@
 """What only reads the system."""
 
+from ._explain import Explanation, explain_request, format_explanation
 from ._fleet import (
     FleetStatus,
     describe_fleet,
@@ -11,12 +12,15 @@
 
 __all__ = [
     "Event",
+    "Explanation",
     "FleetStatus",
     "TimelineFilter",
     "describe_fleet",
     "describe_unresolved",
+    "explain_request",
     "fetch_configuration",
     "format_event",
+    "format_explanation",
     "format_status",
     "merge_logs",
     "select_order",
--- a/tarragonshelf/queries/_timeline.py
+++ b/tarragonshelf/queries/_timeline.py
@@ -90,7 +90,8 @@
 def _read_events(lines: Iterable[str]) -> Iterator[Event]:
     for line in lines:
         try:
-            fields = json.loads(line)
+            # A collector may have put its own time and the machine in front.
+            fields = json.loads(line[max(0, line.find("{")) :])
             yield Event(parse_stamp(fields["time"]), fields)
         except (ValueError, KeyError, TypeError, AttributeError):
             continue
--- a/tarragonshelf/site/_caller_port.py
+++ b/tarragonshelf/site/_caller_port.py
@@ -23,6 +23,8 @@
 HEAD_BYTES = 64 << 10
 # The library's own bound on idle connections is only a last resort: the catalogue's may change.
 KEEPALIVE_SECONDS = 600.0
+# A log line names at most so many targets.
+MAXIMUM_DESCRIBED = 16
 METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH", "DELETE"})
 
 
@@ -172,7 +174,7 @@
                 reason=ended.reason,
                 has_run=ended.has_run,
                 version=self.node.version,
-                avoided=self._describe_avoided(forward.service),
+                candidates=self._describe_candidates(forward.service),
                 seconds=round(seconds, 4),
             )
             return self.dialect.create_refusal(ended, identity)
@@ -193,12 +195,14 @@
         )
         return web.Response(status=answer.status, headers=headers, body=answer.body)
 
-    def _describe_avoided(self, service: str) -> str:
-        """Return how many of a service's targets are avoided at the moment, as n/of."""
-        usable = self.node.targets.list_usable(service)
+    def _describe_candidates(self, service: str) -> str:
+        """Return each usable target with its standing and what it holds."""
         now = asyncio.get_running_loop().time()
-        standings = [self.node.avoidance.get_standing(now, item.identity) for item in usable]
-        return f"{sum(item != 'trusted' for item in standings)}/{len(usable)}"
+        described = []
+        for item in self.node.targets.list_usable(service)[:MAXIMUM_DESCRIBED]:
+            known = self.node.describe_target(now, item)
+            described.append(f"{item.identity} {known['standing']} {known['held']}/{item.slots}")
+        return ", ".join(described)
 
     def _refuse_early(
         self, request: web.BaseRequest, reason: RefusalReason, detail: str
--- a/tarragonshelf/site/_forwarder.py
+++ b/tarragonshelf/site/_forwarder.py
@@ -120,6 +120,7 @@
             attempt=attempt.number,
             outcome=outcome,
             reason=reason,
+            **self.context.describe_target(asyncio.get_running_loop().time(), attempt.target),
         )
 
 
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -9,17 +9,41 @@
 
 ROOT = Path(__file__).parent.parent / "tarragonshelf"
 DECISIONS = (
+    "avoidance",
+    "catalogue",
     "configuration",
     "consensus",
     "control",
+    "edge",
     "entry",
     "execution",
+    "forwarding",
     "health",
+    "hub",
     "ledger",
     "limits",
     "membership",
+    "registry",
+    "replication",
     "routing",
 )
+# What the platform calls things; only the package that translates may know it.
+PLATFORM_WORDS = (
+    "Deadline-Ms",
+    "Expect-Instance",
+    "Not-Executed",
+    "Request-Id",
+    "Response-Stamp",
+    "back end",
+    "backend",
+    "beat_addr",
+    "born",
+    "path_prefix",
+    "target_latency",
+    "tenant",
+    "traffic_split",
+    "warmup_left",
+)
 FORBIDDEN = ("asyncio", "aiohttp", "mode", "socket", "time", "selectors")
 # The house's library for errors loads asyncio itself, so it is loaded first and asyncio forgotten.
 CHECK = """
@@ -54,3 +78,25 @@
                     names = [node.module]
                 found = [name for name in names if name.split(".")[0] in FORBIDDEN]
                 assert not found, f"{path.name} imports {found}"
+
+
+class TestPlatformWords:
+    def test_only_the_adapter_knows_them(self):
+        found = []
+        for path in ROOT.rglob("*.py"):
+            place = path.relative_to(ROOT)
+            is_exempt = place.parts[0] == "platform" or "tests" in place.parts
+            if is_exempt or "generated" in place.parts:
+                continue
+            text = path.read_text().lower()
+            found += (f"{place}: {word}" for word in PLATFORM_WORDS if word.lower() in text)
+        assert found == []
+
+    def test_the_adapter_decides_nothing(self):
+        for path in (ROOT / "platform").glob("*.py"):
+            names = [
+                node.module or ""
+                for node in ast.walk(ast.parse(path.read_text()))
+                if isinstance(node, ast.ImportFrom)
+            ]
+            assert not {"consensus", "avoidance", "storage", "transport"} & set(names)
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,62 @@
+"""From a failed request's id to its cause, with the logs alone."""
+
+import json
+
+import pytest
+
+from tarragonshelf.queries import explain_request, format_explanation, merge_logs
+
+
+def write(second: float, vm: str, event: str, **fields) -> str:
+    line = {"time": f"{int(second * 1000)}.00000", "vm": vm, "role": "entry", "event": event}
+    return json.dumps({**line, **fields})
+
+
+LOST = [
+    write(1.0, "e1", "target_avoided", target="t9", evidence="broken", source="hub"),
+    write(5.0, "e1", "target_avoided", target="t1", evidence="error", source="hub"),
+    write(5.5, "e2", "target_avoided", target="t1", evidence="error", source="hub"),
+    write(9.0, "e1", "attempt_failed", request="q1", target="t1", outcome="broken"),
+    write(9.0, "e1", "request_refused", request="q1", reason="may-have-run", has_run=True),
+]
+
+
+class TestExplain:
+    def test_an_order_lost_to_a_reset(self):
+        explanation = explain_request(merge_logs([LOST]), "q1")
+        assert [event.fields["event"] for event in explanation.events] == [
+            "target_avoided",
+            "attempt_failed",
+            "request_refused",
+        ]
+        assert "target t1 broke after the request was sent" in explanation.cause
+        assert "it may have run" in explanation.cause
+
+    @pytest.mark.parametrize(
+        ("fields", "cause"),
+        [
+            ({"reason": "all-full", "service": "s"}, "held more than it could finish"),
+            ({"reason": "no-budget"}, "the budget for repeats was used up"),
+            ({"reason": "no-catalogue"}, "knew no catalogue yet"),
+            ({"reason": "deadline", "has_run": True}, "its time was up"),
+        ],
+    )
+    def test_refusals(self, fields, cause):
+        lines = [write(1.0, "e1", "request_refused", request="q2", **fields)]
+        assert cause in explain_request(merge_logs([lines]), "q2").cause
+
+    def test_a_late_answer_names_who_failed_before(self):
+        lines = [
+            write(1.0, "e1", "attempt_failed", request="q3", target="t1", outcome="not-sent"),
+            write(2.0, "e1", "request_answered", request="q3", target="t2", status=200, seconds=1),
+        ]
+        cause = explain_request(merge_logs([lines]), "q3").cause
+        assert cause == "target t2 answered 200 after 1 s; before it: t1 not-sent"
+
+    def test_an_id_that_no_log_names(self):
+        explanation = explain_request(merge_logs([LOST]), "q9")
+        assert format_explanation(explanation)[-1].startswith("cause: no log names request q9")
+
+    def test_a_collectors_prefix_is_passed_over(self):
+        lines = [f"   9.0000 front-1 {line}" for line in LOST]
+        assert len(explain_request(merge_logs([lines]), "q1").events) == 3
