Leave out a bounded share of a service's targets, and learn how long spells last

Ruled out: stale targets from the disk (no 421, no refused connection). Change: at most two fifths are avoided; a target has room for nine with three slots, then others are used, also avoided ones; a reset of an overloaded target counts as lack of room; the time of avoidance starts at 8 s and learns from trials.

--- a/tarragonshelf/avoidance/_book.py
+++ b/tarragonshelf/avoidance/_book.py
@@ -5,10 +5,17 @@
 
 from ._messages import EvidenceItem, EvidenceKind, Standing
 
-# Seconds for which a target is avoided after evidence that counts fully. Bad spells of targets
-# last for seconds; docs/design/platform.md has the measured comparison.
-AVOID_SECONDS = 6.0
-# A second failed trial doubles the time, up to this many seconds.
+# Seconds for which a target is avoided after evidence that counts fully, before trials taught how
+# long bad spells last here, and the bounds of what they can teach.
+FIRST_AVOID_SECONDS = 8.0
+LEAST_AVOID_SECONDS = 3.0
+MOST_AVOID_SECONDS = 15.0
+# A trial that fails lengthens the time and one that succeeds shortens it; they balance where one
+# trial in three fails.
+FAILED_TRIAL_FACTOR = 1.06
+GOOD_TRIAL_FACTOR = 0.97
+# Each failed trial of one target lengthens its own time besides, up to this many seconds.
+REPEATED_FACTOR = 1.25
 MAXIMUM_AVOID_SECONDS = 24.0
 # After one weak sign alone, such as an error that sound targets give now and then.
 DOUBT_SECONDS = 1.5
@@ -58,6 +65,7 @@
 
     def __init__(self, random: Random):
         self.random = random
+        self.avoid_seconds = FIRST_AVOID_SECONDS
         self._records: dict[str, _Record] = {}
 
     def get_standing(self, now: float, target: str) -> Standing:
@@ -84,6 +92,11 @@
         record = self._records.get(target)
         return max(0.0, record.trial_at - now) if record else 0.0
 
+    def measure_case(self, target: str) -> tuple[float, float]:
+        """Return how much there is against a target, to compare it with others."""
+        record = self._records.get(target)
+        return (self.get_doubt(target), record.avoided_until if record else 0.0)
+
     def get_doubt(self, target: str) -> float:
         """Return how strong the evidence against a target is, from 0 to 1."""
         record = self._records.get(target)
@@ -97,6 +110,7 @@
         """Take one piece of evidence in, of this entry or another."""
         record = self._records.setdefault(item.target, _Record())
         if item.kind == EvidenceKind.RECOVERED:
+            self._learn(GOOD_TRIAL_FACTOR)
             del self._records[item.target]
         elif item.kind == EvidenceKind.TRIAL:
             record.trial_until = now + TRIAL_SECONDS
@@ -116,13 +130,20 @@
             record.weight = 0.0
         record.weight += weight
         record.noted_at = now
-        self._avoid(now, record, AVOID_SECONDS if record.weight >= 1.0 else DOUBT_SECONDS)
+        is_returning = record.is_on_trial and now >= record.avoided_until
+        if is_returning and record.spell >= LEAST_AVOID_SECONDS:
+            self._learn(FAILED_TRIAL_FACTOR)
+        self._avoid(now, record, self.avoid_seconds if record.weight >= 1.0 else DOUBT_SECONDS)
+
+    def _learn(self, factor: float) -> None:
+        seconds = self.avoid_seconds * factor
+        self.avoid_seconds = min(MOST_AVOID_SECONDS, max(LEAST_AVOID_SECONDS, seconds))
 
     def _avoid(self, now: float, record: _Record, seconds: float) -> None:
-        is_known = record.is_on_trial and now < record.trial_at
+        is_known = record.is_on_trial and now < record.avoided_until
         if record.is_on_trial and not is_known:
             # It failed on its return.
-            seconds = min(MAXIMUM_AVOID_SECONDS, max(seconds, 2 * record.spell))
+            seconds = min(MAXIMUM_AVOID_SECONDS, max(seconds, REPEATED_FACTOR * record.spell))
         if is_known and now + seconds <= record.avoided_until:
             return
         record.spell = seconds
--- a/tarragonshelf/edge/_node.py
+++ b/tarragonshelf/edge/_node.py
@@ -293,6 +293,9 @@
             if self.avoidance.is_returning(now, target.identity):
                 self._tell(now, EvidenceItem(target.identity, EvidenceKind.RECOVERED))
             return
+        if kind == EvidenceKind.BROKEN and self.balancer.is_overloaded(target):
+            # Targets reset connections while their queue is long, so load explains this one.
+            kind = EvidenceKind.FULL
         digest = request.digest if kind == EvidenceKind.BROKEN else 0
         self._tell(now, EvidenceItem(target.identity, kind, digest))
 
--- a/tarragonshelf/edge/tests/test_edge.py
+++ b/tarragonshelf/edge/tests/test_edge.py
@@ -6,6 +6,8 @@
 from ...avoidance import EvidenceItem, EvidenceKind, EvidenceNews, Standing
 from ...catalogue import CatalogueCopy, pack_content
 from ...edge import EdgeNode, EdgeSettings, FollowHub, HubLost, HubReceived, SendToHub
+from ...forwarding import ForwardRequest
+from ...forwarding.tests.fakes import create_route
 from ...hub import EdgeNews, EdgeRecord, HubBeat, HubNews, HubRecord, LoadReport, Subscribe
 from ...hub.tests.fakes import FakeReader
 from ...registry import TargetEntry, TargetNews, TargetState
@@ -167,6 +169,14 @@
         fixture.tell(TargetNews((replace(TARGET, started=2000),)))
         assert fixture.node.avoidance.get_standing(fixture.now, "i-1") == Standing.TRUSTED
 
+    def test_a_reset_of_an_overloaded_target_is_put_down_to_its_load(self):
+        fixture = Fixture().serve()
+        for _ in range(9):
+            fixture.node.balancer.acquire("i-1")
+        request = ForwardRequest("q", create_route(is_repeatable=True), "s", 0.0, 1.0)
+        fixture.node.record_evidence(fixture.now, request, TARGET, EvidenceKind.BROKEN)
+        assert fixture.node.avoidance.get_standing(fixture.now, "i-1") == Standing.TRUSTED
+
     def test_load_is_told_when_it_changed(self):
         fixture = Fixture().serve()
         fixture.node.balancer.acquire("i-1")
--- a/tarragonshelf/forwarding/_balancer.py
+++ b/tarragonshelf/forwarding/_balancer.py
@@ -1,6 +1,7 @@
 """Choice of a target by expected cost."""
 
 from dataclasses import dataclass
+from math import ceil
 from random import Random
 
 from ..avoidance import AvoidanceBook, Standing
@@ -26,8 +27,12 @@
 ORDER_AVOIDED_COST = 2.0
 # A target that is full just now would refuse.
 FULL_COST = 0.5
-# Requests beyond its slots that a target queues before it refuses.
-QUEUE_PER_SLOT = 3
+# Requests that wait for each slot before no more are sent: targets queue four for a slot, and
+# begin to reset connections while their queue is long.
+QUEUE_PER_SLOT = 2
+# At most this share of a service's targets is avoided. Where more seem to fail, load or the way
+# there is the likelier cause, and leaving out more would overload the rest.
+MOST_AVOIDED_SHARE = 0.4
 # Slots of one target that is still warming up count so much.
 WARM_FACTOR = 0.5
 
@@ -109,13 +114,37 @@
         candidates = [item for item in usable if item.identity not in tried]
         if not candidates:
             return RefusalReason.NO_TARGET
-        best = min(candidates, key=lambda item: self._estimate_cost(now, request, profile, item))
-        if self._is_hopeless(now, request, profile, best):
+        free = [item for item in candidates if self._has_room(now, request, profile, item)]
+        if not free:
             return RefusalReason.ALL_FULL
-        return best
+        avoided = self._list_avoided(now, usable)
+        return min(
+            free, key=lambda item: self._estimate_cost(now, request, profile, item, avoided)
+        )
+
+    def is_overloaded(self, target: TargetEntry) -> bool:
+        """Tell whether a target holds so much that it may turn away what comes."""
+        return self.count_held(target.identity) >= target.slots * (1 + QUEUE_PER_SLOT) - 1
+
+    def _list_avoided(self, now: float, usable: tuple[TargetEntry, ...]) -> frozenset[str]:
+        """Return the targets that are left out: those with the most against them."""
+        avoided = [
+            item.identity
+            for item in usable
+            if self.avoidance.get_standing(now, item.identity) == Standing.AVOIDED
+        ]
+        most = ceil(MOST_AVOIDED_SHARE * len(usable))
+        if len(avoided) > most:
+            avoided.sort(key=self.avoidance.measure_case, reverse=True)
+        return frozenset(avoided[:most])
 
     def _estimate_cost(
-        self, now: float, request: ForwardRequest, profile: ServiceProfile, target: TargetEntry
+        self,
+        now: float,
+        request: ForwardRequest,
+        profile: ServiceProfile,
+        target: TargetEntry,
+        avoided: frozenset[str],
     ) -> float:
         route = request.route
         distance = self.places.get_distance(target.data_centre)
@@ -125,17 +154,22 @@
         latency = self._estimate_wait(profile, target) + profile.work_seconds + travel
         spent = now - request.arrived_at
         cost += LATENCY_COST * ((spent + latency) / max(0.05, route.objective)) ** 2
-        cost += self._estimate_risk(now, route.is_repeatable, target)
+        cost += self._estimate_risk(now, route.is_repeatable, target, avoided)
         if self.avoidance.is_full(now, target.identity):
             cost += FULL_COST
         return cost + self.random.uniform(0.0, 0.005)
 
-    def _estimate_risk(self, now: float, is_repeatable: bool, target: TargetEntry) -> float:
+    def _estimate_risk(
+        self, now: float, is_repeatable: bool, target: TargetEntry, avoided: frozenset[str]
+    ) -> float:
         """Return what the chance of a failure is expected to cost."""
         standing = self.avoidance.get_standing(now, target.identity)
         if standing == Standing.TRUSTED:
             return 0.0
-        if standing == Standing.ON_TRIAL and not self._outstanding.get(target.identity):
+        is_held = bool(self._outstanding.get(target.identity))
+        is_tried = standing == Standing.ON_TRIAL and not is_held
+        is_excused = standing == Standing.AVOIDED and target.identity not in avoided
+        if is_tried or is_excused:
             return TRIAL_COST if is_repeatable else ORDER_TRIAL_COST
         doubt = self.avoidance.get_doubt(target.identity)
         return doubt * (AVOIDED_COST if is_repeatable else ORDER_AVOIDED_COST)
@@ -148,11 +182,11 @@
         # A target that holds something is a little likelier to make the next one wait.
         return wait + 0.1 * profile.work_seconds * self.count_held(target.identity) / slots
 
-    def _is_hopeless(
+    def _has_room(
         self, now: float, request: ForwardRequest, profile: ServiceProfile, target: TargetEntry
     ) -> bool:
-        """Tell whether even the best target would answer after the deadline."""
+        """Tell whether a target would take a request and likely answer by the deadline."""
+        if self.count_held(target.identity) >= target.slots * (1 + QUEUE_PER_SLOT):
+            return False
         wait = self._estimate_wait(profile, target)
-        held = self.count_held(target.identity)
-        is_queue_full = held >= target.slots * (1 + QUEUE_PER_SLOT)
-        return is_queue_full or now + wait + 0.5 * profile.work_seconds > request.deadline
+        return now + wait + 0.5 * profile.work_seconds <= request.deadline
