Send a leaving target's news until every hub that is heard holds it

One-way messages were dropped while a link was being made, and a majority was enough for the acknowledgement, so the entries of a hub that missed the news had to wait for the next comparison of checksums. Ruled out: an entry without a path (it was in touch). Before: the test with two lost frames acknowledged with two hubs behind.

--- a/tarragonshelf/hub/_node.py
+++ b/tarragonshelf/hub/_node.py
@@ -160,7 +160,7 @@
         self.registrar = Registrar(record, places)
         self.subscribers = Subscribers(record.data_centre)
         self.loads = LoadBook(record.vm)
-        self._drains = PendingDrains()
+        self._drains = PendingDrains(record.vm)
         self._waiters = Waiters()
         self._effects: list[Effect] = []
         self._beat_at = 0.0
@@ -250,6 +250,7 @@
         self._carry(now, self.replica.tick(now))
         if self.replica.has_committed_in_term:
             self._maintain_voters(now)
+        self._answer_drains(now)
         for call in self._drains.take_late(now):
             detail = "no majority of the hubs confirmed in time"
             self._reply(call, Refused(RefusedReason.BUSY, detail=detail))
@@ -448,17 +449,19 @@
             self._reply(call, Announced(address))
             return
         self._save_targets(now)
-        number = self._drains.add(now, call, self.record.vm)
-        news = TargetNews((self.targets.get(entry.identity),), number, self.record.vm)
+        news = self._drains.add(now, call, TargetNews((self.targets.get(entry.identity),)))
         self._effects += self.subscribers.push_all(TargetNews(news.targets))
         self._effects += (SendHub(address, news) for address in self.list_peers())
-        self._answer_drains()
+        self._answer_drains(now)
 
-    def _answer_drains(self) -> None:
+    def _answer_drains(self, now: float) -> None:
         membership = self.replica.membership
         voters = frozenset(item.vm for item in membership.members if item.voting)
-        for call in self._drains.take_confirmed(voters):
+        heard = self.registrar.list_heard(now)
+        for call in self._drains.take_confirmed(now, voters=voters, heard=heard):
             self._reply(call, Announced(self.record.announcements))
+        for vm, news in self._drains.list_resends(now, heard):
+            self._effects.append(SendHub(self.registrar.find_address(vm), news))
 
     def _refuse_as_follower(self, call: int) -> None:
         self._reply(call, Refused(RefusedReason.NOT_LEADER, self.leader_address))
@@ -470,7 +473,7 @@
             self._take_news(now, message)
         elif isinstance(message, TargetNewsReceived):
             self._drains.confirm(message.number, message.vm)
-            self._answer_drains()
+            self._answer_drains(now)
         elif isinstance(message, TargetDigest):
             self._compare(message)
         elif isinstance(message, EvidenceNews):
--- a/tarragonshelf/hub/_registrar.py
+++ b/tarragonshelf/hub/_registrar.py
@@ -90,6 +90,10 @@
 
         return min(alive, key=measure).vm
 
+    def list_heard(self, now: float) -> frozenset[str]:
+        """Return the VMs of this hub and of those that are heard."""
+        return frozenset(vm for vm in self._hubs if self.is_alive(now, vm))
+
     def list_silent(self, now: float) -> list[str]:
         """Return the VMs of hubs that are known and not heard."""
         return [vm for vm in self._hubs if not self.is_alive(now, vm)]
--- a/tarragonshelf/hub/tests/fakes.py
+++ b/tarragonshelf/hub/tests/fakes.py
@@ -75,6 +75,7 @@
         self.now = 100.0
         self.hubs: dict[str, FakeHub] = {}
         self.cuts: set[tuple[str, str]] = set()
+        self.lose_next = 0
         self.replies: dict[int, object] = {}
         self.pushed: list[tuple[str, int, object]] = []
         self.seeds = tuple(f"vm{index}" for index in range(min(3, count)))
@@ -239,6 +240,9 @@
                 self.pushed.append((hub.record.vm, effect.subscriber, effect.message))
 
     def _send(self, source: str, destination: str, message) -> None:
+        if self.lose_next and isinstance(message, TargetNews):
+            self.lose_next -= 1
+            return
         if (source, destination) not in self.cuts:
             at = self.now + self.random.uniform(0.0, 0.04)
             self._number += 1
--- a/tarragonshelf/hub/tests/test_site.py
+++ b/tarragonshelf/hub/tests/test_site.py
@@ -142,6 +142,17 @@
         held = [hub.node.targets.list_usable("s") for hub in site.hubs.values()]
         assert sum(not usable for usable in held) >= 3
 
+    def test_a_drain_reaches_all_hubs_that_are_heard_before_it_is_acknowledged(self):
+        site = FakeSite(5)
+        site.call("vm2", Announce(TARGET))
+        site.advance(0.5)
+        site.lose_next = 2
+        draining = replace(TARGET, sequence=2, state=TargetState.DRAINING)
+        number = site.call("vm2", Announce(draining))
+        while number not in site.replies:
+            site.advance(0.05)
+        assert all(not hub.node.targets.list_usable("s") for hub in site.hubs.values())
+
     def test_a_hub_that_is_cut_off_acknowledges_no_drain(self):
         site = FakeSite(5)
         site.call("vm2", Announce(TARGET))
--- a/tarragonshelf/transport/_connection.py
+++ b/tarragonshelf/transport/_connection.py
@@ -15,6 +15,8 @@
 HANDSHAKE_SECONDS = 2.0
 MAXIMUM_QUEUED_BYTES = 8 << 20
 REDIAL_SECONDS = 0.1
+# One-way messages that wait for a connection under way.
+MAXIMUM_WAITING = 64
 # A peer acknowledges within some 50 ms; a link that went silent shows no other sign.
 USER_TIMEOUT_MILLISECONDS = 1500
 
@@ -249,16 +251,19 @@
         self.clock = clock
         self.handler = handler
         self._connection: Connection | None = None
+        self._waiting: list[Message] = []
         self._dialing: asyncio.Task | None = None
         self._reading: asyncio.Task | None = None
         self._failed_at = float("-inf")
 
     def post(self, message: Message) -> None:
-        """Send a one-way message; it is dropped while there is no connection."""
+        """Send a one-way message; a few wait while a connection is made, the rest are dropped."""
         if self._connection is not None and self._connection.is_open:
             self._connection.send(message)
             return
-        self._start_dialing(message)
+        if len(self._waiting) < MAXIMUM_WAITING:
+            self._waiting.append(message)
+        self._start_dialing()
 
     async def call(self, message: Message, timeout: float) -> Message:
         """Send a call and return its answer; raises as ``Connection.call`` does."""
@@ -283,7 +288,7 @@
     async def _connect(self) -> Connection:
         if self._connection is not None and self._connection.is_open:
             return self._connection
-        self._start_dialing(None)
+        self._start_dialing()
         if self._dialing is None:
             raise UnreachableError(f"no connection to {self.address}")
         connection = await asyncio.shield(self._dialing)
@@ -291,23 +296,26 @@
             raise UnreachableError(f"no connection to {self.address}")
         return connection
 
-    def _start_dialing(self, message: Message | None) -> None:
+    def _start_dialing(self) -> None:
         loop = asyncio.get_running_loop()
         is_dialing = self._dialing is not None and not self._dialing.done()
         if is_dialing or loop.time() - self._failed_at < REDIAL_SECONDS:
             if not is_dialing:
                 self._dialing = None
+                self._waiting.clear()
             return
-        self._dialing = loop.create_task(self._dial(message))
+        self._dialing = loop.create_task(self._dial())
 
-    async def _dial(self, message: Message | None) -> Connection | None:
+    async def _dial(self) -> Connection | None:
         try:
             self._connection = await asyncio.wait_for(self._open(), CONNECT_SECONDS)
         except (OSError, TimeoutError, FrameError):
             self._failed_at = asyncio.get_running_loop().time()
+            self._waiting.clear()
             return None
         self._reading = asyncio.create_task(self._read(self._connection))
-        if message is not None:
+        waiting, self._waiting = self._waiting, []
+        for message in waiting:
             self._connection.send(message)
         return self._connection
 
