--- a/tarragonshelf/edge/_hubs.py
+++ b/tarragonshelf/edge/_hubs.py
@@ -12,7 +12,7 @@
 # A hub that failed is tried again after so long, unless all failed.
 FAILED_SECONDS = 3.0
 # While all fail, each is tried again after so long.
-PAUSE_SECONDS = 0.4
+PAUSE_SECONDS = 0.2
 # So long the nearest hub is looked for; all start within some tenths of a second.
 LOOK_SECONDS = 2.0
 # A nearer hub is taken up once the present one was followed so long.
--- a/tarragonshelf/hub/__init__.py
+++ b/tarragonshelf/hub/__init__.py
@@ -14,16 +14,16 @@
     LoadNews,
     LoadReport,
     Push,
-    SaveCatalogue,
-    SaveTargets,
+    Remember,
     SendHub,
     Subscribe,
     SubscriberLost,
     SubscriberReceived,
 )
-from ._node import HubNode, create_first_membership
+from ._node import MEMORIES, HubNode, create_first_membership
 
 __all__ = [
+    "MEMORIES",
     "Announce",
     "Announced",
     "EdgeNews",
@@ -38,8 +38,7 @@
     "LoadNews",
     "LoadReport",
     "Push",
-    "SaveCatalogue",
-    "SaveTargets",
+    "Remember",
     "SendHub",
     "Subscribe",
     "SubscriberLost",
--- a/tarragonshelf/hub/_messages.py
+++ b/tarragonshelf/hub/_messages.py
@@ -3,8 +3,7 @@
 from dataclasses import dataclass
 
 from ..base import Effect, Message
-from ..catalogue import CatalogueCopy
-from ..registry import TargetEntry, TargetNews
+from ..registry import TargetEntry
 
 
 @dataclass(frozen=True, slots=True)
@@ -147,17 +146,14 @@
 
 
 @dataclass(frozen=True, slots=True)
-class SaveTargets(Effect):
-    """Make all targets last before anything of the same batch is sent."""
+class Remember(Effect):
+    """Keep a message under a name on disk, before anything of the same batch is sent.
 
-    news: TargetNews
-
-
-@dataclass(frozen=True, slots=True)
-class SaveCatalogue(Effect):
-    """Keep a committed document, for entries that start before the next leader is known."""
+    A hub that starts again begins with what it remembers, before it hears anyone.
+    """
 
-    copy: CatalogueCopy
+    name: str
+    message: Message
 
 
 @dataclass(frozen=True, slots=True)
--- a/tarragonshelf/hub/_node.py
+++ b/tarragonshelf/hub/_node.py
@@ -67,8 +67,7 @@
     HubRecord,
     LoadReport,
     Push,
-    SaveCatalogue,
-    SaveTargets,
+    Remember,
     SendHub,
     Subscribe,
     SubscriberLost,
@@ -78,6 +77,11 @@
 from ._subscribers import Subscribers
 
 FIRST_INCARNATION = "first"
+# What a hub remembers on disk besides the log.
+TARGETS = "targets"
+CATALOGUE = "catalogue"
+HUBS = "hubs"
+MEMORIES = (TARGETS, CATALOGUE, HUBS)
 # Entries leave a hub that is silent for 1.2 s.
 BEAT_SECONDS = 0.4
 # Hubs compare checksums of their targets so often.
@@ -215,12 +219,16 @@
             Trace("initialized", {"voters": sorted(membership.voters)}),
         ]
 
-    def restore_memory(self, now: float, news: TargetNews, copy: CatalogueCopy) -> None:
-        """Begin with targets and the document that were known before this process started."""
-        self._remembered = copy
-        for entry in news.targets:
-            if self.targets.merge(now, entry):
-                self.registrar.note_target(now, entry.identity)
+    def restore_memory(self, now: float, memories: dict[str, Message]) -> None:
+        """Begin with what was known before this process started, by name."""
+        if CATALOGUE in memories:
+            self._remembered = memories[CATALOGUE]
+        if HUBS in memories:
+            self.registrar.note_hubs(now, memories[HUBS].hubs)
+        if TARGETS in memories:
+            for entry in memories[TARGETS].targets:
+                if self.targets.merge(now, entry):
+                    self.registrar.note_target(now, entry.identity)
         self._saved_digest = self.targets.digest
 
     def take_memory(self, previous: "HubNode") -> None:
@@ -318,7 +326,7 @@
         copy = self.register.copy
         if copy.version > self._remembered.version:
             self._remembered = copy
-            self._effects.append(SaveCatalogue(copy))
+            self._effects.append(Remember(CATALOGUE, copy))
             self._effects += self.subscribers.push_all(copy)
 
     def _change_role(self, effect: RoleChanged) -> None:
@@ -485,6 +493,7 @@
         elif isinstance(message, HubNews):
             if self.registrar.note_hubs(now, message.hubs):
                 news = self.registrar.describe_hubs()
+                self._effects.append(Remember(HUBS, news))
                 self._effects += self.subscribers.push_all(news, lookups=True)
         elif isinstance(message, HubBeat):
             self.registrar.note_heard(now, message.vm)
@@ -521,7 +530,8 @@
         if self.targets.digest == self._saved_digest:
             return
         self._saved_digest, self._saved_at = self.targets.digest, now
-        self._effects.append(SaveTargets(TargetNews(self.targets.list_all(), is_whole=True)))
+        news = TargetNews(self.targets.list_all(), is_whole=True)
+        self._effects.append(Remember(TARGETS, news))
 
     def _spread_changes(self, now: float, entries: list) -> None:
         if not entries:
--- a/tarragonshelf/hub/tests/test_site.py
+++ b/tarragonshelf/hub/tests/test_site.py
@@ -13,6 +13,7 @@
     Announce,
     Announced,
     EdgeNews,
+    HubNews,
     LoadItem,
     LoadNews,
     LoadReport,
@@ -192,6 +193,8 @@
         site.start("vm2")
         site.pushed.clear()
         site.subscribe("vm2", 1, "a")
+        hubs = list_pushed(site, HubNews)[-1][2].hubs
+        assert {record.vm for record in hubs} == set(site.hubs)
         assert [copy.version for _, _, copy in list_pushed(site, CatalogueCopy)] == [4]
         assert site.read() is None
 
--- a/tarragonshelf/site/_hub.py
+++ b/tarragonshelf/site/_hub.py
@@ -10,23 +10,23 @@
 
 from ..avoidance import EvidenceNews
 from ..base import Effect, Message
-from ..catalogue import CatalogueCopy, CatalogueReader
+from ..catalogue import CatalogueReader
 from ..consensus import SaveEntries, SaveHardState, SaveSnapshot, Send, Timing
 from ..hub import (
+    MEMORIES,
     Announce,
     HubNode,
     HubRecord,
     LoadReport,
     Push,
-    SaveCatalogue,
-    SaveTargets,
+    Remember,
     SendHub,
     Subscribe,
     SubscriberLost,
     SubscriberReceived,
     create_first_membership,
 )
-from ..registry import TargetEntry, TargetNews
+from ..registry import TargetEntry
 from ..replication import (
     CallReceived,
     Join,
@@ -129,8 +129,7 @@
         self.seeds = list(settings.seeds)
         self.node: HubNode | None = None
         self.store: ReplicaStore | None = None
-        self.target_file: MessageFile | None = None
-        self.catalogue_file: MessageFile | None = None
+        self.memory_files: dict[str, MessageFile] = {}
         self._inbox: list[Message] = []
         self._is_scheduled = False
         self._number = 0
@@ -220,8 +219,9 @@
                 create_local_file_system(settings.data_folder), self.links.frames.codec
             )
             codec = self.links.frames.codec
-            self.target_file = MessageFile(self.store.files, codec, "targets")
-            self.catalogue_file = MessageFile(self.store.files, codec, "catalogue")
+            self.memory_files = {
+                name: MessageFile(self.store.files, codec, name) for name in MEMORIES
+            }
             restored = self.store.restore(lambda: _mint_incarnation(is_first))
         except CorruptionError as error:
             self._report("control_refused_to_start", problem=str(error))
@@ -261,12 +261,15 @@
             self._carry_out(self.node.initialize(membership))
 
     def _restore_memory(self) -> None:
-        """Begin with the targets and the document that were known before the process ended."""
-        news, problem = self.target_file.load(TargetNews(()))
-        copy, other = self.catalogue_file.load(CatalogueCopy(0))
-        if problem or other:
-            self._report("memory_not_restored", problem=problem or other)
-        self.node.restore_memory(_read_time(), news, copy)
+        """Begin with what was known before the process ended."""
+        memories = {}
+        for name, file in self.memory_files.items():
+            message, problem = file.load()
+            if problem:
+                self._report("memory_not_restored", file=name, problem=problem)
+            elif message is not None:
+                memories[name] = message
+        self.node.restore_memory(_read_time(), memories)
 
     def _note_disk(self, error: OSError) -> None:
         self._disk_failed_at = _read_time()
@@ -368,10 +371,8 @@
         if saves:
             self.store.save(saves)
         for effect in effects:
-            if isinstance(effect, SaveTargets):
-                self.target_file.save(effect.news)
-            elif isinstance(effect, SaveCatalogue):
-                self.catalogue_file.save(effect.copy)
+            if isinstance(effect, Remember):
+                self.memory_files[effect.name].save(effect.message)
         for effect in effects:
             if isinstance(effect, Send | SendHub):
                 if effect.address:
--- a/tarragonshelf/storage/_message_file.py
+++ b/tarragonshelf/storage/_message_file.py
@@ -27,15 +27,15 @@
         """Replace what is kept; it lasts when this returns."""
         self.files.replace(self.name, encode_frame(self.codec.encode(message)))
 
-    def load(self, default: Message) -> tuple[Message, str]:
-        """Return what is kept, and why it could not be read or an empty text.
+    def load(self) -> tuple[Message | None, str]:
+        """Return what is kept if anything is, and why it could not be read or an empty text.
 
         A damaged file is no reason to stop, as what it holds comes again.
         """
         if self.name not in self.files.list_names():
-            return default, ""
+            return None, ""
         try:
             recovery = Journal(self.files, self.name).recover()
             return self.codec.decode(recovery.frames[0]), ""
         except (CorruptionError, FrameError, IndexError, OSError) as error:
-            return default, repr(error)
+            return None, repr(error)
