--- a/tarragonshelf/site/_caller_port.py
+++ b/tarragonshelf/site/_caller_port.py
@@ -25,6 +25,8 @@
 KEEPALIVE_SECONDS = 600.0
 # A log line names at most so many targets.
 MAXIMUM_DESCRIBED = 16
+# Idle connections are looked at once a second.
+IDLE_MARGIN_SECONDS = 1.0
 METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH", "DELETE"})
 
 
@@ -66,6 +68,7 @@
         self.under_way = 0
         self.is_closing = False
         self._busy: set = set()
+        self._idle_since: dict = {}
         self._server: asyncio.Server | None = None
         self._web: web.Server | None = None
 
@@ -106,9 +109,21 @@
             await asyncio.sleep(0.02)
         await self._web.shutdown(0.1)
 
+    def sweep(self, now: float) -> None:
+        """Close connections that are idle for longer than the catalogue allows."""
+        if self._web is None or self.node.catalogue is None:
+            return
+        limit = self.node.catalogue.limits.idle_seconds + IDLE_MARGIN_SECONDS
+        idle = [item for item in self._web.connections if item not in self._busy]
+        self._idle_since = {item: self._idle_since.get(item, now) for item in idle}
+        for connection, since in self._idle_since.items():
+            if now - since > limit:
+                connection.force_close()
+
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         self.under_way += 1
         self._busy.add(request.protocol)
+        self._idle_since.pop(request.protocol, None)
         try:
             response = await self._answer(request)
         finally:
--- a/tarragonshelf/site/_edge.py
+++ b/tarragonshelf/site/_edge.py
@@ -143,6 +143,7 @@
             if now - swept_at >= SWEEP_SECONDS:
                 swept_at = now
                 self.pool.sweep(now)
+                self.callers.sweep(now)
                 self.budget.report_dropped()
             await asyncio.sleep(TICK_SECONDS)
 
