Take a connection for idle only while it waits for a head

Ruled out: the target, the grace, the deadline. Change: idle is told from the library's wait for a head. Before: the new test failed. After: passes.

--- a/tarragonshelf/site/_caller_port.py
+++ b/tarragonshelf/site/_caller_port.py
@@ -67,7 +67,6 @@
         self.metrics = metrics
         self.under_way = 0
         self.is_closing = False
-        self._busy: set = set()
         self._idle_since: dict = {}
         self._server: asyncio.Server | None = None
         self._web: web.Server | None = None
@@ -102,19 +101,22 @@
             return
         self._server.close()
         for connection in self._web.connections:
-            if connection not in self._busy:
+            if _is_idle(connection):
                 connection.force_close()
         deadline = asyncio.get_running_loop().time() + seconds
-        while self.under_way and asyncio.get_running_loop().time() < deadline:
+        while self._is_busy() and asyncio.get_running_loop().time() < deadline:
             await asyncio.sleep(0.02)
         await self._web.shutdown(0.1)
 
+    def _is_busy(self) -> bool:
+        return any(not _is_idle(item) for item in self._web.connections)
+
     def sweep(self, now: float) -> None:
         """Close connections that are idle for longer than the catalogue allows."""
         if self._web is None or self.node.catalogue is None:
             return
         limit = self.node.catalogue.limits.idle_seconds + IDLE_MARGIN_SECONDS
-        idle = [item for item in self._web.connections if item not in self._busy]
+        idle = [item for item in self._web.connections if _is_idle(item)]
         self._idle_since = {item: self._idle_since.get(item, now) for item in idle}
         for connection, since in self._idle_since.items():
             if now - since > limit:
@@ -122,13 +124,11 @@
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         self.under_way += 1
-        self._busy.add(request.protocol)
         self._idle_since.pop(request.protocol, None)
         try:
             response = await self._answer(request)
         finally:
             self.under_way -= 1
-            self._busy.discard(request.protocol)
         if self.is_closing:
             response.force_close()
         return response
@@ -233,6 +233,16 @@
         return self.dialect.create_error(status, reason)
 
 
+def _is_idle(connection: web.RequestHandler) -> bool:
+    """Tell whether a connection waits for the head of a request.
+
+    The library does not say so; a request whose head was read is no longer waited for, even if
+    its handler has not begun.
+    """
+    waiter = connection._waiter
+    return waiter is not None and not waiter.done()
+
+
 async def _read_body(request: web.BaseRequest, limits: CallerLimits) -> bytes:
     if request.headers.get("Expect", "").lower() == "100-continue":
         await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
--- a/tarragonshelf/site/tests/test_caller_port.py
+++ b/tarragonshelf/site/tests/test_caller_port.py
@@ -5,6 +5,7 @@
 from random import Random
 
 import h11
+from aiohttp import web_protocol
 
 from ...catalogue import CatalogueCopy, pack_content
 from ...edge import EdgeNode, EdgeSettings, HubReceived
@@ -210,6 +211,27 @@
 
         assert run(work()) == (200, b"q1", b"close", b"")
 
+    def test_a_request_that_arrives_just_as_the_port_closes_is_answered(self, monkeypatch):
+        """Planned stop, incident 793e: taken, passed on, and given up."""
+        stops = []
+
+        async def work():
+            async with Site(work=0.5) as site:
+                receive = web_protocol.RequestHandler.data_received
+
+                def receive_and_stop(handler, data):
+                    receive(handler, data)
+                    stops.append(asyncio.ensure_future(site.port.stop(2.0)))
+
+                monkeypatch.setattr(web_protocol.RequestHandler, "data_received", receive_and_stop)
+                reader, writer = await site.connect()
+                writer.write(write_request("q1"))
+                answer = await read_answer(reader)
+                await asyncio.gather(*stops)
+                return answer[:2], site.broken
+
+        assert run(work()) == ((200, b"q1"), 0)
+
     def test_connections_that_idle_for_too_long_are_closed(self):
         async def work():
             async with Site() as site:
