Ask a second target while it has time to answer

An entry was still there when its grace ended. Before: the new test found no attempt. After: passes.

--- a/tarragonshelf/forwarding/_request.py
+++ b/tarragonshelf/forwarding/_request.py
@@ -27,6 +27,10 @@
 # A request goes to at most so many targets that did not take it, which run nothing.
 MAXIMUM_REFUSALS = 4
 
+# A repeatable request goes to a second target after this share of the time it has left, so that
+# the second one has time to answer; sooner if the first one counts as hung.
+HEDGE_SHARE = 0.45
+
 PROOF_OF_NOT_RUN = frozenset(
     {
         AttemptOutcome.NOT_SENT,
@@ -71,6 +75,7 @@
         self._may_have_run = False
         self._failure: tuple[TargetAnswer, str] | None = None
         self._hang_at = 0.0
+        self._hedge_at = 0.0
 
     def handle(self, now: float, message: Message) -> list[Effect]:
         """Take the start, an attempt's end or the timer in."""
@@ -120,12 +125,14 @@
         self._arrivals += 1
         self._tried.add(target.identity)
         self._open[self._number] = target
-        self._hang_at = now + self.context.compute_hang_seconds(self.request.service)
+        hang = self.context.compute_hang_seconds(self.request.service)
+        self._hang_at = now + hang
+        self._hedge_at = now + min(hang, HEDGE_SHARE * (self.request.deadline - now))
         self.context.record_start(now, self.request, target)
         return [Attempt(self._number, target, self.request.deadline), self._set_timer()]
 
     def _set_timer(self) -> SetTimer:
-        return SetTimer(min(self._hang_at, self.request.deadline))
+        return SetTimer(min(self._hang_at, self._hedge_at, self.request.deadline))
 
     def _end_attempt(self, now: float, ended: AttemptEnded) -> list[Effect]:
         target = self._open.pop(ended.number, None)
@@ -184,17 +191,23 @@
     def _notice_time(self, now: float) -> list[Effect]:
         if now >= self.request.deadline:
             return self._miss_deadline(now)
-        if now < self._hang_at:
-            return [self._set_timer()]
-        self._hang_at = self.request.deadline
+        effects: list[Effect] = []
+        if now >= self._hang_at:
+            self._hang_at = self.request.deadline
+            self._record_hung(now)
+        if now >= self._hedge_at:
+            self._hedge_at = self.request.deadline
+            effects = self._hedge(now)
+        return [*effects, self._set_timer()]
+
+    def _record_hung(self, now: float) -> None:
         for number, target in self._open.items():
             if number not in self._hung:
                 self._hung.add(number)
                 self.context.record_evidence(now, self.request, target, EvidenceKind.HUNG)
-        return [*self._hedge(now), self._set_timer()]
 
     def _hedge(self, now: float) -> list[Effect]:
-        """Send a repeatable request that hangs to a second target as well."""
+        """Send a repeatable request that takes long to a second target as well."""
         request = self.request
         if not request.route.is_repeatable or self._runs >= request.route.maximum_attempts:
             return []
--- a/tarragonshelf/forwarding/tests/test_request.py
+++ b/tarragonshelf/forwarding/tests/test_request.py
@@ -106,6 +106,14 @@
         assert find(effects, Cancel).number == 2
         assert find(effects, RespondWith).target == "a"
 
+    def test_a_second_target_is_asked_while_it_has_time_to_answer(self):
+        """Short time limits: a first target that is slow must not use all of the time."""
+        context = FakeContext("a", "b")
+        machine, _ = start(context, create_route(is_repeatable=True, timeout=1.2))
+        effects = machine.handle(0.54, TimerFired())
+        assert find(effects, Attempt).target.identity == "b"
+        assert context.evidence == []
+
 
 class TestDeadline:
     def test_a_request_under_way_ends_at_its_deadline(self):
--- a/tarragonshelf/site/_edge.py
+++ b/tarragonshelf/site/_edge.py
@@ -25,8 +25,9 @@
 # last of them find the port closed and go elsewhere.
 LINGER_FACTOR = 3.0
 LINGER_SECONDS = 0.6
-# What is under way when the entry takes no more gets so long, within the platform's grace.
-FINISH_SECONDS = 1.3
+# What is under way when the entry takes no more gets so long: until five sixths of the platform's
+# grace of 6 s.
+FINISH_SECONDS = 1.15
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
