--- a/tarragonshelf/hub/_node.py
+++ b/tarragonshelf/hub/_node.py
@@ -86,6 +86,8 @@
 BEAT_SECONDS = 0.4
 # Hubs compare checksums of their targets so often.
 DIGEST_SECONDS = 1.0
+# So often in a row two books must differ before one is asked for as a whole.
+DIFFERENCES = 2
 # A follower that heard no leader for so long may miss what the others acknowledge.
 CURRENT_SECONDS = 1.0
 # A learner waits so long for its vote: by then it is known whether it replaces a lost voter.
@@ -172,6 +174,7 @@
         self._was_current = False
         self._learning_since: dict[str, float] = {}
         self._edges_elsewhere: dict[str, int] = {}
+        self._differences: dict[str, int] = {}
         # The newest document that was ever committed here, which a restart does not forget.
         self._remembered = CatalogueCopy(0)
         self._saved_digest = self.targets.digest
@@ -521,7 +524,14 @@
             return
         if digest.wants_all:
             self._effects.append(SendHub(address, TargetNews(self.targets.list_all())))
-        elif digest.digest != self.targets.digest:
+            return
+        if digest.digest == self.targets.digest:
+            self._differences[digest.vm] = 0
+            return
+        # A single difference is mostly news on its way.
+        self._differences[digest.vm] = self._differences.get(digest.vm, 0) + 1
+        if self._differences[digest.vm] >= DIFFERENCES:
+            self._differences[digest.vm] = 0
             wanted = TargetDigest(self.record.vm, self.targets.digest, wants_all=True)
             self._effects.append(SendHub(address, wanted))
 
--- a/tarragonshelf/hub/_registrar.py
+++ b/tarragonshelf/hub/_registrar.py
@@ -10,7 +10,7 @@
 # A hub that was silent so long is no longer greeted, unless it is a member.
 HUB_FORGOTTEN_SECONDS = 60.0
 # Greetings repeat what they say of hubs so often.
-GREETING_SECONDS = 5.0
+GREETING_SECONDS = 10.0
 # Targets announce themselves every few seconds at most; one that was silent so long is gone.
 TARGET_SILENT_SECONDS = 30.0
 
