--- a/tarragonshelf/site/_edge.py
+++ b/tarragonshelf/site/_edge.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 from mode import Service
 
-from ..base import Effect
+from ..base import Effect, FrameError
 from ..catalogue import CatalogueReader
 from ..edge import EdgeNode, EdgeSettings, FollowHub, HubLost, HubReceived, SendToHub
 from ..replication import Trace
@@ -178,7 +178,7 @@
             self.logger.msg("hub_followed", hub=address, version=self.node.version)
             await connection.read(lambda _, frame: self._receive(address, frame))
             problem = "closed"
-        except UnreachableError as error:
+        except (UnreachableError, FrameError) as error:
             problem = str(error)
         finally:
             if connection is not None:
--- a/tarragonshelf/storage/_journal.py
+++ b/tarragonshelf/storage/_journal.py
@@ -55,8 +55,9 @@
 
     Notes
     -----
-    A frame holds everything of one sync. A torn write can therefore only be the last frame;
-    damage anywhere before it had been synced, so recovery refuses to go on.
+    A frame holds everything of one sync. A torn write can therefore only be the last frame,
+    whatever part of it reached the disk; damage before a whole frame had been synced, so recovery
+    refuses to go on.
     """
 
     def __init__(self, files: FileSystem, name: str):
@@ -95,15 +96,29 @@
         length, checksum = _FRAME.unpack_from(header)
         (header_checksum,) = _CHECK.unpack_from(header, _FRAME.size)
         if crc32(header[: _FRAME.size]) != header_checksum:
-            raise CorruptionError(self.name, offset, "frame header checksum does not match")
+            if self._has_frame_after(content, offset):
+                raise CorruptionError(self.name, offset, "frame header checksum does not match")
+            return None
         end = offset + HEADER_BYTES + length
         frame = content[offset + HEADER_BYTES : end]
         if len(frame) == length and crc32(frame) == checksum:
             return frame
-        if end < len(content):
+        if end < len(content) and self._has_frame_after(content, offset):
             raise CorruptionError(self.name, offset, "frame checksum does not match")
         return None
 
+    def _has_frame_after(self, content: bytes, offset: int) -> bool:
+        """Tell whether a whole frame follows, so that what stands before it was synced."""
+        for place in range(offset + 1, len(content) - HEADER_BYTES + 1):
+            length, checksum = _FRAME.unpack_from(content, place)
+            head = content[place : place + _FRAME.size]
+            (header_checksum,) = _CHECK.unpack_from(content, place + _FRAME.size)
+            start = place + HEADER_BYTES
+            is_head = crc32(head) == header_checksum and start + length <= len(content)
+            if is_head and crc32(content[start : start + length]) == checksum:
+                return True
+        return False
+
     def _cut(self, content: bytes, offset: int) -> TornTail:
         self.files.truncate(self.name, offset)
         self.files.sync(self.name)
--- a/tarragonshelf/storage/tests/test_store.py
+++ b/tarragonshelf/storage/tests/test_store.py
@@ -135,6 +135,28 @@
         assert caught.value.name == "journal-000000000000"
         assert 0 <= caught.value.offset < synced
 
+    @given(st.data())
+    def test_a_last_frame_of_which_any_part_is_missing_is_cut(self, data):
+        """Power loss: blocks of the last write reach the disk in any order, or not at all."""
+        files = FakeFileSystem()
+        store = ReplicaStore(files, CODEC)
+        store.restore(lambda: "1")
+        store.save(SESSION[0])
+        name = "journal-000000000000"
+        synced = files.read(name)
+        store.save(SESSION[1])
+        frame = bytearray(files.read(name)[len(synced) :])
+        first = data.draw(st.integers(0, len(frame) - 1))
+        last = data.draw(st.integers(first + 1, len(frame)))
+        frame[first:last] = bytes(last - first)
+        if bytes(frame) == files.read(name)[len(synced) :]:
+            return
+        files.truncate(name, len(synced))
+        files.append(name, bytes(frame))
+        restored = ReplicaStore(files, CODEC).restore(lambda: "2")
+        assert restored.torn.offset == len(synced)
+        assert files.read(name) == synced
+
     def test_journal_without_incarnation_is_refused(self):
         files = FakeFileSystem()
         store = ReplicaStore(files, CODEC)
