Let the entries of a data centre follow one hub, and test a site's life over processes

Cause: the new process test: with several hubs in one data centre entries spread over them by lot, so callers were told of a part of the entries only. Change: near hubs are taken in one order. Before: one of two entries named. After: both; the whole life of a site passes.

--- a/tarragonshelf/edge/_hubs.py
+++ b/tarragonshelf/edge/_hubs.py
@@ -5,6 +5,8 @@
 from ..forwarding import Places
 from ..hub import HubRecord
 
+# The distance of a hub in another region, or of which nothing is known.
+FAR = 2
 # Hubs beat every 0.4 s; two lost beats are luck, three are silence.
 SILENT_SECONDS = 1.2
 # So long a hub may say that it is not current before the entry looks for another.
@@ -127,7 +129,8 @@
 
     def _is_worth_moving(self, now: float, nearest: str) -> bool:
         is_settled = now - self._followed_at >= SETTLED_SECONDS
-        return is_settled and self._measure(nearest) < self._measure(self.address)
+        order = [(self._measure(name), name) for name in (nearest, self.address)]
+        return is_settled and order[0] < order[1]
 
     def _find_nearest(self, now: float) -> str | None:
         usable = [name for name in self._records if self._is_usable(now, name)]
@@ -138,14 +141,21 @@
             first = min(self._records, key=self._get_failed_at, default=None)
             is_due = first is not None and now - self._get_failed_at(first) >= PAUSE_SECONDS
             return first if is_due else None
-        if self.address in usable:
-            # An equally near one is no reason to move.
+        if self.address in usable and self._measure(self.address) == FAR:
+            # An equally far one is no reason to move.
             return min(usable, key=lambda name: (self._measure(name), name != self.address))
-        return min(usable, key=lambda name: (self._measure(name), self._draw(name)))
+        return min(usable, key=lambda name: (self._measure(name), self._draw(name), name))
 
     def _measure(self, address: str) -> int:
         record = self._records.get(address)
-        return 2 if record is None else self.places.get_distance(record.data_centre)
+        return FAR if record is None else self.places.get_distance(record.data_centre)
 
     def _draw(self, address: str) -> float:
+        """Return what decides between hubs that are equally near.
+
+        Near ones are taken in one order by all entries, so that those of a data centre follow the
+        same hub and know each other; far ones by lot.
+        """
+        if self._measure(address) < FAR:
+            return 0.0
         return self._order.setdefault(address, self.random.random())
--- a/tarragonshelf/edge/tests/test_edge.py
+++ b/tarragonshelf/edge/tests/test_edge.py
@@ -36,8 +36,8 @@
 class Fixture:
     """An entry that is told things by the hub that it follows."""
 
-    def __init__(self):
-        self.node = EdgeNode(settings=SETTINGS, reader=FakeReader(), random=Random(1))
+    def __init__(self, seed: int = 1):
+        self.node = EdgeNode(settings=SETTINGS, reader=FakeReader(), random=Random(seed))
         self.now = 10.0
         self.effects = []
 
@@ -119,6 +119,16 @@
             fixture.tell(HubBeat("h", True)).tick(0.05)
         assert fixture.node.hubs.address == "h0:7"
 
+    def test_entries_of_a_data_centre_follow_the_same_hub(self):
+        twins = (*HUBS, HubRecord("h3", "g3:7", "h3:80", "z0"))
+        chosen = set()
+        for seed in range(8):
+            fixture = Fixture(seed).tick().tell(HubBeat("h1", True), HubNews(twins))
+            for _ in range(100):
+                fixture.tell(HubBeat("h", True)).tick(0.05)
+            chosen.add(fixture.node.hubs.address)
+        assert chosen == {"g3:7"}
+
     def test_only_the_nearest_is_asked_for_more_than_hubs(self):
         fixture = Fixture().tick()
         assert fixture.node.describe_subscription().is_lookup
--- /dev/null
+++ b/tests/test_site_processes.py
@@ -0,0 +1,239 @@
+"""A site's real processes on loopback addresses: start, serve, lose a disk, reload and stop."""
+
+import asyncio
+import json
+import os
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+
+import pytest
+from aiohttp import ClientSession, web
+
+COLUMNS = ["name", "host", "path_prefix", "kind", "timeout", "service", "max_attempts"]
+CONTROLS = ("127.0.0.2", "127.0.0.3", "127.0.0.4")
+ENTRIES = ("127.0.0.5", "127.0.0.6")
+START_SECONDS = 20.0
+
+
+def find_port() -> int:
+    """Return a port that is free on all loopback addresses for now."""
+    with socket.socket() as free:
+        free.bind(("0.0.0.0", 0))
+        return free.getsockname()[1]
+
+
+def create_document(version: int, service: str = "s") -> bytes:
+    row = ["r", "h.example", "/x/", "unsafe", "2s", service, 2]
+    return json.dumps(
+        {
+            "version": f"{version:08x}",
+            "routes": {"columns": COLUMNS, "rows": [row]},
+            "services": {"columns": ["name", "max_conns"], "rows": [["s", 100]]},
+            "limits": {
+                "max_header_bytes": 16384,
+                "max_body_bytes": 100000,
+                "header_timeout": "3s",
+                "idle_timeout": "15s",
+            },
+        }
+    ).encode()
+
+
+class StandIn:
+    """A target that announces itself and answers orders after a while."""
+
+    def __init__(self):
+        self.orders: list[str] = []
+        self.seconds = 0.0
+
+    async def start(self) -> str:
+        self._server = await asyncio.get_running_loop().create_server(
+            web.Server(self._serve), "127.0.0.1", 0
+        )
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return f"{host}:{port}"
+
+    def stop(self) -> None:
+        self._server.close()
+
+    async def _serve(self, request):
+        identity = request.headers["Request-Id"]
+        self.orders.append(identity)
+        await asyncio.sleep(self.seconds)
+        headers = {"Request-Id": identity, "Response-Stamp": "s"}
+        return web.Response(text=identity, headers=headers)
+
+
+class Site:
+    """Three controls and two entries as processes."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        self.peer, self.call = find_port(), find_port()
+        self.front, self.ready, self.directory = find_port(), find_port(), find_port()
+        self.processes: dict[str, subprocess.Popen] = {}
+        self.target = StandIn()
+
+    def start(self, vm: str, *, is_first: bool = True) -> None:
+        is_control = vm in CONTROLS
+        listen = {"control": f"{vm}:{self.call}"}
+        if not is_control:
+            names = ("front", "ready", "directory")
+            listen = {name: f"{vm}:{getattr(self, name)}" for name in names}
+        settings = {
+            "node_name": vm,
+            "ip": vm,
+            "zone": "z",
+            "zones": {"z": "r"},
+            "listen": listen,
+            "internal_ports": [self.peer, self.peer],
+            "seeds": [f"{item}:{self.call}" for item in CONTROLS],
+            "bootstrap": is_first,
+            "data_dir": str(self.folder / vm),
+        }
+        path = self.folder / f"{vm}.json"
+        path.write_text(json.dumps(settings))
+        role = "control" if is_control else "entry"
+        log = (self.folder / f"{vm}.log").open("a")
+        self.processes[vm] = subprocess.Popen(
+            [sys.executable, "-m", "tarragonshelf.platform", role],
+            env={**os.environ, "TARRAGONSHELF_NODE_FILE": str(path)},
+            stdout=log,
+            stderr=log,
+        )
+
+    def stop_all(self) -> None:
+        for process in self.processes.values():
+            process.kill()
+            process.wait()
+        self.target.stop()
+
+    async def call_control(self, session, path, content=None):
+        for vm in CONTROLS:
+            try:
+                url = f"http://{vm}:{self.call}{path}"
+                verb = session.post if content is not None else session.get
+                async with verb(url, data=content) as answer:
+                    if answer.status < 500:
+                        return answer.status, await answer.read()
+            except OSError:
+                continue
+        return 503, b""
+
+    async def announce(self, session, address, *, state="ready", sequence=1):
+        body = {
+            "address": address,
+            "born": 1700,
+            "info": {"service": "s", "version": "v1", "zone": "z", "slots": 3},
+            "status": {"state": state, "seq": sequence, "warmup_left": "0ms"},
+        }
+        content = json.dumps(body).encode()
+        return (await self.call_control(session, "/v1/instances/i-1/heartbeat", content))[0]
+
+    async def ask_ready(self, session, vm) -> int:
+        try:
+            async with session.get(f"http://{vm}:{self.ready}/v1/ready") as answer:
+                return answer.status
+        except OSError:
+            return 0
+
+    async def order(self, session, vm, identity) -> tuple[int, str]:
+        headers = {"Host": "h.example", "Request-Id": identity, "Deadline-Ms": "2000"}
+        url = f"http://{vm}:{self.front}/x/1"
+        async with session.post(url, headers=headers, data=b"order") as answer:
+            return answer.status, await answer.text()
+
+
+async def wait_for(check, wanted) -> None:
+    deadline = asyncio.get_running_loop().time() + START_SECONDS
+    while True:
+        found = await check()
+        if found == wanted:
+            return
+        assert asyncio.get_running_loop().time() < deadline, f"{found} instead of {wanted}"
+        await asyncio.sleep(0.1)
+
+
+async def run_life(site: Site) -> None:
+    """One site's life, step by step."""
+    address = await site.target.start()
+    for vm in (*CONTROLS, *ENTRIES):
+        site.start(vm)
+    async with ClientSession() as session:
+        await check_documents(site, session)
+        assert await site.announce(session, address) == 200
+        for vm in ENTRIES:
+            await wait_for(lambda vm=vm: site.ask_ready(session, vm), 200)
+        assert await site.order(session, ENTRIES[0], "q1") == (200, "q1")
+        await check_addresses(site, session)
+        await check_lost_disk(site, session)
+        await check_reload_and_stop(site, session)
+        await check_drain(site, session, address)
+
+
+async def check_documents(site, session) -> None:
+    document = create_document(3)
+    await wait_for(lambda: put(site, session, document), 200)
+    assert await put(site, session, create_document(2)) == 200
+    assert await put(site, session, create_document(9, service="unknown")) == 400
+    assert await put(site, session, document[:-9]) == 400
+    assert await site.call_control(session, "/v1/config/get") == (200, document)
+
+
+async def put(site, session, document) -> int:
+    return (await site.call_control(session, "/v1/config/put", document))[0]
+
+
+async def check_addresses(site, session) -> None:
+    async def resolve():
+        url = f"http://{ENTRIES[1]}:{site.directory}/v1/resolve?name=h.example&region=r&zone=z"
+        async with session.get(url) as answer:
+            return sorted((await answer.json())["addresses"])
+
+    await wait_for(resolve, sorted(f"{vm}:{site.front}" for vm in ENTRIES))
+
+
+async def check_lost_disk(site, session) -> None:
+    """See a control that lost its disk join again, and nothing acknowledged lost."""
+    site.processes[CONTROLS[0]].kill()
+    site.processes[CONTROLS[0]].wait()
+    shutil.rmtree(site.folder / CONTROLS[0])
+    site.start(CONTROLS[0], is_first=False)
+    await wait_for(lambda: site.call_control(session, "/v1/config/get"), (200, create_document(3)))
+    assert (await site.order(session, ENTRIES[1], "q2"))[0] == 200
+
+
+async def check_reload_and_stop(site, session) -> None:
+    """See a reload change nothing for callers, and a stop finish what is under way."""
+    process = site.processes[ENTRIES[0]]
+    process.send_signal(signal.SIGHUP)
+    site.target.seconds = 0.5
+    order = asyncio.create_task(site.order(session, ENTRIES[0], "q3"))
+    await asyncio.sleep(0.2)
+    process.send_signal(signal.SIGTERM)
+    await wait_for(lambda: site.ask_ready(session, ENTRIES[0]), 503)
+    assert await order == (200, "q3")
+    assert await asyncio.to_thread(process.wait, 10) == 0
+
+
+async def check_drain(site, session, address) -> None:
+    """After the acknowledgement of a drain nothing new reaches the target."""
+    assert await site.announce(session, address, state="draining", sequence=2) == 200
+    await asyncio.sleep(1.0)
+    before = len(site.target.orders)
+    assert (await site.order(session, ENTRIES[1], "q4"))[0] == 503
+    assert len(site.target.orders) == before
+
+
+@pytest.mark.process
+class TestSiteProcesses:
+    def test_a_sites_life(self, tmp_path):
+        site = Site(tmp_path)
+        try:
+            asyncio.run(run_life(site))
+        finally:
+            site.stop_all()
+        assert site.target.orders == ["q1", "q2", "q3"]
