--- a/tarragonshelf/hub/__init__.py
+++ b/tarragonshelf/hub/__init__.py
@@ -20,7 +20,8 @@
     SubscriberLost,
     SubscriberReceived,
 )
-from ._node import MEMORIES, HubNode, create_first_membership
+from ._node import HubNode, create_first_membership
+from ._state import MEMORIES
 
 __all__ = [
     "MEMORIES",
--- /dev/null
+++ b/tarragonshelf/hub/_entries.py
@@ -0,0 +1,80 @@
+"""Entries that follow a hub, and what they are told."""
+
+from ..avoidance import EvidenceNews
+from ..base import Message
+from ..registry import (
+    TargetNews,
+)
+from ._messages import (
+    HubBeat,
+    LoadReport,
+    Push,
+    SendHub,
+    Subscribe,
+)
+from ._state import HubState
+
+# Changes among the entries are told together: many come at a start.
+EDGES_SECONDS = 0.2
+
+
+class EntriesMixin(HubState):
+    """Tells entries the news, and takes theirs in."""
+
+    def _handle_subscriber(self, now: float, number: int, message: Message) -> None:
+        if isinstance(message, Subscribe):
+            self._subscribe(now, number, message)
+        elif isinstance(message, LoadReport):
+            self.subscribers.record_load(number, message)
+        elif isinstance(message, EvidenceNews):
+            relayed = EvidenceNews(message.items, True, message.source)
+            self._effects += self.subscribers.push_all(relayed, besides=number)
+            self._effects += (SendHub(address, relayed) for address in self.list_peers())
+
+    def _subscribe(self, now: float, number: int, message: Subscribe) -> None:
+        is_known = number in self.subscribers.numbers
+        if message.is_lookup:
+            self.subscribers.put_lookup(number)
+            self._effects.append(Push(number, self._create_beat(now)))
+            self._effects.append(Push(number, self.registrar.describe_hubs()))
+            return
+        if self.subscribers.put(number, message):
+            self._edges_changed = True
+        if is_known:
+            return
+        pushed: list[Message] = [self._create_beat(now), self.registrar.describe_hubs()]
+        if self._remembered.version > message.version:
+            pushed.append(self._remembered)
+        pushed.append(TargetNews(self.targets.list_all(), is_whole=True))
+        self._effects += (Push(number, item) for item in pushed)
+        self._edges_changed = True
+
+    def _push_edges(self, now: float) -> None:
+        """Tell entries who serves, several changes at once."""
+        if not self._edges_changed or now - self._edges_at < EDGES_SECONDS:
+            return
+        self._edges_changed, self._edges_at = False, now
+        total = len(self.subscribers.serving) + sum(self._edges_elsewhere.values())
+        self._effects += self.subscribers.push_edges(total)
+
+    def _exchange_loads(self, now: float) -> None:
+        self.loads.set_own(self.subscribers.compute_load())
+        for vm in self.registrar.list_silent(now):
+            self.loads.forget_hub(vm)
+        targets = self.targets.list_all()
+        homes = {}
+        for data_centre in {item.data_centre for item in targets}:
+            homes[data_centre] = self.registrar.find_home(now, data_centre)
+        away, busy = self.loads.exchange(
+            now,
+            {item.identity: homes[item.data_centre] for item in targets},
+            {item.identity: item.slots for item in targets},
+        )
+        for vm, news in away.items():
+            self._effects.append(SendHub(self.registrar.find_address(vm), news))
+        if busy is not None:
+            self._effects += (SendHub(address, busy) for address in self.list_peers())
+        self._effects += self.subscribers.push_load(now, self.loads.compute_totals())
+
+    def _create_beat(self, now: float) -> HubBeat:
+        return HubBeat(self.record.vm, self.is_current(now), len(self.subscribers.serving))
--- /dev/null
+++ b/tarragonshelf/hub/_replication.py
@@ -0,0 +1,190 @@
+"""The replicated catalogue: log, reads, voters."""
+
+from ..base import Effect, Message
+from ..catalogue import (
+    CatalogueStored,
+    PutCatalogue,
+    UnreadableCatalogueError,
+    find_faults,
+    unpack_content,
+)
+from ..consensus import (
+    Commit,
+    EntryKind,
+    InstallSnapshot,
+    LogEntry,
+    Membership,
+    ReadReady,
+    Role,
+    RoleChanged,
+    Send,
+)
+from ..replication import (
+    Done,
+    Join,
+    Refused,
+    RefusedReason,
+    Trace,
+    plan_admission,
+    plan_join,
+)
+from ._messages import (
+    Remember,
+)
+from ._state import CATALOGUE, HubState
+
+# A learner waits so long for its vote: by then it is known whether it replaces a lost voter.
+LEARNER_SECONDS = 1.7
+# A voter that was silent so long gives way to one that takes its place.
+REPLACED_SILENT_SECONDS = 1.5
+# A voter that was silent so long is removed without one; if it comes back it joins again.
+REMOVED_SILENT_SECONDS = 20.0
+MINIMUM_VOTERS = 3
+SNAPSHOT_ENTRIES = 60
+
+
+class ReplicationMixin(HubState):
+    """Keeps the catalogue with the other hubs."""
+
+    def _carry(self, now: float, effects: list[Effect]) -> None:
+        for effect in effects:
+            if isinstance(effect, Commit):
+                self._apply(now, effect.entries)
+            elif isinstance(effect, InstallSnapshot):
+                self.register.restore(self.codec.decode(effect.snapshot.data))
+                self._push_catalogue()
+            elif isinstance(effect, ReadReady):
+                self._answer_read(effect)
+            elif isinstance(effect, RoleChanged):
+                self._change_role(effect)
+            elif isinstance(effect, Send) and not effect.address:
+                address = self._derive_address(effect.identity)
+                self._effects.append(Send(effect.identity, address, effect.message))
+            else:
+                self._effects.append(effect)
+
+    def _derive_address(self, identity: str) -> str:
+        """Return where a replica is that this one's membership does not name yet.
+
+        A VM's name is its host, and hubs listen on the same port on all VMs of a site.
+        """
+        port = self.record.address.rpartition(":")[2]
+        return f"{identity.partition('/')[0]}:{port}"
+
+    def _apply(self, now: float, entries: tuple[LogEntry, ...]) -> None:
+        version = self.register.state.version
+        for entry in entries:
+            is_command = entry.kind == EntryKind.COMMAND
+            command = self.codec.decode(entry.payload) if is_command else None
+            stored = self.register.apply(entry.index, command)
+            call = self._waiters.take_proposal(entry.index, entry.term)
+            if call is not None:
+                self._reply(call, stored if is_command else Done(entry.index))
+        if self.register.state.version != version:
+            self._effects.append(
+                Trace("catalogue_committed", {"version": self.register.state.version})
+            )
+            self._push_catalogue()
+            if self.replica.is_leader:
+                # Followers learn of the commit at once, not with the next heartbeat.
+                self._carry(now, self.replica.announce_commit(now))
+
+    def _push_catalogue(self) -> None:
+        copy = self.register.copy
+        if copy.version > self._remembered.version:
+            self._remembered = copy
+            self._effects.append(Remember(CATALOGUE, copy))
+            self._effects += self.subscribers.push_all(copy)
+
+    def _change_role(self, effect: RoleChanged) -> None:
+        fields = {"replica_role": effect.role, "term": effect.term, "leader": effect.leader}
+        self._effects.append(Trace("replica_role_changed", fields))
+        self._learning_since = {}
+        if effect.role != Role.LEADER:
+            refused = Refused(RefusedReason.LEADERSHIP_LOST, self.leader_address)
+            for call in self._waiters.take_all_of_leader():
+                self._reply(call, refused)
+
+    def _compact(self) -> None:
+        applied = self.register.state.index
+        if applied - self.replica.log.base_index >= SNAPSHOT_ENTRIES:
+            data = self.codec.encode(self.register.state)
+            self._effects.extend(self.replica.compact(applied, data))
+
+    def _maintain_voters(self, now: float) -> None:
+        """Admit caught-up learners, and let go of voters that are gone."""
+        replica = self.replica
+        if replica.membership_index > replica.commit:
+            return
+        silent = replica.list_silent_voters(now, REPLACED_SILENT_SECONDS)
+        planned = plan_admission(
+            replica.membership,
+            lambda name: replica.commit - replica.get_match_index(name),
+            must_wait=lambda name: self._must_learner_wait(now, name),
+            replaceable=silent,
+        )
+        if planned is None:
+            gone = replica.list_silent_voters(now, REMOVED_SILENT_SECONDS)
+            if len(gone) == 1 and len(replica.membership.voters) > MINIMUM_VOTERS:
+                kept = (item for item in replica.membership.members if item.identity not in gone)
+                planned = Membership(tuple(kept))
+        if planned is not None and replica.propose_membership(now, planned) is not None:
+            self._effects.append(Trace("voters_changing", {"voters": sorted(planned.voters)}))
+
+    def _must_learner_wait(self, now: float, identity: str) -> bool:
+        since = self._learning_since.setdefault(identity, now)
+        return now - since < LEARNER_SECONDS or self.replica.get_match_index(identity) == 0
+
+    def _put(self, now: float, call: int, message: PutCatalogue) -> None:
+        try:
+            faults = find_faults(self.reader.read(unpack_content(message.content)))
+        except UnreadableCatalogueError as error:
+            faults = (str(error),)
+        if faults:
+            self._reply(call, Refused(RefusedReason.INVALID, detail="\n".join(faults)))
+            return
+        if self.replica.has_committed_in_term and message.version <= self.register.state.version:
+            # It changes nothing, but only the leader with a quorum knows the newest version.
+            self._start_read(now, call, message)
+            return
+        index = self.replica.propose(now, self.codec.encode(message))
+        if index is None:
+            self._refuse_as_follower(call)
+        else:
+            self._waiters.add_proposal(index, self.replica.term, call)
+
+    def _start_read(self, now: float, call: int, message: Message) -> None:
+        if not self.replica.has_committed_in_term:
+            self._refuse_as_follower(call)
+            return
+        number = self._waiters.add_read(call, message)
+        self._carry(now, self.replica.start_read(now, number))
+
+    def _answer_read(self, ready: ReadReady) -> None:
+        call, message = self._waiters.take_read(ready.number)
+        if call is None:
+            return
+        if isinstance(message, PutCatalogue):
+            self._reply(call, CatalogueStored(self.register.state.version))
+        else:
+            self._reply(call, self.register.copy)
+
+    def _join(self, now: float, call: int, message: Join) -> None:
+        membership = self.replica.membership
+        if not self.replica.has_committed_in_term:
+            self._refuse_as_follower(call)
+        elif message.identity in membership.identities:
+            self._reply(call, Done(self.replica.commit))
+        else:
+            planned = plan_join(membership, message)
+            index = None
+            if planned.is_ok():
+                index = self.replica.propose_membership(now, planned.ok)
+            if index is None:
+                detail = "another change of the voters is under way"
+                self._reply(call, Refused(RefusedReason.BUSY, detail=detail))
+            else:
+                self._waiters.add_proposal(index, self.replica.term, call)
+
+    def _refuse_as_follower(self, call: int) -> None:
+        self._reply(call, Refused(RefusedReason.NOT_LEADER, self.leader_address))
--- /dev/null
+++ b/tarragonshelf/hub/_state.py
@@ -0,0 +1,123 @@
+"""What a hub knows, and the steps that all its duties share."""
+
+from random import Random
+
+from ..base import Codec, Effect, Message, StateMachine
+from ..catalogue import (
+    CatalogueCopy,
+    CatalogueReader,
+    CatalogueRegister,
+)
+from ..consensus import (
+    HardState,
+    Log,
+    LogEntry,
+    Replica,
+    Snapshot,
+    Timing,
+)
+from ..registry import (
+    TargetBook,
+)
+from ..replication import (
+    Reply,
+    Waiters,
+)
+from ._drains import PendingDrains
+from ._loads import LoadBook
+from ._messages import (
+    HubRecord,
+)
+from ._registrar import Registrar
+from ._subscribers import Subscribers
+
+FIRST_INCARNATION = "first"
+# What a hub remembers on disk besides the log.
+TARGETS = "targets"
+CATALOGUE = "catalogue"
+HUBS = "hubs"
+MEMORIES = (TARGETS, CATALOGUE, HUBS)
+# A follower that heard no leader for so long may miss what the others acknowledge.
+CURRENT_SECONDS = 1.0
+
+
+class HubState(StateMachine):
+    """The state of a hub; the mixins beside this module act on it."""
+
+    def __init__(
+        self,
+        *,
+        record: HubRecord,
+        incarnation: str,
+        places: dict[str, str],
+        codec: Codec,
+        reader: CatalogueReader,
+        random: Random,
+        hard_state: HardState = HardState(),
+        snapshot: Snapshot | None = None,
+        entries: tuple[LogEntry, ...] = (),
+        timing: Timing = Timing(),
+    ):
+        self.record = record
+        self.identity = f"{record.vm}/{incarnation}"
+        self.codec = codec
+        self.reader = reader
+        self.register = CatalogueRegister()
+        if snapshot is not None:
+            self.register.restore(codec.decode(snapshot.data))
+        self.replica = Replica(
+            identity=self.identity,
+            log=Log(snapshot=snapshot, entries=entries),
+            hard_state=hard_state,
+            random=random,
+            timing=timing,
+        )
+        self.targets = TargetBook()
+        self.registrar = Registrar(record, places)
+        self.subscribers = Subscribers(record.data_centre)
+        self.loads = LoadBook(record.vm)
+        self._drains = PendingDrains(record.vm)
+        self._waiters = Waiters()
+        self._effects: list[Effect] = []
+        self._beat_at = 0.0
+        self._digest_at = 0.0
+        self._was_current = False
+        self._learning_since: dict[str, float] = {}
+        self._edges_elsewhere: dict[str, int] = {}
+        self._differences: dict[str, int] = {}
+        # The newest document that was ever committed here, which a restart does not forget.
+        self._remembered = CatalogueCopy(0)
+        self._saved_digest = self.targets.digest
+        self._saved_at = 0.0
+        self._edges_changed = False
+        self._edges_at = 0.0
+
+    @property
+    def leader_address(self) -> str:
+        """Where the leader is reached, or an empty text if none is known."""
+        member = self.replica.membership.get_member(self.replica.leader)
+        return member.address if member else ""
+
+    def is_current(self, now: float) -> bool:
+        """Tell whether this hub leads a quorum or heard a leader a moment ago."""
+        if self.replica.is_leader:
+            return self.replica.is_current(now)
+        if not self.replica.log.last_index:
+            return False
+        return now - self.replica.heard_leader_at < CURRENT_SECONDS
+
+    def needs_to_join(self, now: float) -> bool:
+        """Tell whether no leader counts this hub among its replicas."""
+        return not self.is_current(now)
+
+    def list_peers(self) -> list[str]:
+        """Return the addresses of all other hubs."""
+        members = {item.address for item in self.replica.membership.members}
+        return sorted((members | self.registrar.list_addresses()) - {self.record.address})
+
+    def _reply(self, call: int, message: Message) -> None:
+        self._effects.append(Reply(call, message))
+
+    def _take_effects(self) -> list[Effect]:
+        effects, self._effects = self._effects, []
+        return effects
