Take a target for slow only for the time that it said

Cause: entries hear a target's remaining warm-up once, and went on halving its slots for good. Change: the book keeps the moment at which it is warm. Before: the new test chose the other target at 5 s, too. After: it passes.

--- a/tarragonshelf/forwarding/_balancer.py
+++ b/tarragonshelf/forwarding/_balancer.py
@@ -76,7 +76,6 @@
         self.random = random
         self._outstanding: dict[str, int] = {}
         self._elsewhere: dict[str, int] = {}
-        self._on_trial: dict[str, int] = {}
 
     def acquire(self, target: str) -> None:
         """Count a request that a target holds."""
@@ -151,7 +150,7 @@
         kilobytes = profile.size_bytes / 1000
         cost = (0.0, DATA_CENTRE_COST, REGION_COST)[distance] * kilobytes
         travel = (0.0, DATA_CENTRE_SECONDS, REGION_SECONDS)[distance]
-        latency = self._estimate_wait(profile, target) + profile.work_seconds + travel
+        latency = self._estimate_wait(now, profile, target) + profile.work_seconds + travel
         spent = now - request.arrived_at
         cost += LATENCY_COST * ((spent + latency) / max(0.05, route.objective)) ** 2
         cost += self._estimate_risk(now, route.is_repeatable, target, avoided)
@@ -174,9 +173,10 @@
         doubt = self.avoidance.get_doubt(target.identity)
         return doubt * (AVOIDED_COST if is_repeatable else ORDER_AVOIDED_COST)
 
-    def _estimate_wait(self, profile: ServiceProfile, target: TargetEntry) -> float:
+    def _estimate_wait(self, now: float, profile: ServiceProfile, target: TargetEntry) -> float:
         """Return how many seconds a request would wait for a slot."""
-        slots = max(1.0, target.slots * (WARM_FACTOR if target.warm_seconds > 0 else 1.0))
+        is_warming = self.targets.is_warming(now, target.identity)
+        slots = max(1.0, target.slots * (WARM_FACTOR if is_warming else 1.0))
         ahead = self.count_held(target.identity) + 1 - slots
         wait = max(0.0, ahead) * profile.work_seconds / slots
         # A target that holds something is a little likelier to make the next one wait.
@@ -188,5 +188,5 @@
         """Tell whether a target would take a request and likely answer by the deadline."""
         if self.count_held(target.identity) >= target.slots * (1 + QUEUE_PER_SLOT):
             return False
-        wait = self._estimate_wait(profile, target)
+        wait = self._estimate_wait(now, profile, target)
         return now + wait + 0.5 * profile.work_seconds <= request.deadline
--- a/tarragonshelf/forwarding/tests/test_balancer.py
+++ b/tarragonshelf/forwarding/tests/test_balancer.py
@@ -93,6 +93,14 @@
                 fixture.balancer.acquire(name)
         assert fixture.choose(is_repeatable=False).identity == "bad"
 
+    def test_a_warming_target_gets_less_until_it_is_warm(self):
+        fixture = Fixture(create_target("cold", warm_seconds=3.0), create_target("warm"))
+        for name in ("cold", "warm"):
+            for _ in range(3):
+                fixture.balancer.acquire(name)
+        assert {fixture.choose(now=1.0).identity for _ in range(20)} == {"warm"}
+        assert {fixture.choose(now=5.0).identity for _ in range(40)} == {"warm", "cold"}
+
     def test_hopeless_work_is_refused_at_once(self):
         fixture = Fixture(create_target("near"))
         for _ in range(12):
--- a/tarragonshelf/registry/_book.py
+++ b/tarragonshelf/registry/_book.py
@@ -24,6 +24,7 @@
         self._by_address: dict[str, str] = {}
         self._by_service: dict[str, tuple[TargetEntry, ...]] = {}
         self._left_at: dict[str, float] = {}
+        self._warm_at: dict[str, float] = {}
         self._digest: int | None = None
 
     @property
@@ -56,6 +57,10 @@
             self._by_service[service] = found
         return found
 
+    def is_warming(self, now: float, identity: str) -> bool:
+        """Tell whether a target is still slow after its start."""
+        return now < self._warm_at.get(identity, now)
+
     def merge(self, now: float, entry: TargetEntry) -> bool:
         """Take an entry in and tell whether anything that matters changed."""
         held = self._by_identity.get(entry.identity)
@@ -71,6 +76,9 @@
             self._left_at.setdefault(merged.identity, now)
         else:
             self._left_at.pop(merged.identity, None)
+        if held is None or held.started != merged.started:
+            # Only what it said first counts, as its later words do not reach every process.
+            self._warm_at[merged.identity] = now + merged.warm_seconds
         if held is not None and _describe_standing(held) == _describe_standing(merged):
             return False
         self._by_service.clear()
@@ -83,6 +91,7 @@
         for identity in due:
             del self._left_at[identity]
             entry = self._by_identity.pop(identity)
+            self._warm_at.pop(identity, None)
             if self._by_address.get(entry.address) == identity:
                 del self._by_address[entry.address]
             self._by_service.clear()
--- a/tarragonshelf/registry/tests/test_book.py
+++ b/tarragonshelf/registry/tests/test_book.py
@@ -44,6 +44,12 @@
         assert [item.identity for item in book.list_usable("s")] == ["i-1"]
         assert book.list_usable("t") == ()
 
+    def test_a_target_is_slow_only_for_the_time_that_it_said(self):
+        book = create_book(replace(READY, warm_seconds=3.0))
+        assert book.is_warming(2.9, "i-1")
+        assert not book.is_warming(3.1, "i-1")
+        assert not book.is_warming(1.0, "i-unknown")
+
     def test_only_what_matters_counts_as_a_change(self):
         book = create_book(READY)
         assert not book.merge(1.0, replace(READY, sequence=5))
