Keep a hub's disk in a module of its own, and start the replica again after a failed batch

Cause: a first start on a full disk ended the process; an error inside a batch left memory ahead of the disk and went on. Found by reading. Change: both start the replica again from the disk; an unknown message of a peer is logged.

--- a/tarragonshelf/hub/__init__.py
+++ b/tarragonshelf/hub/__init__.py
@@ -21,9 +21,10 @@
     SubscriberReceived,
 )
 from ._node import HubNode, create_first_membership
-from ._state import MEMORIES
+from ._state import FIRST_INCARNATION, MEMORIES
 
 __all__ = [
+    "FIRST_INCARNATION",
     "MEMORIES",
     "Announce",
     "Announced",
--- a/tarragonshelf/hub/_node.py
+++ b/tarragonshelf/hub/_node.py
@@ -8,10 +8,17 @@
     ReadCatalogue,
 )
 from ..consensus import (
+    AppendReply,
+    AppendRequest,
+    ElectNow,
     Member,
     Membership,
     SaveSnapshot,
     Snapshot,
+    SnapshotReply,
+    SnapshotRequest,
+    VoteReply,
+    VoteRequest,
 )
 from ..registry import (
     TargetDigest,
@@ -43,6 +50,15 @@
 from ._state import CATALOGUE, FIRST_INCARNATION, HUBS, TARGETS
 from ._targets import TargetsMixin
 
+REPLICATION = (
+    AppendReply,
+    AppendRequest,
+    ElectNow,
+    SnapshotReply,
+    SnapshotRequest,
+    VoteReply,
+    VoteRequest,
+)
 # Entries leave a hub that is silent for 1.2 s.
 BEAT_SECONDS = 0.4
 # Hubs compare checksums of their targets so often.
@@ -189,8 +205,10 @@
             if self._edges_elsewhere.get(message.vm) != message.edges:
                 self._edges_elsewhere[message.vm] = message.edges
                 self._edges_changed = True
-        else:
+        elif isinstance(message, REPLICATION):
             self._carry(now, self.replica.handle(now, message))
+        else:
+            self._effects.append(Trace("peer_message_unknown", {"kind": type(message).__name__}))
 
     def _beat(self, now: float) -> None:
         is_current = self.is_current(now)
--- a/tarragonshelf/site/_hub.py
+++ b/tarragonshelf/site/_hub.py
@@ -1,7 +1,6 @@
 """The control process of a site."""
 
 import asyncio
-import secrets
 from dataclasses import dataclass
 from random import SystemRandom
 
@@ -11,15 +10,13 @@
 from ..avoidance import EvidenceNews
 from ..base import Effect, Message
 from ..catalogue import CatalogueReader
-from ..consensus import SaveEntries, SaveHardState, SaveSnapshot, Send, Timing
+from ..consensus import Send, Timing
 from ..hub import (
-    MEMORIES,
     Announce,
     HubNode,
     HubRecord,
     LoadReport,
     Push,
-    Remember,
     SendHub,
     Subscribe,
     SubscriberLost,
@@ -37,7 +34,7 @@
     StopRequested,
     Trace,
 )
-from ..storage import CorruptionError, MessageFile, ReplicaStore, create_local_file_system
+from ..storage import CorruptionError, RestoredState
 from ..telemetry import AdministrationServer, LogBudget, Metrics, create_clock, create_logger
 from ..transport import (
     SITE_PACKAGES,
@@ -50,12 +47,12 @@
     create_codec,
 )
 from ._dialect import HubCalls, HubPort
+from ._hub_disk import HubDisk
 from ._question_port import QuestionPort
 
 TICK_SECONDS = 0.05
 JOIN_SECONDS = 0.5
 HANDOVER_SECONDS = 1.0
-INCARNATION_BYTES = 6
 # Callers move on after a second without an answer.
 SUBMIT_SECONDS = 0.95
 TRY_SECONDS = 0.8
@@ -68,7 +65,6 @@
 ELECTION_SECONDS = 1.0
 # When all controls start together, callers wait for the first leader.
 FIRST_ELECTION_SECONDS = 0.35
-SAVES = (SaveEntries, SaveHardState, SaveSnapshot)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -128,8 +124,11 @@
         )
         self.seeds = list(settings.seeds)
         self.node: HubNode | None = None
-        self.store: ReplicaStore | None = None
-        self.memory_files: dict[str, MessageFile] = {}
+        self.disk = HubDisk(
+            settings.data_folder,
+            self.links.frames.codec,
+            is_first_start=settings.is_first_start and settings.record.vm in settings.seeds,
+        )
         self._inbox: list[Message] = []
         self._is_scheduled = False
         self._number = 0
@@ -210,32 +209,26 @@
 
     def _restore(self) -> None:
         """Start the replica from what the disk holds."""
-        settings = self.settings
-        if self.store is not None:
-            self.store.files.close()
-        is_first = settings.is_first_start and settings.record.vm in settings.seeds
         try:
-            self.store = ReplicaStore(
-                create_local_file_system(settings.data_folder), self.links.frames.codec
-            )
-            codec = self.links.frames.codec
-            self.memory_files = {
-                name: MessageFile(self.store.files, codec, name) for name in MEMORIES
-            }
-            restored = self.store.restore(lambda: _mint_incarnation(is_first))
+            restored = self.disk.restore()
+            if restored.torn is not None:
+                self._report("journal_torn_tail_cut", file=restored.torn.name)
+            self._replace_node(restored)
+            if self.disk.is_first_start and not (restored.snapshot or restored.entries):
+                self._form_system()
         except CorruptionError as error:
             self._report("control_refused_to_start", problem=str(error))
             raise SystemExit(1) from error
         except OSError as error:
-            self._note_disk(error)
-            return
-        if restored.torn is not None:
-            self._report("journal_torn_tail_cut", file=restored.torn.name)
+            self._disk_failed_at = _read_time()
+            self._report("disk_refused", problem=repr(error))
+
+    def _replace_node(self, restored: RestoredState) -> None:
         previous = self.node
         self.node = HubNode(
-            record=settings.record,
+            record=self.settings.record,
             incarnation=restored.incarnation,
-            places=settings.places,
+            places=self.settings.places,
             codec=self.links.frames.codec,
             reader=self.reader,
             random=SystemRandom(),
@@ -252,28 +245,16 @@
             # What lives in memory is not touched by a disk that refuses writes.
             self.node.take_memory(previous)
             self._fail_calls()
-        else:
-            self._restore_memory()
-        is_empty = restored.snapshot is None and not restored.entries
-        if is_first and is_empty and self.node.identity.endswith("/first"):
-            port = settings.record.address.rpartition(":")[2]
-            membership = create_first_membership(settings.seeds, int(port))
-            self._carry_out(self.node.initialize(membership))
-
-    def _restore_memory(self) -> None:
-        """Begin with what was known before the process ended."""
-        memories = {}
-        for name, file in self.memory_files.items():
-            message, problem = file.load()
-            if problem:
-                self._report("memory_not_restored", file=name, problem=problem)
-            elif message is not None:
-                memories[name] = message
+            return
+        memories, problems = self.disk.load_memories()
+        for name, problem in problems.items():
+            self._report("memory_not_restored", file=name, problem=problem)
         self.node.restore_memory(_read_time(), memories)
 
-    def _note_disk(self, error: OSError) -> None:
-        self._disk_failed_at = _read_time()
-        self._report("disk_refused", problem=repr(error))
+    def _form_system(self) -> None:
+        port = self.settings.record.address.rpartition(":")[2]
+        membership = create_first_membership(self.settings.seeds, int(port))
+        self._carry_out(self.node.initialize(membership))
 
     # Input
 
@@ -336,12 +317,16 @@
         if self._is_disk_refusing():
             self._refuse_calls(inbox)
             return
-        effects = self._handle_batch(inbox, is_tick=is_tick)
         try:
-            self._carry_out(effects)
+            self._carry_out(self._handle_batch(inbox, is_tick=is_tick))
         except OSError as error:
             # Memory is ahead of the disk: nothing of this batch may be acknowledged.
-            self._note_disk(error)
+            self._disk_failed_at = _read_time()
+            self._report("disk_refused", problem=repr(error))
+            self._restore()
+        except Exception as error:
+            # Memory may be ahead of the disk, so the replica starts again from it.
+            self._report("batch_failed", problem=repr(error))
             self._restore()
 
     def _is_disk_refusing(self) -> bool:
@@ -367,12 +352,7 @@
         return effects + self.node.flush(now)
 
     def _carry_out(self, effects: list[Effect]) -> None:
-        saves = [effect for effect in effects if isinstance(effect, SAVES)]
-        if saves:
-            self.store.save(saves)
-        for effect in effects:
-            if isinstance(effect, Remember):
-                self.memory_files[effect.name].save(effect.message)
+        self.disk.save(effects)
         for effect in effects:
             if isinstance(effect, Send | SendHub):
                 if effect.address:
@@ -463,10 +443,5 @@
         self.metrics.set("entries_attached", len(self._subscribers))
 
 
-def _mint_incarnation(is_first: bool) -> str:
-    """Return the name of a new data folder; the first ones are agreed upon without a word."""
-    return "first" if is_first else secrets.token_hex(INCARNATION_BYTES)
-
-
 def _read_time() -> float:
     return asyncio.get_running_loop().time()
