--- a/tarragonshelf/site/_caller_port.py
+++ b/tarragonshelf/site/_caller_port.py
@@ -106,7 +106,9 @@
         deadline = asyncio.get_running_loop().time() + seconds
         while self._is_busy() and asyncio.get_running_loop().time() < deadline:
             await asyncio.sleep(0.02)
-        await self._web.shutdown(0.1)
+        # The library's own shutdown waits for idle connections, too.
+        for connection in self._web.connections:
+            connection.force_close()
 
     def _is_busy(self) -> bool:
         return any(not _is_idle(item) for item in self._web.connections)
--- a/tarragonshelf/site/_question_port.py
+++ b/tarragonshelf/site/_question_port.py
@@ -5,8 +5,6 @@
 
 from aiohttp import web
 
-CLOSE_SECONDS = 0.2
-
 
 class QuestionPort:
     """Serves one address with one handler.
@@ -31,4 +29,5 @@
         """Close the server and its connections."""
         if self._server is not None:
             self._server.close()
-            await self._web.shutdown(CLOSE_SECONDS)
+            for connection in self._web.connections:
+                connection.force_close()
