Split the reading of a caller's request, and remove what nothing reaches

Cause: read as a newcomer: one function of fifty lines; a refusal for want of a catalogue, which an open port always has; a setting that nobody reads. Ruled out: paths that are no text, which the server library refuses (new test). No behaviour changes; the tests of site pass.

--- a/tarragonshelf/queries/_explain.py
+++ b/tarragonshelf/queries/_explain.py
@@ -17,7 +17,6 @@
     "no-attempt-left": "as many targets as its route allows had failed it",
     "held-back": "the same request had broken the connections of several targets before",
     "deadline": "its time was up: the caller's own or the route's",
-    "no-catalogue": "the entry knew no catalogue yet",
 }
 
 
--- a/tarragonshelf/site/_caller_port.py
+++ b/tarragonshelf/site/_caller_port.py
@@ -6,12 +6,12 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
-from ..catalogue import CallerLimits
+from ..catalogue import CallerLimits, Matched
 from ..edge import EdgeNode
-from ..forwarding import ForwardRequest, RefusalReason, Refuse, RespondWith
+from ..forwarding import ForwardRequest, Refuse, RespondWith
 from ..telemetry import Metrics
 from ..utils import compute_short_digest
-from ._dialect import TargetDialect
+from ._dialect import CallerFields, TargetDialect
 from ._forwarder import Content, Forwarder
 
 # A caller that does not say how long it waits is taken to wait for the route's timeout.
@@ -137,13 +137,9 @@
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         arrived_at = asyncio.get_running_loop().time()
-        node, dialect = self.node, self.dialect
-        if node.catalogue is None:
-            return self._refuse_early(request, RefusalReason.NO_TARGET, "no-catalogue")
+        node = self.node
         limits = node.catalogue.limits
-        if sum(len(name) + len(value) + 4 for name, value in request.raw_headers) > (
-            limits.maximum_header
-        ):
+        if _measure_head(request) > limits.maximum_header:
             return self._reject(431, "head-too-large")
         try:
             body = await _read_body(request, limits)
@@ -152,25 +148,9 @@
         matched = node.match(request.headers.get("Host", ""), request.raw_path)
         if matched is None:
             return self._reject(404, "no-route", version=node.version, path=request.raw_path)
-        fields = dialect.read_caller_fields(request.raw_headers)
-        patience = NO_PATIENCE if fields.patience is None else fields.patience - TRAVEL_SECONDS
-        forward = ForwardRequest(
-            identity=fields.identity.decode("latin-1"),
-            route=matched.route,
-            service=matched.service,
-            arrived_at=arrived_at,
-            deadline=arrived_at + min(patience, matched.route.timeout),
-            digest=compute_short_digest(request.method.encode(), request.raw_path.encode(), body),
-            size=len(body),
-        )
-        content = Content(
-            method=request.method.encode(),
-            path=request.raw_path.encode("latin-1", "surrogateescape"),
-            headers=request.raw_headers,
-            body=body,
-            identity=fields.identity,
-            has_body=bool(body) or request.method in METHODS_WITH_BODY,
-        )
+        fields = self.dialect.read_caller_fields(request.raw_headers)
+        content = _create_content(request, body, fields.identity)
+        forward = _create_forward(arrived_at, matched, fields, content)
         node.budgets.record_request(arrived_at, matched.service)
         ended = await self.forwarder.run(forward, content)
         return self._finish(forward, fields.identity, ended)
@@ -221,14 +201,6 @@
             described.append(f"{item.identity} {known['standing']} {known['held']}/{item.slots}")
         return ", ".join(described)
 
-    def _refuse_early(
-        self, request: web.BaseRequest, reason: RefusalReason, detail: str
-    ) -> web.Response:
-        identity = self.dialect.read_caller_fields(request.raw_headers).identity
-        self.metrics.count("requests_total", ("route", ""), ("outcome", detail))
-        self.report("request_refused", request=identity.decode("latin-1"), reason=detail)
-        return self.dialect.create_refusal(Refuse(reason, False, 0.3), identity)
-
     def _reject(self, status: int, reason: str, **fields) -> web.Response:
         self.metrics.count("requests_total", ("route", ""), ("outcome", reason))
         self.report("request_rejected", status=status, reason=reason, **fields)
@@ -245,6 +217,38 @@
     return waiter is not None and not waiter.done()
 
 
+def _measure_head(request: web.BaseRequest) -> int:
+    """Return the bytes of a request's fields with their separators."""
+    return sum(len(name) + len(value) + 4 for name, value in request.raw_headers)
+
+
+def _create_content(request: web.BaseRequest, body: bytes, identity: bytes) -> Content:
+    return Content(
+        method=request.method.encode(),
+        # Bytes that are no text come as surrogates, and leave as they came.
+        path=request.raw_path.encode("utf-8", "surrogateescape"),
+        headers=request.raw_headers,
+        body=body,
+        identity=identity,
+        has_body=bool(body) or request.method in METHODS_WITH_BODY,
+    )
+
+
+def _create_forward(
+    arrived_at: float, matched: Matched, fields: CallerFields, content: Content
+) -> ForwardRequest:
+    patience = NO_PATIENCE if fields.patience is None else fields.patience - TRAVEL_SECONDS
+    return ForwardRequest(
+        identity=fields.identity.decode("latin-1"),
+        route=matched.route,
+        service=matched.service,
+        arrived_at=arrived_at,
+        deadline=arrived_at + min(patience, matched.route.timeout),
+        digest=compute_short_digest(content.method, content.path, content.body),
+        size=len(content.body),
+    )
+
+
 async def _read_body(request: web.BaseRequest, limits: CallerLimits) -> bytes:
     if request.headers.get("Expect", "").lower() == "100-continue":
         await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
--- a/tarragonshelf/site/_hub.py
+++ b/tarragonshelf/site/_hub.py
@@ -78,7 +78,6 @@
     is_first_start: bool
     data_folder: str
     calls: str
-    questions: tuple[str, ...] = ()
     metrics: str = ""
 
 
--- a/tarragonshelf/site/tests/test_caller_port.py
+++ b/tarragonshelf/site/tests/test_caller_port.py
@@ -159,6 +159,17 @@
         assert b"Expect-Instance: i-1" in seen
         assert 0 < int(seen.split(b"Deadline-Ms: ")[1].split(b"\r\n")[0]) <= 500
 
+    def test_a_path_with_bytes_that_the_protocol_forbids_reaches_no_target(self):
+        async def work():
+            async with Site() as site:
+                reader, writer = await site.connect()
+                writer.write(write_request("q1").replace(b"/x", b"/x/\xff\xe9", 1))
+                status = (await read_answer(reader))[0]
+                return status, site.seen
+
+        status, seen = run(work())
+        assert (status, seen) == (400, [])
+
     def test_a_caller_that_leaves_takes_its_request_along(self):
         async def work():
             async with Site(work=1.0) as site:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -37,7 +37,7 @@
         [
             ({"reason": "all-full", "service": "s"}, "held more than it could finish"),
             ({"reason": "no-budget"}, "the budget for repeats was used up"),
-            ({"reason": "no-catalogue"}, "knew no catalogue yet"),
+            ({"reason": "no-target", "service": "s"}, "no target of service s was known"),
             ({"reason": "deadline", "has_run": True}, "its time was up"),
         ],
     )
