--- a/tarragonshelf/hub/_node.py
+++ b/tarragonshelf/hub/_node.py
@@ -89,8 +89,6 @@
         Encodes commands and snapshots.
     reader : CatalogueReader
         Reads operators' documents, so that none unsound gets into the log.
-    first_membership : Membership or None
-        Voters of a first start, if this is one and this hub is among them.
     random : Random
         Spreads election timeouts.
     hard_state, snapshot, entries
