Pass news on in batches, and tell loads as changes

Cause: at 110 entries each piece of evidence went to every entry as a frame of its own, encoded once for each, and each entry was told all loads of its hub again every 50 ms. Cost grew with entries x events.

Ruled out: starts of processes (the same before and after), the choice of a target (7% of an entry's share in all).

Change: the first piece after a quiet while still leaves at once, those that follow wait 40 ms at most; refusals for lack of room are told once in 0.1 s for a target; an entry is told only the counts that changed, whole on its first word from a hub; a message for many is encoded once and each connection written to once in a batch. An entry forgets the loads that a lost hub told.

What a hub and an entry spend on news no longer grows with the number of pieces.

--- a/tarragonshelf/avoidance/_messages.py
+++ b/tarragonshelf/avoidance/_messages.py
@@ -37,18 +37,19 @@
     """What one attempt showed of a target.
 
     ``request_digest`` names the request if its connection broke, so that a request that
-    crashes targets can be told from targets that fail.
+    crashes targets can be told from targets that fail. ``source`` is the VM of the entry that
+    saw it.
     """
 
     target: str
     kind: EvidenceKind
     request_digest: int = 0
+    source: str = ""
 
 
 @dataclass(frozen=True, slots=True)
 class EvidenceNews(Message):
-    """Evidence of the entry ``source``; ``is_relayed`` if it came by another control."""
+    """Evidence of entries; ``is_relayed`` if it came by another control."""
 
     items: tuple[EvidenceItem, ...]
     is_relayed: bool = False
-    source: str = ""
--- a/tarragonshelf/edge/_node.py
+++ b/tarragonshelf/edge/_node.py
@@ -136,6 +136,8 @@
         """Take a hub's word in, or that its connection is gone."""
         if isinstance(message, HubLost):
             self.hubs.note_lost(now, message.address)
+            # Counts grow old within a second; the next hub tells its own.
+            self.balancer.note_elsewhere({}, is_whole=True)
             return self._choose_hub(now)
         if isinstance(message, HubReceived):
             is_current = None
@@ -183,14 +185,15 @@
             self._take_targets(now, message)
         elif isinstance(message, EvidenceNews):
             for item in message.items:
-                self._take_evidence(now, item, source=message.source or "hub")
+                self._take_evidence(now, item, source=item.source or "hub")
         elif isinstance(message, EdgeNews):
             self._edges = message.edges
             self.budgets.entries = max(message.total, len(message.edges), 1)
         elif isinstance(message, HubNews):
             self.hubs.add(message.hubs)
         elif isinstance(message, LoadNews):
-            self.balancer.set_elsewhere({item.target: item.count for item in message.items})
+            counts = {item.target: item.count for item in message.items}
+            self.balancer.note_elsewhere(counts, is_whole=message.is_whole)
 
     def _put_in_force(self, copy: CatalogueCopy) -> None:
         """Move to a higher version, never back."""
@@ -329,7 +332,8 @@
 
     def _tell(self, now: float, item: EvidenceItem) -> None:
         self._take_evidence(now, item)
-        self._pending.append(SendToHub(EvidenceNews((item,), source=self.settings.vm)))
+        told = replace(item, source=self.settings.vm)
+        self._pending.append(SendToHub(EvidenceNews((told,))))
 
     def _get_profile(self, service: str) -> ServiceProfile:
         return self._profiles.setdefault(service, ServiceProfile())
--- a/tarragonshelf/edge/tests/test_edge.py
+++ b/tarragonshelf/edge/tests/test_edge.py
@@ -8,7 +8,17 @@
 from ...edge import EdgeNode, EdgeSettings, FollowHub, HubLost, HubReceived, SendToHub
 from ...forwarding import ForwardRequest
 from ...forwarding.tests.fakes import create_route
-from ...hub import EdgeNews, EdgeRecord, HubBeat, HubNews, HubRecord, LoadReport, Subscribe
+from ...hub import (
+    EdgeNews,
+    EdgeRecord,
+    HubBeat,
+    HubNews,
+    HubRecord,
+    LoadItem,
+    LoadNews,
+    LoadReport,
+    Subscribe,
+)
 from ...hub.tests.fakes import FakeReader
 from ...registry import TargetEntry, TargetNews, TargetState
 from ...replication import Trace
@@ -194,6 +204,15 @@
         fixture.node.record_evidence(fixture.now, request, TARGET, EvidenceKind.BROKEN)
         assert fixture.node.avoidance.get_standing(fixture.now, "i-1") == Standing.TRUSTED
 
+    def test_what_a_lost_hub_told_of_loads_is_forgotten(self):
+        fixture = Fixture().serve()
+        fixture.tell(LoadNews((LoadItem("i-1", 4), LoadItem("i-2", 2)), True))
+        fixture.tell(LoadNews((LoadItem("i-2", 0),)))
+        assert fixture.node.balancer.count_held("i-1") == 4
+        assert fixture.node.balancer.count_held("i-2") == 0
+        fixture.node.handle(fixture.now, HubLost(fixture.node.hubs.address))
+        assert fixture.node.balancer.count_held("i-1") == 0
+
     def test_load_is_told_when_it_changed(self):
         fixture = Fixture().serve()
         fixture.node.balancer.acquire("i-1")
--- a/tarragonshelf/forwarding/_balancer.py
+++ b/tarragonshelf/forwarding/_balancer.py
@@ -93,9 +93,15 @@
         """Return how many requests of this entry each target holds."""
         return dict(self._outstanding)
 
-    def set_elsewhere(self, counts: dict[str, int]) -> None:
-        """Take in how many requests of other entries targets hold."""
-        self._elsewhere = counts
+    def note_elsewhere(self, counts: dict[str, int], *, is_whole: bool) -> None:
+        """Take in how many requests of other entries targets hold, all or those that changed."""
+        if is_whole:
+            self._elsewhere = {}
+        for target, count in counts.items():
+            if count:
+                self._elsewhere[target] = count
+            else:
+                self._elsewhere.pop(target, None)
 
     def count_held(self, target: str) -> int:
         """Return how many requests a target is known to hold."""
--- a/tarragonshelf/forwarding/tests/test_balancer.py
+++ b/tarragonshelf/forwarding/tests/test_balancer.py
@@ -49,7 +49,7 @@
 
     def test_what_other_entries_hold_counts(self):
         fixture = Fixture(create_target("near"), create_target("next", data_centre="y"))
-        fixture.balancer.set_elsewhere({"near": 9})
+        fixture.balancer.note_elsewhere({"near": 9}, is_whole=True)
         assert fixture.choose().identity == "next"
 
     def test_a_failing_target_loses_work_to_another_region(self):
--- a/tarragonshelf/hub/_entries.py
+++ b/tarragonshelf/hub/_entries.py
@@ -27,9 +27,9 @@
         elif isinstance(message, LoadReport):
             self.subscribers.record_load(number, message)
         elif isinstance(message, EvidenceNews):
-            relayed = EvidenceNews(message.items, True, message.source)
-            self._effects += self.subscribers.push_all(relayed, besides=number)
-            self._effects += (SendHub(address, relayed) for address in self.list_peers())
+            for item in message.items:
+                self._evidence_for_entries.add_evidence(now, item)
+                self._evidence_for_hubs.add_evidence(now, item)
 
     def _subscribe(self, now: float, number: int, message: Subscribe) -> None:
         is_known = number in self.subscribers.numbers
@@ -49,6 +49,19 @@
         self._effects += (Push(number, item) for item in pushed)
         self._edges_changed = True
 
+    def _pass_on(self, now: float) -> None:
+        """Send the batches that are due."""
+        if entries := self._targets_for_entries.take(now):
+            self._effects += self.subscribers.push_all(TargetNews(entries))
+        if entries := self._targets_for_hubs.take(now):
+            news = TargetNews(entries)
+            self._effects += (SendHub(address, news) for address in self.list_peers())
+        if items := self._evidence_for_entries.take(now):
+            self._effects += self.subscribers.push_evidence(items)
+        if items := self._evidence_for_hubs.take(now):
+            relayed = EvidenceNews(items, True)
+            self._effects += (SendHub(address, relayed) for address in self.list_peers())
+
     def _push_edges(self, now: float) -> None:
         """Tell entries who serves, several changes at once."""
         if not self._edges_changed or now - self._edges_at < EDGES_SECONDS:
--- a/tarragonshelf/hub/_messages.py
+++ b/tarragonshelf/hub/_messages.py
@@ -87,9 +87,13 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadNews(Message):
-    """Requests of all entries that follow the sender, the receiver's own taken off."""
+    """What targets hold besides the receiver's own requests, where that changed.
+
+    With ``is_whole`` no other target holds anything.
+    """
 
     items: tuple[LoadItem, ...]
+    is_whole: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tarragonshelf/hub/_node.py
+++ b/tarragonshelf/hub/_node.py
@@ -151,7 +151,7 @@
         for call in self._drains.take_late(now):
             detail = "no majority of the hubs confirmed in time"
             self._reply(call, Refused(RefusedReason.BUSY, detail=detail))
-        self._spread_changes(now, self.registrar.expire(now, self.targets))
+        self._spread_changes(self.registrar.expire(now, self.targets))
         self.targets.forget_departed(now)
         if now - self._saved_at >= SAVE_SECONDS:
             self._save_targets(now)
@@ -164,6 +164,7 @@
         """End a batch of inputs."""
         self._carry(now, self.replica.flush(now))
         self._compact()
+        self._pass_on(now)
         return self._take_effects()
 
     def _handle_call(self, now: float, call: int, message: Message) -> None:
@@ -188,7 +189,8 @@
         elif isinstance(message, TargetDigest):
             self._compare(message)
         elif isinstance(message, EvidenceNews):
-            self._effects += self.subscribers.push_all(message)
+            for item in message.items:
+                self._evidence_for_entries.add_evidence(now, item)
         elif isinstance(message, HubLoad):
             self.loads.record_away(message)
         elif isinstance(message, HubBusy):
--- a/tarragonshelf/hub/_state.py
+++ b/tarragonshelf/hub/_state.py
@@ -23,6 +23,7 @@
     Reply,
     Waiters,
 )
+from ._batches import EvidenceBatch, TargetBatch
 from ._drains import PendingDrains
 from ._loads import LoadBook
 from ._messages import (
@@ -77,6 +78,11 @@
         self.subscribers = Subscribers(record.data_centre)
         self.loads = LoadBook(record.vm)
         self._drains = PendingDrains(record.vm)
+        # What entries here told goes to entries and hubs, what hubs told to entries only.
+        self._evidence_for_entries = EvidenceBatch()
+        self._evidence_for_hubs = EvidenceBatch()
+        self._targets_for_entries = TargetBatch()
+        self._targets_for_hubs = TargetBatch()
         self._waiters = Waiters()
         self._effects: list[Effect] = []
         self._beat_at = 0.0
--- a/tarragonshelf/hub/_subscribers.py
+++ b/tarragonshelf/hub/_subscribers.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from ..avoidance import EvidenceItem, EvidenceNews
 from ..base import Effect, Message
 from ._messages import (
     EdgeNews,
@@ -24,8 +25,10 @@
 
     record: Subscribe
     load: dict[str, int] = field(default_factory=dict)
-    told: tuple[LoadItem, ...] = ()
-    told_at: float = 0.0
+    # What it was told that targets hold, and the targets where that may have changed.
+    told: dict[str, int] = field(default_factory=dict)
+    changed: set[str] = field(default_factory=set)
+    told_at: float | None = None
     told_edges: EdgeNews | None = None
 
 
@@ -42,6 +45,7 @@
         self.data_centre = data_centre
         self._items: dict[int, Subscriber] = {}
         self._lookups: set[int] = set()
+        self._totals: dict[str, int] = {}
 
     @property
     def serving(self) -> tuple[EdgeRecord, ...]:
@@ -69,7 +73,7 @@
         if number in self._items:
             self._items[number].record = record
         else:
-            self._items[number] = Subscriber(record)
+            self._items[number] = Subscriber(record, changed=set(self._totals))
         return self.serving != before
 
     def remove(self, number: int) -> bool:
@@ -86,6 +90,19 @@
         numbers = [*self._items, *self._lookups] if lookups else self._items
         return [Push(number, message) for number in numbers if number != besides]
 
+    def push_evidence(self, items: tuple[EvidenceItem, ...]) -> list[Effect]:
+        """Return the effects that tell every entry what others saw."""
+        news = EvidenceNews(items)
+        sources = {item.source for item in items}
+        effects: list[Effect] = []
+        for number, subscriber in self._items.items():
+            vm = subscriber.record.vm
+            if vm not in sources:
+                effects.append(Push(number, news))
+            elif others := tuple(item for item in items if item.source != vm):
+                effects.append(Push(number, EvidenceNews(others)))
+        return effects
+
     def push_edges(self, total: int) -> list[Effect]:
         """Return the effects that tell every entry who serves in its data centre."""
         by_centre: dict[str, EdgeNews] = {}
@@ -104,7 +121,9 @@
         """Take in what an entry has at targets."""
         subscriber = self._items.get(number)
         if subscriber is not None:
+            subscriber.changed.update(subscriber.load)
             subscriber.load = {item.target: item.count for item in report.items}
+            subscriber.changed.update(subscriber.load)
 
     def compute_load(self) -> dict[str, int]:
         """Return what all entries together hold at targets."""
@@ -116,18 +135,38 @@
 
     def push_load(self, now: float, totals: dict[str, int]) -> list[Effect]:
         """Return the effects that tell entries what targets hold besides their own."""
+        known = self._totals
+        changed = {
+            target
+            for target in totals.keys() | known.keys()
+            if totals.get(target, 0) != known.get(target, 0)
+        }
+        self._totals = totals
         effects: list[Effect] = []
         for number, item in self._items.items():
+            item.changed |= changed
             is_near = item.record.data_centre == self.data_centre
-            if now - item.told_at < (LOAD_SECONDS if is_near else FAR_LOAD_SECONDS):
+            pause = LOAD_SECONDS if is_near else FAR_LOAD_SECONDS
+            if item.told_at is not None and now - item.told_at < pause:
                 continue
-            news = _take_off(totals, item.load)
-            if news != item.told:
-                item.told, item.told_at = news, now
-                effects.append(Push(number, LoadNews(news)))
+            if (news := _take_news(item, totals)) is not None:
+                item.told_at = now
+                effects.append(Push(number, news))
         return effects
 
 
-def _take_off(totals: dict[str, int], own: dict[str, int]) -> tuple[LoadItem, ...]:
-    left = ((target, count - own.get(target, 0)) for target, count in sorted(totals.items()))
-    return tuple(LoadItem(target, count) for target, count in left if count > 0)
+def _take_news(subscriber: Subscriber, totals: dict[str, int]) -> LoadNews | None:
+    """Return what an entry does not know yet, if anything."""
+    news = []
+    for target in sorted(subscriber.changed):
+        count = max(0, totals.get(target, 0) - subscriber.load.get(target, 0))
+        if count != subscriber.told.get(target, 0):
+            subscriber.told[target] = count
+            news.append(LoadItem(target, count))
+        if not count:
+            subscriber.told.pop(target, None)
+    subscriber.changed.clear()
+    if subscriber.told_at is None:
+        # It may remember what another hub told.
+        return LoadNews(tuple(news), is_whole=True)
+    return LoadNews(tuple(news)) if news else None
--- a/tarragonshelf/hub/_targets.py
+++ b/tarragonshelf/hub/_targets.py
@@ -42,7 +42,7 @@
             )
         if not is_leaving:
             if is_new:
-                self._spread_changes(now, [self.targets.get(entry.identity)])
+                self._spread_changes([self.targets.get(entry.identity)])
             address = self.registrar.choose_hub(now, entry.data_centre)
             self._reply(call, Announced(address))
             return
@@ -63,9 +63,12 @@
 
     def _take_news(self, now: float, news: TargetNews) -> None:
         changed = [item for item in news.targets if self.targets.merge(now, item)]
-        if changed:
-            held = tuple(self.targets.get(item.identity) for item in changed)
+        held = tuple(self.targets.get(item.identity) for item in changed)
+        if held and news.number:
             self._effects += self.subscribers.push_all(TargetNews(held))
+        elif held:
+            for entry in held:
+                self._targets_for_entries.add_target(entry)
         if news.number:
             self._save_targets(now)
             sender = self.registrar.find_address(news.sender)
@@ -98,9 +101,7 @@
         news = TargetNews(self.targets.list_all(), is_whole=True)
         self._effects.append(Remember(TARGETS, news))
 
-    def _spread_changes(self, now: float, entries: list) -> None:
-        if not entries:
-            return
-        news = TargetNews(tuple(entries))
-        self._effects += self.subscribers.push_all(news)
-        self._effects += (SendHub(address, news) for address in self.list_peers())
+    def _spread_changes(self, entries: list) -> None:
+        for entry in entries:
+            self._targets_for_entries.add_target(entry)
+            self._targets_for_hubs.add_target(entry)
--- a/tarragonshelf/hub/tests/test_site.py
+++ b/tarragonshelf/hub/tests/test_site.py
@@ -232,12 +232,43 @@
             site.subscribe(vm, 1, f"entry of {vm}")
             site.subscribe(vm, 2, f"other of {vm}")
         site.pushed.clear()
-        news = EvidenceNews((EvidenceItem("i-1", EvidenceKind.BROKEN),))
+        news = EvidenceNews((EvidenceItem("i-1", EvidenceKind.BROKEN, source="entry of vm0"),))
         site.receive("vm0", SubscriberReceived(1, news))
         site.advance(0.1)
         told = {(vm, number) for vm, number, _ in list_pushed(site, EvidenceNews)}
         assert told == {(vm, number) for vm in site.hubs for number in (1, 2)} - {("vm0", 1)}
 
+    def test_a_storm_of_failures_costs_an_entry_few_messages(self):
+        site = FakeSite(5)
+        for vm in site.hubs:
+            site.subscribe(vm, 1, f"entry of {vm}")
+        site.pushed.clear()
+        names = [f"i-{index}" for index in range(100)]
+        for _ in range(5):
+            for vm in site.hubs:
+                for name in names[:20]:
+                    item = EvidenceItem(f"{vm} {name}", EvidenceKind.BROKEN, source="other")
+                    site.receive(vm, SubscriberReceived(1, EvidenceNews((item,))))
+            site.advance(0.1)
+        site.advance(0.2)
+        for vm in site.hubs:
+            news = [message for at, _, message in list_pushed(site, EvidenceNews) if at == vm]
+            assert sum(len(message.items) for message in news) == 500
+            # Two for each tenth of a second, and what left at once in the beginning.
+            assert len(news) <= 2 * 7 + 2
+
+    def test_a_full_target_is_told_once_for_a_while(self):
+        site = FakeSite(3)
+        site.subscribe("vm0", 1, "a")
+        site.subscribe("vm0", 2, "b")
+        site.pushed.clear()
+        item = EvidenceItem("i-1", EvidenceKind.FULL, source="b")
+        for _ in range(50):
+            site.receive("vm0", SubscriberReceived(2, EvidenceNews((item,))))
+        site.advance(0.1)
+        news = [message for _, number, message in list_pushed(site, EvidenceNews) if number == 1]
+        assert [len(message.items) for message in news] == [1]
+
 
 class TestLoads:
     def test_entries_of_one_hub_learn_what_the_others_hold(self):
@@ -250,6 +281,25 @@
         told = [item for vm, number, item in list_pushed(site, LoadNews) if number == 2]
         assert told[-1].items == (LoadItem("i-1", 2),)
 
+    def test_only_what_changed_is_told_after_the_first_time(self):
+        site = FakeSite(3)
+        site.subscribe("vm0", 1, "a")
+        site.subscribe("vm0", 2, "b")
+        held = tuple(LoadItem(f"i-{index}", 1) for index in range(50))
+        site.receive("vm0", SubscriberReceived(1, LoadReport(held)))
+        site.advance(0.2)
+        site.pushed.clear()
+        site.receive("vm0", SubscriberReceived(1, LoadReport(held[1:])))
+        site.advance(0.2)
+        told = [item for _, number, item in list_pushed(site, LoadNews) if number == 2]
+        assert told == [LoadNews((LoadItem("i-0", 0),))]
+
+    def test_the_first_word_of_a_hub_stands_for_itself(self):
+        site = FakeSite(3)
+        site.subscribe("vm0", 1, "a")
+        site.advance(0.2)
+        assert [item for _, _, item in list_pushed(site, LoadNews)] == [LoadNews((), True)]
+
     def test_a_target_that_is_busy_elsewhere_is_known_everywhere(self):
         site = FakeSite(5)
         site.call("vm0", Announce(TARGET))
--- a/tarragonshelf/site/_hub.py
+++ b/tarragonshelf/site/_hub.py
@@ -41,6 +41,7 @@
     CallTimeoutError,
     Connection,
     Frame,
+    Parcels,
     PeerLinks,
     PeerServer,
     UnreachableError,
@@ -108,6 +109,7 @@
             handler=self._receive,
             codec=create_codec(SITE_PACKAGES),
         )
+        self.parcels = Parcels(self.links.frames, self.clock)
         self.server = PeerServer(
             vm=settings.record.vm,
             secret=secret,
@@ -355,15 +357,16 @@
         for effect in effects:
             if isinstance(effect, Send | SendHub):
                 if effect.address:
-                    self.links.get(effect.address).post(effect.message)
+                    self.parcels.add(self.links.get(effect.address), effect.message)
             elif isinstance(effect, Push):
                 connection = self._subscribers.get(effect.subscriber)
                 if connection is not None:
-                    connection.send(effect.message)
+                    self.parcels.add(connection, effect.message)
             elif isinstance(effect, Reply):
                 self._finish_call(effect.call, effect.message)
             elif isinstance(effect, Trace):
                 self._report(effect.event, **effect.fields)
+        self.parcels.send()
 
     def _finish_call(self, call: int, message: Message) -> None:
         future = self._calls.pop(call, None)
--- a/tarragonshelf/transport/__init__.py
+++ b/tarragonshelf/transport/__init__.py
@@ -11,6 +11,7 @@
 from ._frames import Frame, FrameCodec
 from ._handshake import Challenge, Proof, Welcome, compute_proof
 from ._links import PeerLinks
+from ._parcels import Parcels
 
 __all__ = [
     "SITE_PACKAGES",
@@ -20,6 +21,7 @@
     "Frame",
     "FrameCodec",
     "Link",
+    "Parcels",
     "PeerLinks",
     "PeerServer",
     "Proof",
--- a/tarragonshelf/transport/_connection.py
+++ b/tarragonshelf/transport/_connection.py
@@ -60,11 +60,16 @@
         return not self.writer.is_closing()
 
     def send(self, message: Message, *, call: int = 0, is_reply: bool = False) -> None:
-        """Queue a frame; a peer that takes too little for too long loses the connection."""
+        """Queue one message."""
         if not self.is_open:
             return
-        frame = Frame(message, call, is_reply, self.clock.stamp())
-        self.writer.write(self.frames.write(frame))
+        self.write(self.frames.write(Frame(message, call, is_reply, self.clock.stamp())))
+
+    def write(self, content: bytes) -> None:
+        """Queue whole frames; a peer that takes too little for too long loses the connection."""
+        if not self.is_open:
+            return
+        self.writer.write(content)
         if self.writer.transport.get_write_buffer_size() > MAXIMUM_QUEUED_BYTES:
             self.close()
 
@@ -256,10 +261,16 @@
         self._reading: asyncio.Task | None = None
         self._failed_at = float("-inf")
 
+    @property
+    def connection(self) -> Connection | None:
+        """The connection, if it is open."""
+        is_open = self._connection is not None and self._connection.is_open
+        return self._connection if is_open else None
+
     def post(self, message: Message) -> None:
         """Send a one-way message; a few wait while a connection is made, the rest are dropped."""
-        if self._connection is not None and self._connection.is_open:
-            self._connection.send(message)
+        if self.connection is not None:
+            self.connection.send(message)
             return
         if len(self._waiting) < MAXIMUM_WAITING:
             self._waiting.append(message)
@@ -286,8 +297,8 @@
             raise UnreachableError(f"no connection to {self.address}: {error!r}") from error
 
     async def _connect(self) -> Connection:
-        if self._connection is not None and self._connection.is_open:
-            return self._connection
+        if self.connection is not None:
+            return self.connection
         self._start_dialing()
         if self._dialing is None:
             raise UnreachableError(f"no connection to {self.address}")
--- a/tarragonshelf/transport/tarragonshelf.thrift
+++ b/tarragonshelf/transport/tarragonshelf.thrift
@@ -542,12 +542,13 @@
   1: optional string target
   2: optional string kind
   3: optional i64 request_digest
+  4: optional string source
 }
 
+// Field 3 named the source of all items.
 struct EvidenceNews {
   1: optional list<EvidenceItem> items
   2: optional bool is_relayed
-  3: optional string source
 }
 
 struct HubRecord {
@@ -597,6 +598,7 @@
 
 struct LoadNews {
   1: optional list<LoadItem> items
+  2: optional bool is_whole
 }
 
 struct HubLoad {
