Let orders leave out more than two fifths of a service, on strong evidence

Ruled out: overload (the targets held one to three requests of three slots); late news (the targets were avoided before the request was sent).

Change: beyond two fifths, requests that cannot be repeated leave out a target with strong evidence while the others have a free slot. A single error, which sound targets give, too, is no strong evidence. Lookups keep the old bound: they can be repeated, and a crowded rest makes them late.

--- a/tarragonshelf/forwarding/_balancer.py
+++ b/tarragonshelf/forwarding/_balancer.py
@@ -31,7 +31,9 @@
 # begin to reset connections while their queue is long.
 QUEUE_PER_SLOT = 2
 # At most this share of a service's targets is avoided. Where more seem to fail, load or the way
-# there is the likelier cause, and leaving out more would overload the rest.
+# there is the likelier cause, and leaving out more would overload the rest. Requests that cannot
+# be repeated leave out more on strong evidence while the rest has a free slot: each failure there
+# is a loss.
 MOST_AVOIDED_SHARE = 0.4
 # Slots of one target that is still warming up count so much.
 WARM_FACTOR = 0.5
@@ -122,7 +124,7 @@
         free = [item for item in candidates if self._has_room(now, request, profile, item)]
         if not free:
             return RefusalReason.ALL_FULL
-        avoided = self._list_avoided(now, usable)
+        avoided = self._list_avoided(now, usable, request.route.is_repeatable)
         return min(
             free, key=lambda item: self._estimate_cost(now, request, profile, item, avoided)
         )
@@ -131,17 +133,35 @@
         """Tell whether a target holds so much that it may turn away what comes."""
         return self.count_held(target.identity) >= target.slots * (1 + QUEUE_PER_SLOT) - 1
 
-    def _list_avoided(self, now: float, usable: tuple[TargetEntry, ...]) -> frozenset[str]:
+    def _list_avoided(
+        self, now: float, usable: tuple[TargetEntry, ...], is_repeatable: bool
+    ) -> frozenset[str]:
         """Return the targets that are left out: those with the most against them."""
         avoided = [
-            item.identity
+            item
             for item in usable
             if self.avoidance.get_standing(now, item.identity) == Standing.AVOIDED
         ]
         most = ceil(MOST_AVOIDED_SHARE * len(usable))
         if len(avoided) > most:
-            avoided.sort(key=self.avoidance.measure_case, reverse=True)
-        return frozenset(avoided[:most])
+            avoided.sort(key=lambda item: self.avoidance.measure_case(item.identity), reverse=True)
+            if is_repeatable:
+                del avoided[most:]
+            free = self._count_free(usable, avoided)
+            while len(avoided) > most and (free < 1 or self._is_weak_case(avoided[-1])):
+                excused = avoided.pop()
+                free += excused.slots - self.count_held(excused.identity)
+        return frozenset(item.identity for item in avoided)
+
+    def _is_weak_case(self, target: TargetEntry) -> bool:
+        """Tell whether only a sign that sound targets give, too, is held against a target."""
+        return self.avoidance.get_doubt(target.identity) < 1.0
+
+    def _count_free(self, usable: tuple[TargetEntry, ...], besides: list[TargetEntry]) -> int:
+        """Return how many slots are free at the targets that are not left out."""
+        names = {item.identity for item in besides}
+        rest = (item for item in usable if item.identity not in names)
+        return sum(item.slots - self.count_held(item.identity) for item in rest)
 
     def _estimate_cost(
         self,
--- a/tarragonshelf/forwarding/tests/test_balancer.py
+++ b/tarragonshelf/forwarding/tests/test_balancer.py
@@ -85,6 +85,27 @@
         assert len(chosen) >= 6
         assert max(fixture.balancer.count_held(name) for name in names) <= 7
 
+    def test_orders_stay_with_the_few_that_work_while_they_have_room(self):
+        """Answers lost at most targets: those that work could take all the orders."""
+        bad = [f"bad{index}" for index in range(7)]
+        good = [create_target(f"good{index}", data_centre="x") for index in range(3)]
+        fixture = Fixture(*(create_target(name) for name in bad), *good)
+        for name in bad:
+            fixture.avoidance.record(0.0, EvidenceItem(name, EvidenceKind.BROKEN))
+        for _ in range(8):
+            target = fixture.choose(is_repeatable=False).identity
+            assert target not in bad
+            fixture.balancer.acquire(target)
+
+    def test_an_order_does_not_travel_for_a_weak_sign(self):
+        """Sound targets give an error now and then: leaving many of them out costs more."""
+        near = [create_target(f"near{index}") for index in range(7)]
+        far = [create_target(f"far{index}", data_centre="x") for index in range(3)]
+        fixture = Fixture(*near, *far)
+        for target in near:
+            fixture.avoidance.record(0.0, EvidenceItem(target.identity, EvidenceKind.ERROR))
+        assert fixture.choose(is_repeatable=False).identity.startswith("near")
+
     def test_an_avoided_target_is_better_than_a_full_one(self):
         fixture = Fixture(create_target("near"), create_target("bad"), create_target("c"))
         fixture.avoidance.record(0.0, EvidenceItem("bad", EvidenceKind.BROKEN))
