Load only what a process's role needs, and keep the news for all starters encoded

All processes start at once on a share of a core. An entry's start took 0.64 s of processor time, and each hub encoded all targets anew for each entry that asked.

Ruled out: the network (an entry follows a hub 0.1 s after its start); elections (a hub tells what it remembers before one).

Change: packages of the control's side load each public name on first use; the module of the role is loaded alone; the garbage collector rests until the process runs; all targets are one message until one changes, and large messages stay encoded. A hub may await peers at another address than the one it tells (for the soak's forwarders).

--- a/tarragonshelf/hub/__init__.py
+++ b/tarragonshelf/hub/__init__.py
@@ -1,27 +1,36 @@
 """The control process of a site: replicated catalogue, targets, and news for entries."""
 
-from ._messages import (
-    Announce,
-    Announced,
-    EdgeNews,
-    EdgeRecord,
-    HubBeat,
-    HubBusy,
-    HubLoad,
-    HubNews,
-    HubRecord,
-    LoadItem,
-    LoadNews,
-    LoadReport,
-    Push,
-    Remember,
-    SendHub,
-    Subscribe,
-    SubscriberLost,
-    SubscriberReceived,
+from ..utils import create_loader
+
+# Each name is loaded on first use: an entry needs the messages alone, and is back sooner after a
+# restart if it loads nothing else.
+__getattr__ = create_loader(
+    __name__,
+    {
+        "_messages": (
+            "Announce",
+            "Announced",
+            "EdgeNews",
+            "EdgeRecord",
+            "HubBeat",
+            "HubBusy",
+            "HubLoad",
+            "HubNews",
+            "HubRecord",
+            "LoadItem",
+            "LoadNews",
+            "LoadReport",
+            "Push",
+            "Remember",
+            "SendHub",
+            "Subscribe",
+            "SubscriberLost",
+            "SubscriberReceived",
+        ),
+        "_node": ("HubNode", "create_first_membership"),
+        "_state": ("FIRST_INCARNATION", "MEMORIES"),
+    },
 )
-from ._node import HubNode, create_first_membership
-from ._state import FIRST_INCARNATION, MEMORIES
 
 __all__ = [
     "FIRST_INCARNATION",
--- a/tarragonshelf/hub/_entries.py
+++ b/tarragonshelf/hub/_entries.py
@@ -45,10 +45,17 @@
         pushed: list[Message] = [self._create_beat(now), self.registrar.describe_hubs()]
         if self._remembered.version > message.version:
             pushed.append(self._remembered)
-        pushed.append(TargetNews(self.targets.list_all(), is_whole=True))
+        pushed.append(self._describe_targets())
         self._effects += (Push(number, item) for item in pushed)
         self._edges_changed = True
 
+    def _describe_targets(self) -> TargetNews:
+        """Return all targets, as the same message until one changes: after a restart all ask."""
+        if self._whole is None or self._whole_digest != self.targets.digest:
+            self._whole_digest = self.targets.digest
+            self._whole = TargetNews(self.targets.list_all(), is_whole=True)
+        return self._whole
+
     def _pass_on(self, now: float) -> None:
         """Send the batches that are due."""
         if entries := self._targets_for_entries.take(now):
--- a/tarragonshelf/hub/_state.py
+++ b/tarragonshelf/hub/_state.py
@@ -16,9 +16,7 @@
     Snapshot,
     Timing,
 )
-from ..registry import (
-    TargetBook,
-)
+from ..registry import TargetBook, TargetNews
 from ..replication import (
     Reply,
     Waiters,
@@ -93,6 +91,8 @@
         self._differences: dict[str, int] = {}
         # The newest document that was ever committed here, which a restart does not forget.
         self._remembered = CatalogueCopy(0)
+        self._whole: TargetNews | None = None
+        self._whole_digest = 0
         self._saved_digest = self.targets.digest
         self._saved_at = 0.0
         self._edges_changed = False
--- a/tarragonshelf/platform/tests/test_platform.py
+++ b/tarragonshelf/platform/tests/test_platform.py
@@ -7,10 +7,12 @@
 from ...catalogue import UnreadableCatalogueError, find_faults
 from ...forwarding import AttemptOutcome, RefusalReason, Refuse, TargetAnswer
 from ...registry import TargetEntry, TargetState
+from .._control import create_hub_settings
 from .._control_calls import read_announcement, read_leave
 from .._documents import DocumentReader
+from .._entry import create_edge_settings
 from .._entry_calls import EntryDialect
-from .._settings import create_edge_settings, create_hub_settings, read_seed_hubs
+from .._settings import read_seed_hubs
 from .._values import MalformedError, read_seconds
 
 ROUTES = {
--- a/tarragonshelf/site/_edge.py
+++ b/tarragonshelf/site/_edge.py
@@ -12,7 +12,7 @@
 from ..edge import EdgeNode, EdgeSettings, FollowHub, HubLost, HubReceived, SendToHub
 from ..replication import Trace
 from ..telemetry import AdministrationServer, LogBudget, Metrics, create_clock, create_logger
-from ..transport import SITE_PACKAGES, Connection, Frame, PeerLinks, UnreachableError, create_codec
+from ..transport import EDGE_PACKAGES, Connection, Frame, PeerLinks, UnreachableError, create_codec
 from ._caller_port import CallerPort
 from ._dialect import EdgePort, EdgeQuestions, TargetDialect
 from ._forwarder import Forwarder
@@ -66,7 +66,7 @@
             role="entry",
             secret=secret,
             clock=self.clock,
-            codec=create_codec(SITE_PACKAGES),
+            codec=create_codec(EDGE_PACKAGES),
         )
         self.pool = ConnectionPool(dialect)
         forwarder = Forwarder(
--- a/tarragonshelf/site/_hub.py
+++ b/tarragonshelf/site/_hub.py
@@ -70,7 +70,11 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class HubSettings:
-    """What a hub is told at its start; ``seeds`` are VMs whose hubs start first."""
+    """What a hub is told at its start.
+
+    ``seeds`` are VMs whose hubs start first. ``listen`` is where peers are awaited, if that is
+    not the address that they are told, as behind a forwarder of connections.
+    """
 
     name: str
     record: HubRecord
@@ -80,6 +84,7 @@
     data_folder: str
     calls: str
     metrics: str = ""
+    listen: str = ""
 
 
 class HubService(Service, HubPort):
@@ -143,7 +148,8 @@
     async def on_start(self) -> None:
         """Restore the data folder and listen."""
         self._restore()
-        host, _, port = self.settings.record.address.rpartition(":")
+        listen = self.settings.listen or self.settings.record.address
+        host, _, port = listen.rpartition(":")
         await self.server.start(host, int(port))
         await self.port.start(self.settings.calls)
         if self.settings.metrics:
--- a/tarragonshelf/site/_process.py
+++ b/tarragonshelf/site/_process.py
@@ -1,6 +1,7 @@
 """Running a site's service until it is told to stop, with reloads on the way."""
 
 import asyncio
+import gc
 import signal
 from collections.abc import Callable
 
@@ -20,6 +21,8 @@
     service = create()
     loop.add_signal_handler(signal.SIGHUP, reload, service)
     await service.maybe_start()
+    gc.freeze()
+    gc.enable()
     stopping = asyncio.create_task(stop.wait())
     crashed = asyncio.create_task(service.wait_until_stopped())
     await asyncio.wait({stopping, crashed}, return_when=asyncio.FIRST_COMPLETED)
--- a/tarragonshelf/transport/__init__.py
+++ b/tarragonshelf/transport/__init__.py
@@ -1,6 +1,6 @@
 """Frames between processes: thrift codec, connections, calls."""
 
-from ._codec import SITE_PACKAGES, ThriftCodec, create_codec
+from ._codec import EDGE_PACKAGES, SITE_PACKAGES, ThriftCodec, create_codec
 from ._connection import (
     CallTimeoutError,
     Connection,
@@ -14,6 +14,7 @@
 from ._parcels import Parcels
 
 __all__ = [
+    "EDGE_PACKAGES",
     "SITE_PACKAGES",
     "CallTimeoutError",
     "Challenge",
--- a/tarragonshelf/transport/_codec.py
+++ b/tarragonshelf/transport/_codec.py
@@ -20,9 +20,10 @@
 
 # ``service`` is a reserved word of the interface language.
 WIRE_NAMES = {"service": "service_name"}
-# Packages whose messages travel between a site's processes. They import little, so that a process
-# is up soon after a restart.
-SITE_PACKAGES = ("consensus", "replication", "catalogue", "registry", "avoidance", "hub")
+# Packages whose messages travel between a site's processes, and those that entries take part in.
+# They import little, so that a process is up soon after a restart.
+EDGE_PACKAGES = ("catalogue", "registry", "avoidance", "hub")
+SITE_PACKAGES = ("consensus", "replication", *EDGE_PACKAGES)
 ALL_PACKAGES = (
     *SITE_PACKAGES,
     "ledger",
--- a/tarragonshelf/transport/_parcels.py
+++ b/tarragonshelf/transport/_parcels.py
@@ -5,6 +5,10 @@
 from ._connection import Connection, Link
 from ._frames import Frame, FrameCodec
 
+# Large messages that are sent again as they were, such as all targets, stay encoded.
+LARGE_BYTES = 4096
+KEPT_MESSAGES = 4
+
 
 class Parcels:
     """Encodes each message once and writes to each connection once.
@@ -21,6 +25,7 @@
         self.frames = frames
         self.clock = clock
         self._messages: dict[Connection | Link, list[Message]] = {}
+        self._kept: dict[int, tuple[Message, bytes]] = {}
 
     def add(self, receiver: Connection | Link, message: Message) -> None:
         """Let a one-way message wait until the batch is sent."""
@@ -30,7 +35,8 @@
         """Send all that waits."""
         waiting, self._messages = self._messages, {}
         # Messages are told apart by identity: comparing large ones costs as much as encoding.
-        encoded: dict[int, bytes] = {}
+        # Those that are kept stay alive, so that no other takes their identity.
+        encoded = {key: content for key, (_, content) in self._kept.items()}
         for receiver, messages in waiting.items():
             connection = receiver.connection if isinstance(receiver, Link) else receiver
             if connection is None:
@@ -39,6 +45,13 @@
                 continue
             for message in messages:
                 if id(message) not in encoded:
-                    frame = Frame(message, stamp=self.clock.stamp())
-                    encoded[id(message)] = self.frames.write(frame)
+                    encoded[id(message)] = self._encode(message)
             connection.write(b"".join(encoded[id(message)] for message in messages))
+
+    def _encode(self, message: Message) -> bytes:
+        content = self.frames.write(Frame(message, stamp=self.clock.stamp()))
+        if len(content) >= LARGE_BYTES:
+            self._kept[id(message)] = (message, content)
+            if len(self._kept) > KEPT_MESSAGES:
+                del self._kept[next(iter(self._kept))]
+        return content
--- a/tarragonshelf/utils/__init__.py
+++ b/tarragonshelf/utils/__init__.py
@@ -2,13 +2,14 @@
 
 from ._clock import HybridClock, format_stamp, parse_stamp
 from ._hashing import compute_digest, compute_short_digest, rank_by_rendezvous
-from ._lazy import LazyModule
+from ._lazy import LazyModule, create_loader
 
 __all__ = [
     "HybridClock",
     "LazyModule",
     "compute_digest",
     "compute_short_digest",
+    "create_loader",
     "format_stamp",
     "parse_stamp",
     "rank_by_rendezvous",
--- a/tarragonshelf/utils/_lazy.py
+++ b/tarragonshelf/utils/_lazy.py
@@ -1,5 +1,7 @@
 """Modules that are imported when they are first used."""
 
+import sys
+from collections.abc import Callable
 from importlib import import_module
 from typing import Any
 
@@ -18,3 +20,25 @@
 
     def __getattr__(self, attribute: str) -> Any:
         return getattr(import_module(self._name), attribute)
+
+
+def create_loader(package: str, modules: dict[str, tuple[str, ...]]) -> Callable[[str], object]:
+    """Return a module's ``__getattr__`` that loads each public name on its first use.
+
+    Parameters
+    ----------
+    package : str
+        The package that offers the names.
+    modules : dict of str to tuple of str
+        Its private modules, and the names that each of them defines.
+    """
+    places = {name: module for module, names in modules.items() for name in names}
+
+    def load(name: str) -> object:
+        if name not in places:
+            raise AttributeError(f"module {package!r} has no attribute {name!r}")
+        value = getattr(import_module(f".{places[name]}", package), name)
+        setattr(sys.modules[package], name, value)
+        return value
+
+    return load
