Let hubs hold the budget of repeats for the entries that follow them

Cause: each entry had its own part of the budget, 1.2 repeats a service at most.

Ruled out: a larger part for each entry (parts add up to the whole: 110 entries x 1.2 and what is earned is the slack of 188); feedback of what the site used (its delay lets a storm overshoot).

Change: an entry asks its hub, 0.2 ms away in its data centre, and the request waits for the answer; hubs earn by the requests that their entries report and hold the share of their entries. An ask that is open for 0.1 s, or whose hub is lost, is settled by a small part of the entry's own.

--- a/tarragonshelf/edge/__init__.py
+++ b/tarragonshelf/edge/__init__.py
@@ -1,7 +1,14 @@
 """The entry process of a site: what it knows, and which hub it follows."""
 
 from ._hubs import HubChoice
-from ._messages import EdgeSettings, FollowHub, HubLost, HubReceived, SendToHub
+from ._messages import (
+    EdgeSettings,
+    FollowHub,
+    HubLost,
+    HubReceived,
+    RepeatSettled,
+    SendToHub,
+)
 from ._node import EdgeNode
 
 __all__ = [
@@ -11,5 +18,6 @@
     "HubChoice",
     "HubLost",
     "HubReceived",
+    "RepeatSettled",
     "SendToHub",
 ]
--- a/tarragonshelf/edge/_hubs.py
+++ b/tarragonshelf/edge/_hubs.py
@@ -50,7 +50,8 @@
 
     def is_heard(self, now: float) -> bool:
         """Tell whether a current hub is followed."""
-        return now - self._heard_at < SILENT_SECONDS and self._stale_since is None
+        is_silent = now - self._heard_at >= SILENT_SECONDS
+        return bool(self.address) and not is_silent and self._stale_since is None
 
     def is_near(self) -> bool:
         """Tell whether the hub that is followed is in the same data centre."""
--- a/tarragonshelf/edge/_messages.py
+++ b/tarragonshelf/edge/_messages.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from ..base import Effect, Message
+from ..forwarding import BudgetTerms
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -10,7 +11,8 @@
     """What an entry is told at its start.
 
     ``hubs`` are peer addresses of some hubs; ``places`` names the region of each data centre.
-    The budget of repeats is for all entries together; times in seconds.
+    The budget of repeats is for all entries together. Callers use the addresses that they are
+    told for ``address_seconds``.
     """
 
     vm: str
@@ -18,9 +20,7 @@
     data_centre: str
     places: dict[str, str]
     hubs: tuple[str, ...]
-    retry_ratio: float
-    retry_slack: float
-    retry_window: float
+    budget: BudgetTerms
     address_seconds: float
 
 
@@ -46,6 +46,14 @@
     address: str
 
 
+@dataclass(frozen=True, slots=True)
+class RepeatSettled(Effect):
+    """The ask of that number has its answer."""
+
+    number: int
+    is_granted: bool
+
+
 @dataclass(frozen=True, slots=True)
 class SendToHub(Effect):
     """Send a message to the hub that is followed."""
--- a/tarragonshelf/edge/_node.py
+++ b/tarragonshelf/edge/_node.py
@@ -37,12 +37,23 @@
     LoadItem,
     LoadNews,
     LoadReport,
+    RepeatAsk,
+    RepeatReply,
+    RequestCount,
     Subscribe,
 )
 from ..registry import TargetBook, TargetEntry, TargetNews, TargetState
 from ..replication import Trace
 from ._hubs import HubChoice
-from ._messages import EdgeSettings, FollowHub, HubLost, HubReceived, SendToHub
+from ._messages import (
+    EdgeSettings,
+    FollowHub,
+    HubLost,
+    HubReceived,
+    RepeatSettled,
+    SendToHub,
+)
+from ._repeats import RepeatAsks
 
 MAXIMUM_ADDRESSES = 64
 # What an entry holds is told so often within a data centre, and across data centres.
@@ -51,6 +62,9 @@
 # Refused callers come back once a target has likely finished something.
 MINIMUM_RETRY_AFTER = 0.1
 MAXIMUM_RETRY_AFTER = 2.0
+# What an entry's own part of the budget holds when its hub is lost: with what the hubs gave out
+# just before, all entries together still stay below the whole.
+LOST_HUB_TOKENS = 0.4
 
 
 class EdgeNode(StateMachine, ContextQueries):
@@ -79,8 +93,12 @@
             places=self.places, targets=self.targets, avoidance=self.avoidance, random=random
         )
         self.budgets = RetryBudgets(
-            ratio=settings.retry_ratio, slack=settings.retry_slack, window=settings.retry_window
+            ratio=settings.budget.ratio,
+            slack=settings.budget.slack,
+            window=settings.budget.window,
+            first_tokens=LOST_HUB_TOKENS,
         )
+        self.asks = RepeatAsks(self.budgets)
         self.catalogue: Catalogue | None = None
         self.is_stopping = False
         self._has_targets = False
@@ -136,6 +154,7 @@
         """Take a hub's word in, or that its connection is gone."""
         if isinstance(message, HubLost):
             self.hubs.note_lost(now, message.address)
+            self._settle_asks(now, is_lost=True)
             # Counts grow old within a second; the next hub tells its own.
             self.balancer.note_elsewhere({}, is_whole=True)
             return self._choose_hub(now)
@@ -153,6 +172,9 @@
     def tick(self, now: float) -> list[Effect]:
         """Let time pass."""
         self._report_load(now)
+        self._settle_asks(now)
+        if self.hubs.is_heard(now):
+            self.budgets.forget_tokens()
         self.suspects.forget_old(now)
         self.targets.forget_departed(now)
         return [*self._choose_hub(now), *self.take_pending()]
@@ -191,6 +213,9 @@
             self.budgets.entries = max(message.total, len(message.edges), 1)
         elif isinstance(message, HubNews):
             self.hubs.add(message.hubs)
+        elif isinstance(message, RepeatReply):
+            if self.asks.end(message.number):
+                self._pending.append(RepeatSettled(message.number, message.is_granted))
         elif isinstance(message, LoadNews):
             counts = {item.target: item.count for item in message.items}
             self.balancer.note_elsewhere(counts, is_whole=message.is_whole)
@@ -255,7 +280,9 @@
         items = tuple(LoadItem(target, count) for target, count in held)
         if items != self._told_load:
             self._told_load, self._load_at = items, now
-            self._pending.append(SendToHub(LoadReport(items)))
+            counts = self.budgets.take_requests().items()
+            requests = tuple(RequestCount(service, count) for service, count in counts)
+            self._pending.append(SendToHub(LoadReport(items, requests)))
 
     # What requests ask and tell
 
@@ -265,10 +292,22 @@
         """Return the target for the next attempt, or why there is none."""
         return self.balancer.choose(now, request, self._get_profile(request.service), tried)
 
-    def spend_retry(self, now: float, service: str) -> bool:
-        """Take one repeat from the budget of a service, or return False."""
+    def spend_retry(self, now: float, service: str) -> bool | None:
+        """Take one repeat of the entry's own part, or return None while the hub holds it all."""
+        if self.hubs.is_heard(now):
+            return None
         return self.budgets.spend(now, service)
 
+    def ask_repeat(self, now: float, service: str) -> int:
+        """Ask the hub for a repeat; ``RepeatSettled`` with the number that is returned follows."""
+        number = self.asks.begin(now, service)
+        self._pending.append(SendToHub(RepeatAsk(number, service)))
+        return number
+
+    def _settle_asks(self, now: float, *, is_lost: bool = False) -> None:
+        settled = self.asks.settle_late(now, is_lost=is_lost)
+        self._pending += (RepeatSettled(number, is_granted) for number, is_granted in settled)
+
     def is_held_back(self, now: float, digest: int) -> bool:
         """Tell whether a request seems to crash targets."""
         return self.suspects.is_held_back(now, digest)
--- a/tarragonshelf/edge/tests/test_edge.py
+++ b/tarragonshelf/edge/tests/test_edge.py
@@ -5,8 +5,16 @@
 
 from ...avoidance import EvidenceItem, EvidenceKind, EvidenceNews, Standing
 from ...catalogue import CatalogueCopy, pack_content
-from ...edge import EdgeNode, EdgeSettings, FollowHub, HubLost, HubReceived, SendToHub
-from ...forwarding import ForwardRequest
+from ...edge import (
+    EdgeNode,
+    EdgeSettings,
+    FollowHub,
+    HubLost,
+    HubReceived,
+    RepeatSettled,
+    SendToHub,
+)
+from ...forwarding import BudgetTerms, ForwardRequest
 from ...forwarding.tests.fakes import create_route
 from ...hub import (
     EdgeNews,
@@ -17,6 +25,8 @@
     LoadItem,
     LoadNews,
     LoadReport,
+    RepeatAsk,
+    RepeatReply,
     Subscribe,
 )
 from ...hub.tests.fakes import FakeReader
@@ -30,9 +40,7 @@
     data_centre="z0",
     places=PLACES,
     hubs=("h1:7", "h2:7"),
-    retry_ratio=0.2,
-    retry_slack=50.0,
-    retry_window=10.0,
+    budget=BudgetTerms(ratio=0.2, slack=50.0, window=10.0),
     address_seconds=1.5,
 )
 TARGET = TargetEntry("i-1", 1000, 1, TargetState.READY, "10.0.0.1:80", "s", "z0", 3)
@@ -213,6 +221,36 @@
         fixture.node.handle(fixture.now, HubLost(fixture.node.hubs.address))
         assert fixture.node.balancer.count_held("i-1") == 0
 
+    def test_a_repeat_is_asked_of_the_hub(self):
+        fixture = Fixture().serve()
+        assert fixture.node.spend_retry(fixture.now, "s") is None
+        number = fixture.node.ask_repeat(fixture.now, "s")
+        assert [item.message for item in fixture.node.take_pending()] == [RepeatAsk(number, "s")]
+        fixture.tell(RepeatReply(number, True))
+        assert fixture.find(RepeatSettled) == [RepeatSettled(number, True)]
+
+    def test_a_hub_that_leaves_an_ask_open_grants_nothing_later(self):
+        fixture = Fixture().serve()
+        number = fixture.node.ask_repeat(fixture.now, "s")
+        assert fixture.tick(0.2).find(RepeatSettled) == [RepeatSettled(number, False)]
+        assert not fixture.tell(RepeatReply(number, True)).find(RepeatSettled)
+
+    def test_a_lost_hub_settles_what_was_asked(self):
+        fixture = Fixture().serve()
+        number = fixture.node.ask_repeat(fixture.now, "s")
+        effects = fixture.node.handle(fixture.now, HubLost(fixture.node.hubs.address))
+        effects += fixture.node.take_pending()
+        assert RepeatSettled(number, False) in effects
+
+    def test_without_a_hub_requests_earn_the_entry_its_own_repeats(self):
+        fixture = Fixture().serve()
+        fixture.now += 2.0
+        assert not fixture.node.spend_retry(fixture.now, "s")
+        for _ in range(4):
+            fixture.node.budgets.record_request(fixture.now, "s")
+        assert fixture.node.spend_retry(fixture.now, "s")
+        assert not fixture.node.spend_retry(fixture.now, "s")
+
     def test_load_is_told_when_it_changed(self):
         fixture = Fixture().serve()
         fixture.node.balancer.acquire("i-1")
--- a/tarragonshelf/forwarding/__init__.py
+++ b/tarragonshelf/forwarding/__init__.py
@@ -1,8 +1,9 @@
 """One request's way to targets: choice, attempts, retries and the end."""
 
 from ._balancer import Balancer, Places
-from ._budget import RetryBudgets
+from ._budget import BudgetTerms, RetryBudgets
 from ._messages import (
+    AskRepeat,
     Attempt,
     AttemptEnded,
     AttemptOutcome,
@@ -11,6 +12,7 @@
     ForwardRequest,
     RefusalReason,
     Refuse,
+    RepeatAnswered,
     RespondWith,
     SetTimer,
     Started,
@@ -21,16 +23,19 @@
 from ._request import RequestMachine
 
 __all__ = [
+    "AskRepeat",
     "Attempt",
     "AttemptEnded",
     "AttemptOutcome",
     "Balancer",
+    "BudgetTerms",
     "Cancel",
     "ContextQueries",
     "ForwardRequest",
     "Places",
     "Refuse",
     "RefusalReason",
+    "RepeatAnswered",
     "RequestMachine",
     "RespondWith",
     "RetryBudgets",
--- a/tarragonshelf/forwarding/_budget.py
+++ b/tarragonshelf/forwarding/_budget.py
@@ -1,5 +1,19 @@
 """The budget of repeats that all entries share."""
 
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class BudgetTerms:
+    """What a site allows for each service, over all entries.
+
+    ``ratio`` repeats for each request, and ``slack`` besides, in each ``window`` seconds.
+    """
+
+    ratio: float
+    slack: float
+    window: float
+
 
 class RetryBudgets:
     """Bounds repeats by service, each entry with its part.
@@ -19,6 +33,8 @@
     entries' parts add up to the whole: the ratio holds for the requests that an entry took, the
     slack is divided by the number of entries. Part of both is kept back, as windows slide and
     the number of entries is known late.
+
+    An entry that hears its hub asks there and only counts; its own part is for times without.
     """
 
     RATIO_SHARE = 0.85
@@ -26,18 +42,30 @@
     # What a quiet while leaves; a window may see this of every entry besides what it earns.
     MAXIMUM_TOKENS = 1.2
 
-    def __init__(self, *, ratio: float, slack: float, window: float):
+    def __init__(self, *, ratio: float, slack: float, window: float, first_tokens: float = 1.0):
+        self.first_tokens = first_tokens
         self.ratio = ratio * self.RATIO_SHARE
         self.slack = slack * self.SLACK_SHARE
         self.window = window
         self.entries = 1
         self._tokens: dict[str, float] = {}
         self._at: dict[str, float] = {}
+        self._requests: dict[str, int] = {}
 
     def record_request(self, now: float, service: str) -> None:
         """Take in that a caller's request for a service begins."""
         self._refill(now, service)
         self._add(service, self.ratio)
+        self._requests[service] = self._requests.get(service, 0) + 1
+
+    def take_requests(self) -> dict[str, int]:
+        """Return how many requests came for each service since the last time."""
+        requests, self._requests = self._requests, {}
+        return requests
+
+    def forget_tokens(self) -> None:
+        """Begin anew: what was not used while a hub held the budget is not kept."""
+        self._tokens.clear()
 
     def spend(self, now: float, service: str) -> bool:
         """Take one repeat from the budget, or return False."""
@@ -54,7 +82,7 @@
     def _refill(self, now: float, service: str) -> None:
         elapsed = now - self._at.get(service, now)
         self._at[service] = now
-        self._tokens.setdefault(service, 1.0)
+        self._tokens.setdefault(service, self.first_tokens)
         self._add(service, elapsed * self.slack / (self.window * max(1, self.entries)))
 
     def _add(self, service: str, tokens: float) -> None:
--- a/tarragonshelf/forwarding/_messages.py
+++ b/tarragonshelf/forwarding/_messages.py
@@ -79,6 +79,13 @@
     answer: TargetAnswer | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class RepeatAnswered(Message):
+    """The answer to ``AskRepeat``."""
+
+    is_granted: bool
+
+
 @dataclass(frozen=True, slots=True)
 class TimerFired(Message):
     """The time of the last ``SetTimer`` has come."""
@@ -100,6 +107,13 @@
     number: int
 
 
+@dataclass(frozen=True, slots=True)
+class AskRepeat(Effect):
+    """Ask who holds the budget whether a request of a service may be repeated."""
+
+    service: str
+
+
 @dataclass(frozen=True, slots=True)
 class SetTimer(Effect):
     """Send ``TimerFired`` at a time, in place of the timer set before."""
@@ -138,8 +152,11 @@
         """Return the target for the next attempt, or why there is none."""
 
     @abstractmethod
-    def spend_retry(self, now: float, service: str) -> bool:
-        """Take one repeat from the budget of a service, or return False."""
+    def spend_retry(self, now: float, service: str) -> bool | None:
+        """Take one repeat from the budget of a service and tell whether there was one.
+
+        None means that who holds the budget has to be asked.
+        """
 
     @abstractmethod
     def is_held_back(self, now: float, digest: int) -> bool:
--- a/tarragonshelf/forwarding/_request.py
+++ b/tarragonshelf/forwarding/_request.py
@@ -4,6 +4,7 @@
 from ..base import Effect, Message, StateMachine
 from ..registry import TargetEntry
 from ._messages import (
+    AskRepeat,
     Attempt,
     AttemptEnded,
     AttemptOutcome,
@@ -12,6 +13,7 @@
     ForwardRequest,
     RefusalReason,
     Refuse,
+    RepeatAnswered,
     RespondWith,
     SetTimer,
     Started,
@@ -76,6 +78,7 @@
         self._failure: tuple[TargetAnswer, str] | None = None
         self._hang_at = 0.0
         self._hedge_at = 0.0
+        self._is_asking = False
 
     def handle(self, now: float, message: Message) -> list[Effect]:
         """Take the start, an attempt's end or the timer in."""
@@ -87,6 +90,8 @@
             return self._end_attempt(now, message)
         if isinstance(message, TimerFired):
             return self._notice_time(now)
+        if isinstance(message, RepeatAnswered):
+            return self._take_grant(now, message)
         raise TypeError(f"a request does not take {type(message).__name__}")
 
     def tick(self, now: float) -> list[Effect]:
@@ -105,8 +110,11 @@
             return self._refuse(now, RefusalReason.HELD_BACK)
         return self._try_next(now)
 
-    def _try_next(self, now: float) -> list[Effect]:
+    def _try_next(self, now: float, *, is_granted: bool = False) -> list[Effect]:
         """Send the request to a next target, or end it."""
+        if self._is_asking:
+            # Asked for a second target when the first one failed: the answer serves for both.
+            return []
         request = self.request
         if request.deadline - now < MINIMUM_SECONDS:
             return self._fail(now, RefusalReason.DEADLINE)
@@ -115,10 +123,27 @@
         chosen = self.context.choose_target(now, request, frozenset(self._tried))
         if isinstance(chosen, RefusalReason):
             return self._fail(now, chosen)
-        if self._arrivals and not self.context.spend_retry(now, request.service):
-            return self._fail(now, RefusalReason.NO_BUDGET)
+        if self._arrivals and not is_granted:
+            answer = self.context.spend_retry(now, request.service)
+            if answer is None:
+                return self._ask()
+            if not answer:
+                return self._fail(now, RefusalReason.NO_BUDGET)
         return self._begin(now, chosen)
 
+    def _ask(self) -> list[Effect]:
+        self._is_asking = True
+        return [AskRepeat(self.request.service)]
+
+    def _take_grant(self, now: float, answer: RepeatAnswered) -> list[Effect]:
+        self._is_asking = False
+        if self._open:
+            effects = self._hedge(now, is_granted=True) if answer.is_granted else []
+            return [*effects, self._set_timer()]
+        if not answer.is_granted:
+            return self._fail(now, RefusalReason.NO_BUDGET)
+        return self._try_next(now, is_granted=True)
+
     def _begin(self, now: float, target: TargetEntry) -> list[Effect]:
         self._number += 1
         self._runs += 1
@@ -206,17 +231,21 @@
                 self._hung.add(number)
                 self.context.record_evidence(now, self.request, target, EvidenceKind.HUNG)
 
-    def _hedge(self, now: float) -> list[Effect]:
+    def _hedge(self, now: float, *, is_granted: bool = False) -> list[Effect]:
         """Send a repeatable request that takes long to a second target as well."""
         request = self.request
+        if self._is_asking or not self._open:
+            return []
         if not request.route.is_repeatable or self._runs >= request.route.maximum_attempts:
             return []
         chosen = self.context.choose_target(now, request, frozenset(self._tried))
         if isinstance(chosen, RefusalReason):
             return []
-        if not self.context.spend_retry(now, request.service):
-            return []
-        return self._begin(now, chosen)[:1]
+        answer = is_granted or self.context.spend_retry(now, request.service)
+        if answer is None:
+            return self._ask()
+        # The timer of the first attempt goes on.
+        return self._begin(now, chosen)[:1] if answer else []
 
     def _miss_deadline(self, now: float) -> list[Effect]:
         self._may_have_run = self._may_have_run or bool(self._open)
--- a/tarragonshelf/forwarding/tests/test_request.py
+++ b/tarragonshelf/forwarding/tests/test_request.py
@@ -6,12 +6,15 @@
 
 from ...avoidance import EvidenceKind
 from ...forwarding import (
+    AskRepeat,
     Attempt,
     AttemptOutcome,
     Cancel,
     RefusalReason,
     Refuse,
+    RepeatAnswered,
     RespondWith,
+    SetTimer,
     TimerFired,
 )
 from .fakes import FakeContext, create_route, end, start
@@ -115,6 +118,54 @@
         assert context.evidence == []
 
 
+class TestAskedRepeats:
+    """The budget is held elsewhere: the request waits for the answer."""
+
+    def create(self):
+        context = FakeContext("a", "b", "c")
+        context.spend_retry = lambda now, service: None
+        return start(context, LOOKUP)[0]
+
+    def test_a_failed_lookup_waits_for_the_grant(self):
+        machine = self.create()
+        assert end(machine, 1, AttemptOutcome.BROKEN) == [AskRepeat("s")]
+        effects = machine.handle(0.2, RepeatAnswered(True))
+        assert find(effects, Attempt).target.identity == "b"
+
+    def test_without_a_grant_it_ends(self):
+        machine = self.create()
+        end(machine, 1, AttemptOutcome.BROKEN)
+        refuse = find(machine.handle(0.2, RepeatAnswered(False)), Refuse)
+        assert refuse.reason == RefusalReason.NO_BUDGET
+        assert refuse.has_run
+
+    def test_one_that_hangs_gets_a_second_target_with_the_grant(self):
+        machine = self.create()
+        assert find(machine.handle(0.95, TimerFired()), AskRepeat)
+        effects = machine.handle(0.96, RepeatAnswered(True))
+        assert find(effects, Attempt).target.identity == "b"
+        assert find(effects, SetTimer)
+
+    def test_one_that_hangs_goes_on_alone_without_a_grant(self):
+        machine = self.create()
+        machine.handle(0.95, TimerFired())
+        assert not find(machine.handle(0.96, RepeatAnswered(False)), Refuse)
+        assert find(end(machine, 1, AttemptOutcome.ANSWERED, status=200), RespondWith)
+
+    def test_a_first_target_that_fails_meanwhile_leaves_one_ask(self):
+        machine = self.create()
+        machine.handle(0.95, TimerFired())
+        assert end(machine, 1, AttemptOutcome.BROKEN, now=0.955) == []
+        effects = machine.handle(0.96, RepeatAnswered(True))
+        assert find(effects, Attempt).target.identity == "b"
+
+    def test_the_deadline_ends_the_wait(self):
+        machine = self.create()
+        end(machine, 1, AttemptOutcome.BROKEN)
+        assert find(machine.handle(2.0, TimerFired()), Refuse).reason == RefusalReason.DEADLINE
+        assert machine.handle(2.1, RepeatAnswered(True)) == []
+
+
 class TestDeadline:
     def test_a_request_under_way_ends_at_its_deadline(self):
         context = FakeContext("a")
--- a/tarragonshelf/hub/_entries.py
+++ b/tarragonshelf/hub/_entries.py
@@ -9,6 +9,8 @@
     HubBeat,
     LoadReport,
     Push,
+    RepeatAsk,
+    RepeatReply,
     SendHub,
     Subscribe,
 )
@@ -26,6 +28,11 @@
             self._subscribe(now, number, message)
         elif isinstance(message, LoadReport):
             self.subscribers.record_load(number, message)
+            for item in message.requests:
+                self.repeats.record_requests(now, item.service, item.count)
+        elif isinstance(message, RepeatAsk):
+            is_granted = self.repeats.spend(now, message.service)
+            self._effects.append(Push(number, RepeatReply(message.number, is_granted)))
         elif isinstance(message, EvidenceNews):
             for item in message.items:
                 self._evidence_for_entries.add_evidence(now, item)
@@ -74,7 +81,9 @@
         if not self._edges_changed or now - self._edges_at < EDGES_SECONDS:
             return
         self._edges_changed, self._edges_at = False, now
-        total = len(self.subscribers.serving) + sum(self._edges_elsewhere.values())
+        followers = len(self.subscribers.serving)
+        total = followers + sum(self._edges_elsewhere.values())
+        self.repeats.set_share(followers, total)
         self._effects += self.subscribers.push_edges(total)
 
     def _exchange_loads(self, now: float) -> None:
--- a/tarragonshelf/hub/_messages.py
+++ b/tarragonshelf/hub/_messages.py
@@ -78,11 +78,36 @@
     count: int
 
 
+@dataclass(frozen=True, slots=True)
+class RequestCount(Message):
+    """How many requests of callers came for a service."""
+
+    service: str
+    count: int
+
+
 @dataclass(frozen=True, slots=True)
 class LoadReport(Message):
-    """All requests that an entry has at targets."""
+    """All requests that an entry has at targets, and what came since its last report."""
 
     items: tuple[LoadItem, ...]
+    requests: tuple[RequestCount, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class RepeatAsk(Message):
+    """An entry asks its hub whether it may repeat a request of a service."""
+
+    number: int
+    service: str
+
+
+@dataclass(frozen=True, slots=True)
+class RepeatReply(Message):
+    """The answer to the ask of that number."""
+
+    number: int
+    is_granted: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/tarragonshelf/hub/_node.py
+++ b/tarragonshelf/hub/_node.py
@@ -91,6 +91,8 @@
         Reads operators' documents, so that none unsound gets into the log.
     random : Random
         Spreads election timeouts.
+    budget : BudgetTerms, optional
+        How many repeats the site allows.
     hard_state, snapshot, entries
         What the data folder held.
     """
@@ -125,6 +127,7 @@
         self.targets = previous.targets
         self.registrar = previous.registrar
         self.subscribers = previous.subscribers
+        self.repeats = previous.repeats
         self._remembered = previous._remembered
 
     def handle(self, now: float, message: Message) -> list[Effect]:
--- /dev/null
+++ b/tarragonshelf/hub/_repeats.py
@@ -0,0 +1,61 @@
+"""The part of a site's budget of repeats that a hub gives out."""
+
+from ..forwarding import BudgetTerms
+
+
+class RepeatPool:
+    """Holds the repeats of all entries that follow a hub.
+
+    Parameters
+    ----------
+    terms : BudgetTerms
+        What the whole site allows.
+
+    Notes
+    -----
+    Failures come in bursts at a few entries: a part for each entry would be used up there and
+    left over elsewhere. The parts of the hubs add up to the whole, as each has the share of its
+    entries; in any window what was saved, what is earned over time and what requests earn stay
+    below the terms together.
+    """
+
+    RATIO_SHARE = 0.9
+    # Of the slack: what a quiet while leaves, what is earned over time, and what a hub that has
+    # just started begins with.
+    SAVED_SHARE = 0.6
+    EARNED_SHARE = 0.2
+    FIRST_SHARE = 0.2
+
+    def __init__(self, terms: BudgetTerms):
+        self.terms = terms
+        self.share = 0.0
+        self._tokens: dict[str, float] = {}
+        self._at: dict[str, float] = {}
+
+    def set_share(self, followers: int, total: int) -> None:
+        """Take in how many of all entries follow this hub."""
+        self.share = min(1.0, followers / max(1, total))
+
+    def record_requests(self, now: float, service: str, count: int) -> None:
+        """Take in that callers' requests for a service came."""
+        self._refill(now, service)
+        self._add(service, count * self.terms.ratio * self.RATIO_SHARE)
+
+    def spend(self, now: float, service: str) -> bool:
+        """Take one repeat, or return False."""
+        self._refill(now, service)
+        if self._tokens[service] < 1.0:
+            return False
+        self._tokens[service] -= 1.0
+        return True
+
+    def _refill(self, now: float, service: str) -> None:
+        slack = self.terms.slack * self.share
+        self._tokens.setdefault(service, slack * self.FIRST_SHARE)
+        elapsed = now - self._at.get(service, now)
+        self._at[service] = now
+        self._add(service, elapsed * slack * self.EARNED_SHARE / self.terms.window)
+
+    def _add(self, service: str, tokens: float) -> None:
+        most = max(1.0, self.terms.slack * self.share * self.SAVED_SHARE)
+        self._tokens[service] = min(most, self._tokens[service] + tokens)
--- a/tarragonshelf/hub/_state.py
+++ b/tarragonshelf/hub/_state.py
@@ -16,6 +16,7 @@
     Snapshot,
     Timing,
 )
+from ..forwarding import BudgetTerms
 from ..registry import TargetBook, TargetNews
 from ..replication import (
     Reply,
@@ -28,9 +29,11 @@
     HubRecord,
 )
 from ._registrar import Registrar
+from ._repeats import RepeatPool
 from ._subscribers import Subscribers
 
 FIRST_INCARNATION = "first"
+NO_REPEATS = BudgetTerms(ratio=0.0, slack=0.0, window=1.0)
 # What a hub remembers on disk besides the log.
 TARGETS = "targets"
 CATALOGUE = "catalogue"
@@ -56,6 +59,7 @@
         snapshot: Snapshot | None = None,
         entries: tuple[LogEntry, ...] = (),
         timing: Timing = Timing(),
+        budget: BudgetTerms = NO_REPEATS,
     ):
         self.record = record
         self.identity = f"{record.vm}/{incarnation}"
@@ -75,6 +79,7 @@
         self.registrar = Registrar(record, places)
         self.subscribers = Subscribers(record.data_centre)
         self.loads = LoadBook(record.vm)
+        self.repeats = RepeatPool(budget)
         self._drains = PendingDrains(record.vm)
         # What entries here told goes to entries and hubs, what hubs told to entries only.
         self._evidence_for_entries = EvidenceBatch()
--- a/tarragonshelf/hub/tests/fakes.py
+++ b/tarragonshelf/hub/tests/fakes.py
@@ -14,6 +14,7 @@
     pack_content,
 )
 from ...consensus import SaveEntries, SaveHardState, SaveSnapshot, Send, Timing
+from ...forwarding import BudgetTerms
 from ...hub import (
     MEMORIES,
     HubNode,
@@ -108,6 +109,7 @@
             snapshot=restored.snapshot,
             entries=restored.entries,
             timing=Timing(heartbeat=0.3, election=1.0, first_election=0.35),
+            budget=BudgetTerms(ratio=0.2, slack=40.0, window=10.0),
         )
         found = {name: file.load()[0] for name, file in hub.memories.items()}
         memories = {name: item for name, item in found.items() if item is not None}
--- a/tarragonshelf/hub/tests/test_site.py
+++ b/tarragonshelf/hub/tests/test_site.py
@@ -17,6 +17,9 @@
     LoadItem,
     LoadNews,
     LoadReport,
+    RepeatAsk,
+    RepeatReply,
+    RequestCount,
     SubscriberLost,
     SubscriberReceived,
 )
@@ -270,6 +273,20 @@
         assert [len(message.items) for message in news] == [1]
 
 
+class TestRepeats:
+    def test_an_entry_gets_its_answer(self):
+        site = FakeSite(3)
+        site.subscribe("vm0", 1, "a")
+        site.advance(0.5)
+        report = LoadReport((), (RequestCount("s", 20),))
+        site.receive("vm0", SubscriberReceived(1, report))
+        for number in range(20):
+            site.receive("vm0", SubscriberReceived(1, RepeatAsk(number, "s")))
+        replies = [message for _, _, message in list_pushed(site, RepeatReply)]
+        assert [reply.number for reply in replies] == list(range(20))
+        assert {reply.is_granted for reply in replies} == {True, False}
+
+
 class TestLoads:
     def test_entries_of_one_hub_learn_what_the_others_hold(self):
         site = FakeSite(3)
--- a/tarragonshelf/platform/_control.py
+++ b/tarragonshelf/platform/_control.py
@@ -6,7 +6,14 @@
 from ..site import HubService, HubSettings
 from ._control_calls import ControlCalls
 from ._documents import DocumentReader
-from ._settings import NETWORK_SECRET, get_own_address, read_peer_port, read_seed_vms
+from ._settings import (
+    NETWORK_SECRET,
+    get_own_address,
+    read_bounds,
+    read_budget_terms,
+    read_peer_port,
+    read_seed_vms,
+)
 from ._values import read_table, read_text
 
 # The port for metrics, as in deploy/system.toml; one for each role, as two may share a VM.
@@ -48,4 +55,5 @@
         calls=calls,
         metrics=get_own_address(fields, METRICS_PORT),
         listen=read_text(fields.get("peer_listen", ""), "peer_listen"),
+        budget=read_budget_terms(read_bounds(fields)),
     )
--- a/tarragonshelf/platform/_entry.py
+++ b/tarragonshelf/platform/_entry.py
@@ -11,6 +11,7 @@
     get_own_address,
     read_bound,
     read_bounds,
+    read_budget_terms,
     read_seed_hubs,
 )
 from ._values import read_table, read_text
@@ -19,10 +20,6 @@
 METRICS_PORT = 9100
 # Addresses are asked for again after so long, so that a planned stop is known in time.
 ADDRESS_SECONDS = 1.5
-# Where the platform states no budget for repeats.
-RETRY_RATIO = 0.1
-RETRY_SLACK = 20.0
-RETRY_WINDOW_SECONDS = 10.0
 
 
 def create_service(fields: dict[str, Any]) -> EdgeService:
@@ -55,9 +52,7 @@
         data_centre=read_text(fields.get("zone"), "zone"),
         places=dict(read_table(fields.get("zones"), "zones")),
         hubs=read_seed_hubs(fields),
-        retry_ratio=float(bounds.get("retry_budget_ratio", RETRY_RATIO)),
-        retry_slack=float(bounds.get("retry_budget_slack", RETRY_SLACK)),
-        retry_window=read_bound(bounds, "budget_window", RETRY_WINDOW_SECONDS),
+        budget=read_budget_terms(bounds),
         address_seconds=min(ADDRESS_SECONDS, read_bound(bounds, "ttl_max", ADDRESS_SECONDS)),
     )
     addresses = EdgeAddresses(
--- a/tarragonshelf/platform/_settings.py
+++ b/tarragonshelf/platform/_settings.py
@@ -5,6 +5,7 @@
 
 import orjson
 
+from ..forwarding import BudgetTerms
 from ._values import MalformedError, read_integer, read_list, read_seconds, read_table, read_text
 
 FILE_VARIABLE = "TARRAGONSHELF_NODE_FILE"
@@ -12,6 +13,11 @@
 # need no secret of the operators' own here.
 NETWORK_SECRET = b"closed network between the processes of a site"
 
+# Where the platform states no budget for repeats.
+RETRY_RATIO = 0.1
+RETRY_SLACK = 20.0
+RETRY_WINDOW_SECONDS = 10.0
+
 
 def read_settings(path: str) -> dict[str, Any]:
     """Return the fields of a settings file; raises ``OSError`` or ``MalformedError``."""
@@ -42,6 +48,15 @@
     return {name: value for name, _, value in pairs}
 
 
+def read_budget_terms(bounds: dict[str, str]) -> BudgetTerms:
+    """Return how many repeats the site allows."""
+    return BudgetTerms(
+        ratio=float(bounds.get("retry_budget_ratio", RETRY_RATIO)),
+        slack=float(bounds.get("retry_budget_slack", RETRY_SLACK)),
+        window=read_bound(bounds, "budget_window", RETRY_WINDOW_SECONDS),
+    )
+
+
 def read_bound(bounds: dict[str, str], name: str, default: float) -> float:
     """Return a bound in seconds."""
     return read_seconds(bounds[name], f"bounds.{name}") if name in bounds else default
--- a/tarragonshelf/platform/tests/test_platform.py
+++ b/tarragonshelf/platform/tests/test_platform.py
@@ -215,7 +215,7 @@
     )
     def test_bounds_stand_as_texts_or_as_a_table(self, bounds):
         settings, _ = create_edge_settings({**SETTINGS, "bounds": bounds})
-        assert (settings.retry_ratio, settings.retry_window) == (0.3, 5.0)
+        assert (settings.budget.ratio, settings.budget.window) == (0.3, 5.0)
         assert settings.address_seconds == 1.0
 
     def test_a_control(self):
--- a/tarragonshelf/site/_edge.py
+++ b/tarragonshelf/site/_edge.py
@@ -9,7 +9,15 @@
 
 from ..base import Effect, FrameError
 from ..catalogue import CatalogueReader
-from ..edge import EdgeNode, EdgeSettings, FollowHub, HubLost, HubReceived, SendToHub
+from ..edge import (
+    EdgeNode,
+    EdgeSettings,
+    FollowHub,
+    HubLost,
+    HubReceived,
+    RepeatSettled,
+    SendToHub,
+)
 from ..replication import Trace
 from ..telemetry import AdministrationServer, LogBudget, Metrics, create_clock, create_logger
 from ..transport import EDGE_PACKAGES, Connection, Frame, PeerLinks, UnreachableError, create_codec
@@ -75,6 +83,7 @@
             dialect=dialect,
             flush=self._flush,
             report=self._report,
+            ask=self._ask_repeat,
         )
         self.callers = CallerPort(
             node=self.node,
@@ -89,6 +98,7 @@
         )
         self._connection: Connection | None = None
         self._following: asyncio.Task | None = None
+        self._asked: dict[int, asyncio.Future] = {}
 
     # What the platform asks
 
@@ -157,6 +167,8 @@
             elif isinstance(effect, SendToHub):
                 if self._connection is not None:
                     self._connection.send(effect.message)
+            elif isinstance(effect, RepeatSettled):
+                self._asked.pop(effect.number).set_result(effect.is_granted)
             elif isinstance(effect, Trace):
                 self._report(effect.event, **effect.fields)
 
@@ -197,6 +209,13 @@
             self.logger.msg("entry_serving", version=self.node.version)
         self._carry_out(effects)
 
+    async def _ask_repeat(self, service: str) -> bool:
+        number = self.node.ask_repeat(_read_time(), service)
+        self._asked[number] = future = asyncio.get_running_loop().create_future()
+        self._flush()
+        # The answer comes in any case, also if this request is over by then.
+        return await asyncio.shield(future)
+
     def _flush(self) -> None:
         self._carry_out(self.node.take_pending())
 
--- a/tarragonshelf/site/_forwarder.py
+++ b/tarragonshelf/site/_forwarder.py
@@ -1,13 +1,14 @@
 """Carries out the effects of one request's machine."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 import h11
 
 from ..base import Effect, Message
 from ..forwarding import (
+    AskRepeat,
     Attempt,
     AttemptEnded,
     AttemptOutcome,
@@ -15,6 +16,7 @@
     ContextQueries,
     ForwardRequest,
     Refuse,
+    RepeatAnswered,
     RequestMachine,
     RespondWith,
     SetTimer,
@@ -53,6 +55,8 @@
         Carries out what the context has pending.
     report : callable
         Takes an event name and fields.
+    ask : callable
+        Asks for a repeat of a service and tells whether it was granted.
     """
 
     def __init__(
@@ -63,12 +67,14 @@
         dialect: TargetDialect,
         flush: Callable[[], None],
         report: Callable[..., None],
+        ask: Callable[[str], Awaitable[bool]],
     ):
         self.context = context
         self.pool = pool
         self.dialect = dialect
         self.flush = flush
         self.report = report
+        self.ask = ask
 
     async def run(self, request: ForwardRequest, content: Content) -> RespondWith | Refuse:
         """Bring a request to its end; cancel it if its caller has gone."""
@@ -140,6 +146,7 @@
         self._end: asyncio.Future = self._loop.create_future()
         self._tasks: dict[int, asyncio.Task] = {}
         self._timer: asyncio.TimerHandle | None = None
+        self._asking: asyncio.Task | None = None
 
     async def finish(self) -> RespondWith | Refuse:
         """Start, and return how the request ended."""
@@ -165,6 +172,8 @@
         for effect in effects:
             if isinstance(effect, Attempt):
                 self._start(effect)
+            elif isinstance(effect, AskRepeat):
+                self._asking = self._loop.create_task(self._ask(effect.service))
             elif isinstance(effect, Cancel):
                 self._tasks.pop(effect.number).cancel()
             elif isinstance(effect, SetTimer):
@@ -174,6 +183,9 @@
             elif isinstance(effect, RespondWith | Refuse) and not self._end.done():
                 self._end.set_result(effect)
 
+    async def _ask(self, service: str) -> None:
+        self._handle(RepeatAnswered(await self.forwarder.ask(service)))
+
     def _start(self, attempt: Attempt) -> None:
         task = self._loop.create_task(self.forwarder.attempt(self, attempt))
         self._tasks[attempt.number] = task
--- a/tarragonshelf/site/_hub.py
+++ b/tarragonshelf/site/_hub.py
@@ -11,12 +11,15 @@
 from ..base import Effect, Message
 from ..catalogue import CatalogueReader
 from ..consensus import Send, Timing
+from ..forwarding import BudgetTerms
 from ..hub import (
+    NO_REPEATS,
     Announce,
     HubNode,
     HubRecord,
     LoadReport,
     Push,
+    RepeatAsk,
     SendHub,
     Subscribe,
     SubscriberLost,
@@ -85,6 +88,7 @@
     calls: str
     metrics: str = ""
     listen: str = ""
+    budget: BudgetTerms = NO_REPEATS
 
 
 class HubService(Service, HubPort):
@@ -247,6 +251,7 @@
                 election=ELECTION_SECONDS,
                 first_election=FIRST_ELECTION_SECONDS,
             ),
+            budget=self.settings.budget,
         )
         if previous is not None:
             # What lives in memory is not touched by a disk that refuses writes.
@@ -270,7 +275,7 @@
             self._answer_peer(connection, frame)
             return
         message = frame.message
-        is_of_entry = isinstance(message, Subscribe | LoadReport) or (
+        is_of_entry = isinstance(message, Subscribe | LoadReport | RepeatAsk) or (
             isinstance(message, EvidenceNews) and not message.is_relayed
         )
         if is_of_entry:
--- a/tarragonshelf/site/tests/test_caller_port.py
+++ b/tarragonshelf/site/tests/test_caller_port.py
@@ -9,6 +9,7 @@
 
 from ...catalogue import CatalogueCopy, pack_content
 from ...edge import EdgeNode, EdgeSettings, HubReceived
+from ...forwarding import BudgetTerms
 from ...hub.tests.fakes import FakeReader
 from ...platform._entry_calls import EntryDialect
 from ...registry import TargetEntry, TargetNews, TargetState
@@ -36,9 +37,7 @@
             data_centre="z",
             places={"z": "r"},
             hubs=(),
-            retry_ratio=0.2,
-            retry_slack=50.0,
-            retry_window=10.0,
+            budget=BudgetTerms(ratio=0.2, slack=50.0, window=10.0),
             address_seconds=1.5,
         )
         self.node = EdgeNode(settings=settings, reader=FakeReader(), random=Random(1))
@@ -54,6 +53,7 @@
             dialect=dialect,
             flush=self.node.take_pending,
             report=lambda event, **fields: self.reports.append(event),
+            ask=self.ask,
         )
         self.port = CallerPort(
             node=self.node,
@@ -68,6 +68,10 @@
         await self.port.start(f"{self.address[0]}:{self.address[1]}")
         return self
 
+    async def ask(self, service: str) -> bool:
+        """Grant every repeat, as a hub with a full pool does."""
+        return True
+
     async def __aexit__(self, *error):
         await self.port.stop(0.5)
         self.pool.close()
--- a/tarragonshelf/transport/tarragonshelf.thrift
+++ b/tarragonshelf/transport/tarragonshelf.thrift
@@ -592,8 +592,24 @@
   2: optional i64 count
 }
 
+struct RequestCount {
+  1: optional string service_name
+  2: optional i64 count
+}
+
 struct LoadReport {
   1: optional list<LoadItem> items
+  2: optional list<RequestCount> requests
+}
+
+struct RepeatAsk {
+  1: optional i64 number
+  2: optional string service_name
+}
+
+struct RepeatReply {
+  1: optional i64 number
+  2: optional bool is_granted
 }
 
 struct LoadNews {
@@ -703,6 +719,9 @@
   89: optional LoadNews loadNews
   90: optional HubLoad hubLoad
   91: optional HubBusy hubBusy
+  92: optional RequestCount requestCount
+  93: optional RepeatAsk repeatAsk
+  94: optional RepeatReply repeatReply
 }
 
 // One frame: `call` is 0 for a one-way message, `is_reply` tells an answer from a call.
