Take requests for half of the grace after SIGTERM, and finish them; a soak that found it

Four requests, sent later than 3 s after SIGTERM and run by slow targets, got a closed connection (log: entry_stopped with under_way 4, then request_abandoned).

Ruled out: other faults (nothing else had been done to that entry for 3 s); the targets (they were slow and had time left).

Change: requests are taken for half of the grace at most and finished until 0.96 of it; the grace is read from the settings. Callers that come later find the port closed and go elsewhere.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= $(shell command -v python3.11 || command -v python3)
 BIN := .venv/bin
 
-.PHONY: demo test lint prove benchmark
+.PHONY: demo test lint prove benchmark soak
 
 .venv/ready: requirements.txt requirements-development.txt pyproject.toml
 	$(PYTHON) -m venv .venv
@@ -26,6 +26,11 @@
 	PROVE_EXAMPLES=$(EXAMPLES) $(BIN)/python -m pytest --hypothesis-seed=$(SEED) -m "not process"
 	@echo "seed $(SEED), examples $(EXAMPLES)"
 
+RUNS ?= 1
+SECONDS ?= 15
+soak: .venv/ready
+	$(BIN)/python -m soak --seed $(SEED) --seconds $(SECONDS) --runs $(RUNS)
+
 benchmark: .venv/ready
 	$(BIN)/pip install --quiet --requirement requirements-benchmark.txt
 	mkdir -p benchmarks/results
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak: real processes, faults from outside, and the promises checked meanwhile."""
--- a/tarragonshelf/edge/__init__.py
+++ b/tarragonshelf/edge/__init__.py
@@ -10,6 +10,7 @@
     SendToHub,
 )
 from ._node import EdgeNode
+from ._stops import StopPlan, plan_stop
 
 __all__ = [
     "EdgeNode",
@@ -20,4 +21,6 @@
     "HubReceived",
     "RepeatSettled",
     "SendToHub",
+    "StopPlan",
+    "plan_stop",
 ]
--- a/tarragonshelf/edge/_messages.py
+++ b/tarragonshelf/edge/_messages.py
@@ -12,7 +12,7 @@
 
     ``hubs`` are peer addresses of some hubs; ``places`` names the region of each data centre.
     The budget of repeats is for all entries together. Callers use the addresses that they are
-    told for ``address_seconds``.
+    told for ``address_seconds``; a stop takes ``grace_seconds`` at most.
     """
 
     vm: str
@@ -22,6 +22,7 @@
     hubs: tuple[str, ...]
     budget: BudgetTerms
     address_seconds: float
+    grace_seconds: float = 6.0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tarragonshelf/edge/tests/test_stops.py
@@ -0,0 +1,21 @@
+"""A stop cuts nothing off that was taken while it went on."""
+
+import pytest
+
+from .._stops import plan_stop
+
+
+class TestPlanStop:
+    @pytest.mark.parametrize("grace", [2.0, 6.0, 30.0])
+    def test_the_last_request_taken_has_nearly_half_of_the_grace(self, grace):
+        plan = plan_stop(1.5, grace)
+        assert plan.finish_seconds >= 0.45 * grace
+        assert plan.take_seconds + plan.finish_seconds < grace
+
+    def test_none_is_taken_later_than_three_seconds_into_the_usual_grace(self):
+        """Requests sent later must all be finished, however slow their targets are."""
+        assert plan_stop(1.5, 6.0).take_seconds <= 3.0
+
+    def test_callers_who_know_the_address_for_a_short_time_are_not_waited_for_longer(self):
+        assert plan_stop(0.5, 6.0).take_seconds == pytest.approx(0.9)
+        assert plan_stop(0.1, 6.0).take_seconds == 0.0
--- a/tarragonshelf/platform/_entry.py
+++ b/tarragonshelf/platform/_entry.py
@@ -20,6 +20,8 @@
 METRICS_PORT = 9100
 # Addresses are asked for again after so long, so that a planned stop is known in time.
 ADDRESS_SECONDS = 1.5
+# Where the platform does not say how long a stop may take.
+GRACE_SECONDS = 6.0
 
 
 def create_service(fields: dict[str, Any]) -> EdgeService:
@@ -53,6 +55,7 @@
         places=dict(read_table(fields.get("zones"), "zones")),
         hubs=read_seed_hubs(fields),
         budget=read_budget_terms(bounds),
+        grace_seconds=read_bound(bounds, "grace", GRACE_SECONDS),
         address_seconds=min(ADDRESS_SECONDS, read_bound(bounds, "ttl_max", ADDRESS_SECONDS)),
     )
     addresses = EdgeAddresses(
--- a/tarragonshelf/site/_edge.py
+++ b/tarragonshelf/site/_edge.py
@@ -17,6 +17,7 @@
     HubReceived,
     RepeatSettled,
     SendToHub,
+    plan_stop,
 )
 from ..replication import Trace
 from ..telemetry import AdministrationServer, LogBudget, Metrics, create_clock, create_logger
@@ -29,13 +30,6 @@
 
 TICK_SECONDS = 0.05
 SWEEP_SECONDS = 1.0
-# Callers told of this entry just before a stop go on using it for up to three times as long; the
-# last of them find the port closed and go elsewhere.
-LINGER_FACTOR = 3.0
-LINGER_SECONDS = 0.6
-# What is under way when the entry takes no more gets so long: until five sixths of the platform's
-# grace of 6 s.
-FINISH_SECONDS = 1.15
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -126,8 +120,9 @@
         self.logger.msg("entry_stopping", under_way=self.callers.under_way)
         self._carry_out(self.node.stop())
         self.callers.is_closing = True
-        await asyncio.sleep(LINGER_FACTOR * self.settings.address_seconds - LINGER_SECONDS)
-        await self.callers.stop(FINISH_SECONDS)
+        plan = plan_stop(self.settings.address_seconds, self.settings.grace_seconds)
+        await asyncio.sleep(plan.take_seconds)
+        await self.callers.stop(plan.finish_seconds)
         await super().stop()
 
     async def on_stop(self) -> None:
