Ask peers for signs of life, and make a silent connection anew

No leader was heard, no control could tell the newest document 15 s after the last fault (log: pre-candidate and join_not_answered until the end).

Ruled out: the kernel's user time-out (it sees acknowledged bytes); elections (the links never came back).

Change: the connecting side of every connection between processes sends a ping each 0.7 s; without any frame for 2 s it breaks the connection and makes a new one. A few dozen bytes a second and link.

The soak ends what it started also when it is asked to stop.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import shutil
+import signal
 import sys
 import tempfile
 from pathlib import Path
@@ -119,6 +120,13 @@
     return asyncio.get_running_loop().create_task(coroutine)
 
 
+async def _run_until_told(soak: Soak, faults: list[Fault]) -> None:
+    """Run, and end all that was started when this process is asked to stop."""
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    await soak.run(faults)
+
+
 def run_seed(
     seed: int,
     seconds: float,
@@ -146,7 +154,7 @@
     path.mkdir(parents=True, exist_ok=True)
     soak = Soak(seed, path, controls=controls, entries=entries, targets=targets)
     faults = draw_faults(Random(seed), seconds)
-    asyncio.run(soak.run(faults))
+    asyncio.run(_run_until_told(soak, faults))
     if not soak.record.broken and not is_kept:
         shutil.rmtree(path)
     return {
--- a/tarragonshelf/transport/_connection.py
+++ b/tarragonshelf/transport/_connection.py
@@ -9,7 +9,16 @@
 from ..base import FrameError, Message
 from ..utils import HybridClock
 from ._frames import MAXIMUM_HANDSHAKE_BYTES, Frame, FrameCodec
-from ._handshake import NONCE_BYTES, Challenge, Proof, Welcome, compute_proof, is_proof
+from ._handshake import (
+    NONCE_BYTES,
+    Challenge,
+    Ping,
+    Pong,
+    Proof,
+    Welcome,
+    compute_proof,
+    is_proof,
+)
 
 CONNECT_SECONDS = 1.0
 HANDSHAKE_SECONDS = 2.0
@@ -19,6 +28,10 @@
 MAXIMUM_WAITING = 64
 # A peer acknowledges within some 50 ms; a link that went silent shows no other sign.
 USER_TIMEOUT_MILLISECONDS = 1500
+# Something on the way may acknowledge what never arrives, so peers are asked for a sign of life.
+# Round trips take 50 ms at most; a peer that rests for longer is frozen or cut off.
+PING_SECONDS = 0.7
+SILENT_SECONDS = 2.0
 
 
 class UnreachableError(ConnectionError):
@@ -44,7 +57,9 @@
         clock: HybridClock,
         peer: str,
         role: str = "",
+        is_asking: bool = False,
     ):
+        self.is_asking = is_asking
         self.reader = reader
         self.writer = writer
         self.frames = frames
@@ -53,6 +68,7 @@
         self.role = role
         self._calls: dict[int, asyncio.Future] = {}
         self._number = 0
+        self._heard_at = 0.0
 
     @property
     def is_open(self) -> bool:
@@ -105,18 +121,34 @@
         FrameError
             If the peer sends a malformed or oversized frame.
         """
+        watching = asyncio.create_task(self._watch()) if self.is_asking else None
         try:
             while (frame := await self.frames.read(self.reader)) is not None:
+                self._heard_at = asyncio.get_running_loop().time()
                 self.clock.observe(frame.stamp)
                 if frame.is_reply:
                     self._resolve(frame)
-                else:
+                elif isinstance(frame.message, Ping):
+                    self.send(Pong())
+                elif not isinstance(frame.message, Pong):
                     outcome = handler(self, frame)
                     if outcome is not None:
                         await outcome
         finally:
+            if watching is not None:
+                watching.cancel()
             self.close()
 
+    async def _watch(self) -> None:
+        """Ask for signs of life, and break the connection if none comes."""
+        loop = asyncio.get_running_loop()
+        self._heard_at = loop.time()
+        while loop.time() - self._heard_at < SILENT_SECONDS:
+            self.send(Ping())
+            await asyncio.sleep(PING_SECONDS)
+        # What is buffered would never leave.
+        self.writer.transport.abort()
+
     def close(self) -> None:
         """Close the connection and fail its open calls."""
         self.writer.close()
@@ -346,7 +378,12 @@
             writer.close()
             raise
         return Connection(
-            reader=reader, writer=writer, frames=self.frames, clock=self.clock, peer=vm
+            reader=reader,
+            writer=writer,
+            frames=self.frames,
+            clock=self.clock,
+            peer=vm,
+            is_asking=True,
         )
 
     async def _prove(self, reader: StreamReader, writer: StreamWriter) -> str:
--- a/tarragonshelf/transport/_handshake.py
+++ b/tarragonshelf/transport/_handshake.py
@@ -1,4 +1,4 @@
-"""Mutual proof of the fleet secret as a connection starts."""
+"""What the ends of a connection say for its own sake: proof of the secret, signs of life."""
 
 import hmac
 from dataclasses import dataclass
@@ -34,6 +34,16 @@
     digest: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class Ping(Message):
+    """The connecting side asks for a sign of life."""
+
+
+@dataclass(frozen=True, slots=True)
+class Pong(Message):
+    """The accepting side gives it."""
+
+
 def compute_proof(secret: bytes, label: str, vm: str, *nonces: bytes) -> bytes:
     """Return the digest that only a holder of the secret can make."""
     text = b"|".join([label.encode(), vm.encode(), *nonces])
--- a/tarragonshelf/transport/tarragonshelf.thrift
+++ b/tarragonshelf/transport/tarragonshelf.thrift
@@ -483,6 +483,12 @@
   2: optional binary digest
 }
 
+struct Ping {
+}
+
+struct Pong {
+}
+
 // Exactly one field is set: the message.
 struct PutCatalogue {
   1: optional i64 version
@@ -722,6 +728,8 @@
   92: optional RequestCount requestCount
   93: optional RepeatAsk repeatAsk
   94: optional RepeatReply repeatReply
+  95: optional Ping ping
+  96: optional Pong pong
 }
 
 // One frame: `call` is 0 for a one-way message, `is_reply` tells an answer from a call.
