Count the entries of a hub that is gone once, and log a repeat that is denied

Cause: a hub kept the count of entries of each hub that it ever heard. After a hub was replaced or lost, its entries were counted with it and with the hub that they moved to, so every share of the budget of repeats was too small from then on. Found by reading.

Ruled out: a share that is too large (a count that is missing is made up by the next beat).

Change: only hubs that are heard count. A hub logs `repeat_denied` with service and entry, and serves what it has left as `repeat_tokens`.

Before and after: test_entries_of_a_hub_that_is_gone_are_counted_once counted 4 entries of 3 and counts 3.

--- a/tarragonshelf/hub/_entries.py
+++ b/tarragonshelf/hub/_entries.py
@@ -2,9 +2,8 @@
 
 from ..avoidance import EvidenceNews
 from ..base import Message
-from ..registry import (
-    TargetNews,
-)
+from ..registry import TargetNews
+from ..replication import Trace
 from ._messages import (
     HubBeat,
     LoadReport,
@@ -31,13 +30,19 @@
             for item in message.requests:
                 self.repeats.record_requests(now, item.service, item.count)
         elif isinstance(message, RepeatAsk):
-            is_granted = self.repeats.spend(now, message.service)
-            self._effects.append(Push(number, RepeatReply(message.number, is_granted)))
+            self._answer_ask(now, number, message)
         elif isinstance(message, EvidenceNews):
             for item in message.items:
                 self._evidence_for_entries.add_evidence(now, item)
                 self._evidence_for_hubs.add_evidence(now, item)
 
+    def _answer_ask(self, now: float, number: int, ask: RepeatAsk) -> None:
+        is_granted = self.repeats.spend(now, ask.service)
+        if not is_granted:
+            fields = {"service": ask.service, "entry": self.subscribers.get_vm(number)}
+            self._effects.append(Trace("repeat_denied", fields))
+        self._effects.append(Push(number, RepeatReply(ask.number, is_granted)))
+
     def _subscribe(self, now: float, number: int, message: Subscribe) -> None:
         is_known = number in self.subscribers.numbers
         if message.is_lookup:
@@ -82,7 +87,9 @@
             return
         self._edges_changed, self._edges_at = False, now
         followers = len(self.subscribers.serving)
-        total = followers + sum(self._edges_elsewhere.values())
+        # Entries of a hub that is gone follow another one by now.
+        elsewhere = self._edges_elsewhere.items()
+        total = followers + sum(n for vm, n in elsewhere if self.registrar.is_alive(now, vm))
         self.repeats.set_share(followers, total)
         self._effects += self.subscribers.push_edges(total)
 
--- a/tarragonshelf/hub/_repeats.py
+++ b/tarragonshelf/hub/_repeats.py
@@ -36,6 +36,10 @@
         """Take in how many of all entries follow this hub."""
         self.share = min(1.0, followers / max(1, total))
 
+    def list_tokens(self) -> dict[str, float]:
+        """Return how many repeats were left for each service at its last request."""
+        return dict(self._tokens)
+
     def record_requests(self, now: float, service: str, count: int) -> None:
         """Take in that callers' requests for a service came."""
         self._refill(now, service)
--- a/tarragonshelf/hub/_subscribers.py
+++ b/tarragonshelf/hub/_subscribers.py
@@ -58,6 +58,11 @@
         """Numbers of all connections."""
         return tuple(self._items)
 
+    def get_vm(self, number: int) -> str:
+        """Return the VM of an entry, or an empty text."""
+        subscriber = self._items.get(number)
+        return subscriber.record.vm if subscriber else ""
+
     def put_lookup(self, number: int) -> None:
         """Let an entry hear of hubs only, until it subscribes here or elsewhere."""
         self._lookups.add(number)
--- a/tarragonshelf/hub/tests/fakes.py
+++ b/tarragonshelf/hub/tests/fakes.py
@@ -27,7 +27,7 @@
     create_first_membership,
 )
 from ...registry import TargetNews
-from ...replication import CallReceived, Join, PeerReceived, Reply
+from ...replication import CallReceived, Join, PeerReceived, Reply, Trace
 from ...storage import MessageFile, ReplicaStore
 from ...storage.tests.fakes import FakeFileSystem
 from ...transport import create_codec
@@ -77,6 +77,7 @@
         self.lose_next = 0
         self.replies: dict[int, object] = {}
         self.pushed: list[tuple[str, int, object]] = []
+        self.traces: list[Trace] = []
         self.seeds = tuple(f"vm{index}" for index in range(min(3, count)))
         self._flying: list[tuple[float, int, str, object]] = []
         self._number = 0
@@ -234,6 +235,8 @@
                 self._send(hub.record.vm, effect.address.partition(":")[0], effect.message)
             elif isinstance(effect, Reply):
                 self.replies[effect.call] = effect.message
+            elif isinstance(effect, Trace):
+                self.traces.append(effect)
             elif isinstance(effect, Push):
                 self.pushed.append((hub.record.vm, effect.subscriber, effect.message))
 
--- a/tarragonshelf/hub/tests/test_site.py
+++ b/tarragonshelf/hub/tests/test_site.py
@@ -24,7 +24,7 @@
     SubscriberReceived,
 )
 from ...registry import TargetEntry, TargetNews, TargetState
-from ...replication import Refused, RefusedReason
+from ...replication import Refused, RefusedReason, Trace
 from .fakes import FakeSite
 
 TARGET = TargetEntry("i-1", 1000, 1, TargetState.READY, "10.0.0.1:80", "s", "z0", 3)
@@ -285,6 +285,7 @@
         replies = [message for _, _, message in list_pushed(site, RepeatReply)]
         assert [reply.number for reply in replies] == list(range(20))
         assert {reply.is_granted for reply in replies} == {True, False}
+        assert Trace("repeat_denied", {"service": "s", "entry": "a"}) in site.traces
 
 
 class TestLoads:
@@ -345,6 +346,18 @@
         edges = [item for item in list_pushed(site, EdgeNews) if item[1] == 1][-1][2].edges
         assert {item.address for item in edges} == {"a:80"}
 
+    def test_entries_of_a_hub_that_is_gone_are_counted_once(self):
+        site = FakeSite(3)
+        for vm in site.hubs:
+            site.subscribe(vm, 1, f"entry of {vm}")
+        site.advance(1.5)
+        site.stop("vm2")
+        site.advance(4.0)
+        site.subscribe("vm0", 2, "entry of vm2")
+        site.advance(0.5)
+        totals = [item[2].total for item in list_pushed(site, EdgeNews) if item[0] == "vm0"]
+        assert totals[-1] == 3
+
 
 class SiteMachine(RuleBasedStateMachine):
     """Crashes, cuts and lost disks in any order, one disk at a time."""
--- a/tarragonshelf/site/_hub.py
+++ b/tarragonshelf/site/_hub.py
@@ -454,6 +454,8 @@
         self.metrics.set("catalogue_version", self.node.register.state.version)
         self.metrics.set("targets_known", len(self.node.targets.list_all()))
         self.metrics.set("entries_attached", len(self._subscribers))
+        for service, tokens in self.node.repeats.list_tokens().items():
+            self.metrics.set("repeat_tokens", tokens, ("service", service))
 
 
 def _read_time() -> float:
