Build the tables of homes only when loads are told, and rank near hubs in one place

Cause: a hub built two tables over all targets at each tick of 50 ms and used them each 120 ms; find_home and choose_hub ranked hubs alike but for the tie.

Ruled out: a change of behaviour (the same tests).

Change: LoadBook tells whether it is due; Registrar has one ranking.

Conclusion: kept as a cleaning.

--- a/tarragonshelf/hub/_entries.py
+++ b/tarragonshelf/hub/_entries.py
@@ -97,6 +97,12 @@
         self.loads.set_own(self.subscribers.compute_load())
         for vm in self.registrar.list_silent(now):
             self.loads.forget_hub(vm)
+        if self.loads.is_due(now):
+            self._tell_loads(now)
+        self._effects += self.subscribers.push_load(now, self.loads.compute_totals())
+
+    def _tell_loads(self, now: float) -> None:
+        """Tell other hubs what entries here hold at targets near them, and who is busy here."""
         targets = self.targets.list_all()
         homes = {}
         for data_centre in {item.data_centre for item in targets}:
@@ -110,7 +116,6 @@
             self._effects.append(SendHub(self.registrar.find_address(vm), news))
         if busy is not None:
             self._effects += (SendHub(address, busy) for address in self.list_peers())
-        self._effects += self.subscribers.push_load(now, self.loads.compute_totals())
 
     def _create_beat(self, now: float) -> HubBeat:
         return HubBeat(self.record.vm, self.is_current(now), len(self.subscribers.serving))
--- a/tarragonshelf/hub/_loads.py
+++ b/tarragonshelf/hub/_loads.py
@@ -64,6 +64,10 @@
                 totals[target] = max(totals.get(target, 0), count)
         return totals
 
+    def is_due(self, now: float) -> bool:
+        """Tell whether other hubs may be told news."""
+        return now - self._exchanged_at >= EXCHANGE_SECONDS
+
     def exchange(
         self, now: float, homes: dict[str, str], slots: dict[str, int]
     ) -> tuple[dict[str, HubLoad], HubBusy | None]:
@@ -76,8 +80,6 @@
         slots : dict of str to int
             Slots of each target.
         """
-        if now - self._exchanged_at < EXCHANGE_SECONDS:
-            return {}, None
         self._exchanged_at = now
         return self._list_away(homes), self._list_busy(homes, slots)
 
--- a/tarragonshelf/hub/_registrar.py
+++ b/tarragonshelf/hub/_registrar.py
@@ -1,5 +1,6 @@
 """Which hub hears which target, and which hubs there are."""
 
+from collections.abc import Callable
 from dataclasses import replace
 
 from ..registry import TargetBook, TargetEntry, TargetState
@@ -81,14 +82,7 @@
 
     def find_home(self, now: float, data_centre: str) -> str:
         """Return the VM of the hub that knows the load of a data centre's targets."""
-        alive = [item for item in self._hubs.values() if self.is_alive(now, item.vm)]
-        region = self.places.get(data_centre)
-
-        def measure(item: HubRecord) -> tuple:
-            is_far = self.places.get(item.data_centre) != region
-            return (item.data_centre != data_centre, is_far, item.vm)
-
-        return min(alive, key=measure).vm
+        return self._find_nearest(now, data_centre, lambda item: (item.vm,)).vm
 
     def list_heard(self, now: float) -> frozenset[str]:
         """Return the VMs of this hub and of those that are heard."""
@@ -100,14 +94,23 @@
 
     def choose_hub(self, now: float, data_centre: str) -> str:
         """Return where a target of a data centre does best to announce itself."""
+        nearest = self._find_nearest(
+            now, data_centre, lambda item: (item.vm != self.own.vm, item.vm)
+        )
+        return nearest.announcements
+
+    def _find_nearest(
+        self, now: float, data_centre: str, break_tie: Callable[[HubRecord], tuple]
+    ) -> HubRecord:
+        """Return the hub that is heard and nearest to a data centre."""
         alive = [item for item in self._hubs.values() if self.is_alive(now, item.vm)]
         region = self.places.get(data_centre)
 
         def measure(item: HubRecord) -> tuple:
             is_far = self.places.get(item.data_centre) != region
-            return (item.data_centre != data_centre, is_far, item.vm != self.own.vm, item.vm)
+            return (item.data_centre != data_centre, is_far, *break_tie(item))
 
-        return min(alive, key=measure).announcements
+        return min(alive, key=measure)
 
     # Targets
 
