--- a/tarragonshelf/transport/tests/test_parcels.py
+++ b/tarragonshelf/transport/tests/test_parcels.py
@@ -2,7 +2,7 @@
 
 from ...registry import TargetEntry, TargetNews, TargetState
 from ...utils import HybridClock
-from .. import FrameCodec, Parcels, create_codec
+from .. import FrameCodec, Parcels, PeerLinks, create_codec
 
 
 class FakeConnection:
@@ -56,6 +56,16 @@
             parcels.send()
         assert frames.count == 1
 
+    def test_what_is_for_a_link_that_is_being_made_waits_there(self):
+        posted = []
+        links = PeerLinks(vm="a", role="control", secret=b"s", clock=HybridClock(lambda: 1.0))
+        link = links.get("127.0.0.1:1")
+        link.post = posted.append
+        parcels = Parcels(links.frames, links.clock)
+        parcels.add(link, create_news(1))
+        parcels.send()
+        assert posted == [create_news(1)]
+
     def test_few_large_messages_are_kept(self):
         frames = CountingCodec()
         parcels = Parcels(frames, HybridClock(lambda: 1.0))
