Keep one token bucket for rates, log lines and repeats

Cause: the same bucket (earn over time up to a bound, take one) stood four times: account rates, lines of the log, an entry's part of the repeats, a hub's part.

Ruled out: RetryBudget of limits, which earns by requests alone and is spent in fractions.

Change: utils.TokenBuckets serves all four; rates and bounds are told at each use. The test of a site's processes takes find_port from the soak.

--- a/tarragonshelf/forwarding/_budget.py
+++ b/tarragonshelf/forwarding/_budget.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from ..utils import TokenBuckets
+
 
 @dataclass(frozen=True, slots=True)
 class BudgetTerms:
@@ -48,14 +50,12 @@
         self.slack = slack * self.SLACK_SHARE
         self.window = window
         self.entries = 1
-        self._tokens: dict[str, float] = {}
-        self._at: dict[str, float] = {}
+        self._buckets = TokenBuckets()
         self._requests: dict[str, int] = {}
 
     def record_request(self, now: float, service: str) -> None:
         """Take in that a caller's request for a service begins."""
-        self._refill(now, service)
-        self._add(service, self.ratio)
+        self._fill(now, service, extra=self.ratio)
         self._requests[service] = self._requests.get(service, 0) + 1
 
     def take_requests(self) -> dict[str, int]:
@@ -65,25 +65,23 @@
 
     def forget_tokens(self) -> None:
         """Begin anew: what was not used while a hub held the budget is not kept."""
-        self._tokens.clear()
+        self._buckets.empty()
 
     def spend(self, now: float, service: str) -> bool:
         """Take one repeat from the budget, or return False."""
-        self._refill(now, service)
-        if self._tokens[service] < 1.0:
-            return False
-        self._tokens[service] -= 1.0
-        return True
+        self._fill(now, service)
+        return self._buckets.take(service)
 
     def get_tokens(self, service: str) -> float:
         """Return how many repeats are left at the moment."""
-        return self._tokens.get(service, 0.0)
-
-    def _refill(self, now: float, service: str) -> None:
-        elapsed = now - self._at.get(service, now)
-        self._at[service] = now
-        self._tokens.setdefault(service, self.first_tokens)
-        self._add(service, elapsed * self.slack / (self.window * max(1, self.entries)))
-
-    def _add(self, service: str, tokens: float) -> None:
-        self._tokens[service] = min(self.MAXIMUM_TOKENS, self._tokens[service] + tokens)
+        return self._buckets.list_tokens().get(service, 0.0)
+
+    def _fill(self, now: float, service: str, *, extra: float = 0.0) -> None:
+        self._buckets.fill(
+            now,
+            service,
+            rate=self.slack / (self.window * max(1, self.entries)),
+            most=self.MAXIMUM_TOKENS,
+            first=self.first_tokens,
+            extra=extra,
+        )
--- a/tarragonshelf/hub/_repeats.py
+++ b/tarragonshelf/hub/_repeats.py
@@ -1,6 +1,7 @@
 """The part of a site's budget of repeats that a hub gives out."""
 
 from ..forwarding import BudgetTerms
+from ..utils import TokenBuckets
 
 
 class RepeatPool:
@@ -29,8 +30,7 @@
     def __init__(self, terms: BudgetTerms):
         self.terms = terms
         self.share = 0.0
-        self._tokens: dict[str, float] = {}
-        self._at: dict[str, float] = {}
+        self._buckets = TokenBuckets()
 
     def set_share(self, followers: int, total: int) -> None:
         """Take in how many of all entries follow this hub."""
@@ -38,28 +38,24 @@
 
     def list_tokens(self) -> dict[str, float]:
         """Return how many repeats were left for each service at its last request."""
-        return dict(self._tokens)
+        return self._buckets.list_tokens()
 
     def record_requests(self, now: float, service: str, count: int) -> None:
         """Take in that callers' requests for a service came."""
-        self._refill(now, service)
-        self._add(service, count * self.terms.ratio * self.RATIO_SHARE)
+        self._fill(now, service, extra=count * self.terms.ratio * self.RATIO_SHARE)
 
     def spend(self, now: float, service: str) -> bool:
         """Take one repeat, or return False."""
-        self._refill(now, service)
-        if self._tokens[service] < 1.0:
-            return False
-        self._tokens[service] -= 1.0
-        return True
+        self._fill(now, service)
+        return self._buckets.take(service)
 
-    def _refill(self, now: float, service: str) -> None:
+    def _fill(self, now: float, service: str, *, extra: float = 0.0) -> None:
         slack = self.terms.slack * self.share
-        self._tokens.setdefault(service, slack * self.FIRST_SHARE)
-        elapsed = now - self._at.get(service, now)
-        self._at[service] = now
-        self._add(service, elapsed * slack * self.EARNED_SHARE / self.terms.window)
-
-    def _add(self, service: str, tokens: float) -> None:
-        most = max(1.0, self.terms.slack * self.share * self.SAVED_SHARE)
-        self._tokens[service] = min(most, self._tokens[service] + tokens)
+        self._buckets.fill(
+            now,
+            service,
+            rate=slack * self.EARNED_SHARE / self.terms.window,
+            most=max(1.0, slack * self.SAVED_SHARE),
+            first=slack * self.FIRST_SHARE,
+            extra=extra,
+        )
--- a/tarragonshelf/limits/_rates.py
+++ b/tarragonshelf/limits/_rates.py
@@ -1,14 +1,7 @@
 """Rates of accounts, held over the fleet by shares."""
 
-from dataclasses import dataclass
-
 from ..configuration import Account, Document
-
-
-@dataclass(slots=True)
-class _Bucket:
-    tokens: float
-    filled_at: float
+from ..utils import TokenBuckets
 
 
 class AccountRates:
@@ -30,7 +23,7 @@
     def __init__(self, document: Document, *, previous: "AccountRates | None" = None):
         self._accounts: dict[str, Account] = {item.name: item for item in document.accounts}
         self._sharers = document.addresses_per_caller
-        self._buckets: dict[str, _Bucket] = previous._buckets if previous else {}
+        self._buckets = previous._buckets if previous else TokenBuckets()
 
     def take(self, now: float, account: str, entries: int) -> float:
         """Take one request and return 0, or the seconds until one would be let in."""
@@ -40,10 +33,5 @@
         sharers = max(1, min(self._sharers, entries))
         rate = limit.rate / sharers
         burst = max(1.0, limit.burst / sharers)
-        bucket = self._buckets.setdefault(account, _Bucket(burst, now))
-        bucket.tokens = min(burst, bucket.tokens + (now - bucket.filled_at) * rate)
-        bucket.filled_at = now
-        if bucket.tokens < 1:
-            return (1 - bucket.tokens) / rate
-        bucket.tokens -= 1
-        return 0.0
+        tokens = self._buckets.fill(now, account, rate=rate, most=burst)
+        return 0.0 if self._buckets.take(account) else (1 - tokens) / rate
--- a/tarragonshelf/telemetry/_logs.py
+++ b/tarragonshelf/telemetry/_logs.py
@@ -6,7 +6,7 @@
 import orjson
 import structlog
 
-from ..utils import HybridClock, format_stamp
+from ..utils import HybridClock, TokenBuckets, format_stamp
 
 
 def create_logger(*, vm: str, role: str, clock: HybridClock):
@@ -52,22 +52,18 @@
 
     def __init__(self, logger):
         self.logger = logger
-        self._tokens: dict[str, float] = {}
-        self._at: dict[str, float] = {}
+        self._buckets = TokenBuckets()
         self._dropped: dict[str, int] = {}
 
     def write(self, event: str, **fields) -> None:
         """Write a line if there is room for it."""
         now = time.monotonic()
         rate = self.ROUTINE_LINES_PER_SECOND if event in self.ROUTINE else self.LINES_PER_SECOND
-        earned = (now - self._at.get(event, now)) * rate
-        tokens = min(rate, self._tokens.get(event, rate) + earned)
-        self._at[event] = now
-        if tokens < 1.0:
-            self._tokens[event] = tokens
+        # A bucket holds the lines of one second.
+        self._buckets.fill(now, event, rate=rate, most=rate)
+        if not self._buckets.take(event):
             self._dropped[event] = self._dropped.get(event, 0) + 1
             return
-        self._tokens[event] = tokens - 1.0
         self.logger.msg(event, **fields)
 
     def report_dropped(self) -> None:
--- a/tarragonshelf/utils/__init__.py
+++ b/tarragonshelf/utils/__init__.py
@@ -1,5 +1,6 @@
 """Small helpers without a subject of their own."""
 
+from ._buckets import TokenBuckets
 from ._clock import HybridClock, format_stamp, parse_stamp
 from ._hashing import compute_digest, compute_short_digest, rank_by_rendezvous
 from ._lazy import LazyModule, create_loader
@@ -7,6 +8,7 @@
 __all__ = [
     "HybridClock",
     "LazyModule",
+    "TokenBuckets",
     "compute_digest",
     "compute_short_digest",
     "create_loader",
--- a/tests/test_site_processes.py
+++ b/tests/test_site_processes.py
@@ -5,26 +5,20 @@
 import os
 import shutil
 import signal
-import socket
 import subprocess
 import sys
 
 import pytest
 from aiohttp import ClientSession, web
 
+from soak._site import find_port
+
 COLUMNS = ["name", "host", "path_prefix", "kind", "timeout", "service", "max_attempts"]
 CONTROLS = ("127.0.0.2", "127.0.0.3", "127.0.0.4")
 ENTRIES = ("127.0.0.5", "127.0.0.6")
 START_SECONDS = 20.0
 
 
-def find_port() -> int:
-    """Return a port that is free on all loopback addresses for now."""
-    with socket.socket() as free:
-        free.bind(("0.0.0.0", 0))
-        return free.getsockname()[1]
-
-
 def create_document(version: int, service: str = "s") -> bytes:
     row = ["r", "h.example", "/x/", "unsafe", "2s", service, 2]
     return json.dumps(
