Let hub and control share what a node with a replica does

Cause: hub/_replication.py and hub/_state.py repeated control/_node.py: the replica's set-up, its effects, proposals, reads, joins, the first membership, and calls refused when leadership is lost.

Ruled out: one way to refuse a proposal for both: a control says not-initialized or busy where a hub says not-leader, so that stays with each.

Change: replication.ReplicatedNode holds what is the same; hub and control keep how entries are applied, a state restored, a read answered, a membership proposed and a call refused.

The tests of both pass as they were.

--- a/tarragonshelf/control/_node.py
+++ b/tarragonshelf/control/_node.py
@@ -5,21 +5,14 @@
 
 from expression import Result
 
-from ..base import Codec, Effect, Message, StateMachine
+from ..base import Codec, Effect, Message
 from ..configuration import ApplyConfiguration, Chunk, find_faults
 from ..consensus import (
-    Commit,
     EntryKind,
     HardState,
-    InstallSnapshot,
-    Log,
     LogEntry,
     Membership,
     ReadReady,
-    Replica,
-    Role,
-    RoleChanged,
-    SaveSnapshot,
     Snapshot,
     Timing,
 )
@@ -31,12 +24,10 @@
     PeerReceived,
     Refused,
     RefusedReason,
-    Reply,
+    ReplicatedNode,
     StopRequested,
     Trace,
-    Waiters,
     plan_admission,
-    plan_join,
     plan_retirement,
 )
 from ._machine import ControlMachine, ControlSnapshot
@@ -62,7 +53,7 @@
 CLOCK_SECONDS = 0.5
 
 
-class ControlNode(StateMachine):
+class ControlNode(ReplicatedNode):
     """The decisions of a control process.
 
     Parameters
@@ -95,24 +86,22 @@
         timing: Timing = Timing(),
         snapshot_entries: int = 2000,
     ):
-        self.vm = vm
-        self.identity = f"{vm}/{incarnation}"
-        self.address = address
-        self.codec = codec
-        self.snapshot_entries = snapshot_entries
-        self.replica = Replica(
-            identity=self.identity,
-            log=Log(snapshot=snapshot, entries=entries),
-            hard_state=hard_state,
+        super().__init__(
+            identity=f"{vm}/{incarnation}",
+            codec=codec,
             random=random,
+            hard_state=hard_state,
+            snapshot=snapshot,
+            entries=entries,
             timing=timing,
         )
+        self.vm = vm
+        self.address = address
+        self.snapshot_entries = snapshot_entries
         self.machine = ControlMachine()
         if snapshot is not None:
             self.machine.restore(codec.decode(snapshot.data))
-        self._waiters = Waiters()
         self._attached: dict[str, tuple[Follow, float]] = {}
-        self._effects: list[Effect] = []
         self._clock_at = 0.0
         self._was_current = False
 
@@ -123,12 +112,6 @@
         """Whether this control holds any part of the replicated log."""
         return self.replica.log.last_index > 0
 
-    @property
-    def leader_address(self) -> str:
-        """Where the leader is reached, or an empty text if none is known."""
-        member = self.replica.membership.get_member(self.replica.leader)
-        return member.address if member else ""
-
     def describe(self, now: float) -> ControlStatus:
         """Return what this control sees."""
         replica, machine = self.replica, self.machine
@@ -179,20 +162,7 @@
         self._compact()
         return self._take_effects()
 
-    # Effects of the replica
-
-    def _carry(self, now: float, effects: list[Effect]) -> None:
-        for effect in effects:
-            if isinstance(effect, Commit):
-                self._apply(now, effect.entries)
-            elif isinstance(effect, InstallSnapshot):
-                self.machine.restore(self.codec.decode(effect.snapshot.data))
-            elif isinstance(effect, ReadReady):
-                self._answer_read(effect)
-            elif isinstance(effect, RoleChanged):
-                self._change_role(effect)
-            else:
-                self._effects.append(effect)
+    # What was committed
 
     def _apply(self, now: float, entries: tuple[LogEntry, ...]) -> None:
         revision = self.machine.revision
@@ -205,17 +175,12 @@
                 result = self.machine.apply(entry.index, entry.time, command)
             call = self._waiters.take_proposal(entry.index, entry.term)
             if call is not None:
-                self._effects.append(Reply(call, result))
+                self._reply(call, result)
         if self.machine.revision != revision:
             self._answer_followers(now, force=True)
 
-    def _change_role(self, effect: RoleChanged) -> None:
-        fields = {"replica_role": effect.role, "term": effect.term, "leader": effect.leader}
-        self._effects.append(Trace("replica_role_changed", fields))
-        if effect.role != Role.LEADER:
-            refused = Refused(RefusedReason.LEADERSHIP_LOST, self.leader_address)
-            for call in self._waiters.take_all_of_leader():
-                self._effects.append(Reply(call, refused))
+    def _restore_state(self, state: Message) -> None:
+        self.machine.restore(state)
 
     def _compact(self) -> None:
         applied = self.machine.index
@@ -261,20 +226,6 @@
                 return
         self._propose(now, call, command)
 
-    def _propose(self, now: float, call: int, command: Message) -> None:
-        index = self.replica.propose(now, self.codec.encode(command))
-        if index is None:
-            self._refuse_as_follower(call)
-            return
-        self._waiters.add_proposal(index, self.replica.term, call)
-
-    def _start_read(self, now: float, call: int, message: Message) -> None:
-        if not self.replica.has_committed_in_term:
-            self._refuse_as_follower(call)
-            return
-        number = self._waiters.add_read(call, message)
-        self._carry(now, self.replica.start_read(now, number))
-
     def _answer_read(self, ready: ReadReady) -> None:
         call, message = self._waiters.take_read(ready.number)
         if call is None:
@@ -331,27 +282,12 @@
             self._reply(call, Done() if is_same else refused)
             return
         state = ControlSnapshot(cluster=message.cluster, index=1, revision=0)
-        snapshot = Snapshot(1, 0, message.membership, self.codec.encode(state))
-        self.replica.log.compact(snapshot)
-        self.replica.commit = 1
-        self.replica.membership_index, self.replica.membership = 1, message.membership
-        self.machine.restore(state)
-        self._effects.append(SaveSnapshot(snapshot))
+        self._form(message.membership, state)
         self._effects.append(Trace("initialized", {"cluster": message.cluster}))
         self._reply(call, Done(1))
 
     # Replicas that come and go
 
-    def _join(self, now: float, call: int, message: Join) -> None:
-        """Add a learner; only once it has caught up does it replace its old incarnation."""
-        membership = self.replica.membership
-        if not self.replica.has_committed_in_term:
-            self._refuse_as_follower(call)
-        elif message.identity in membership.identities:
-            self._reply(call, Done(self.replica.commit))
-        else:
-            self._propose_planned(now, call, plan_join(membership, message))
-
     def _retire(self, now: float, call: int, message: Retire) -> None:
         self._propose_planned(now, call, plan_retirement(self.replica.membership, message.vm))
 
@@ -409,11 +345,3 @@
         elif self.replica.is_leader:
             reason = RefusedReason.BUSY
         self._reply(call, Refused(reason, self.leader_address))
-
-    def _reply(self, call: int, message: Message) -> None:
-        self._effects.append(Reply(call, message))
-
-    def _take_effects(self) -> list[Effect]:
-        effects = self._effects
-        self._effects = []
-        return effects
--- a/tarragonshelf/hub/_node.py
+++ b/tarragonshelf/hub/_node.py
@@ -13,8 +13,6 @@
     ElectNow,
     Member,
     Membership,
-    SaveSnapshot,
-    Snapshot,
     SnapshotReply,
     SnapshotRequest,
     VoteReply,
@@ -99,16 +97,9 @@
 
     def initialize(self, membership: Membership) -> list[Effect]:
         """Form the first voter set of a system that never ran before."""
-        state = CatalogueState(index=1)
-        snapshot = Snapshot(1, 0, membership, self.codec.encode(state))
-        self.replica.log.compact(snapshot)
-        self.replica.commit = 1
-        self.replica.membership_index, self.replica.membership = 1, membership
-        self.register.restore(state)
-        return [
-            SaveSnapshot(snapshot),
-            Trace("initialized", {"voters": sorted(membership.voters)}),
-        ]
+        self._form(membership, CatalogueState(index=1))
+        self._effects.append(Trace("initialized", {"voters": sorted(membership.voters)}))
+        return self._take_effects()
 
     def restore_memory(self, now: float, memories: dict[str, Message]) -> None:
         """Begin with what was known before this process started, by name."""
--- a/tarragonshelf/hub/_replication.py
+++ b/tarragonshelf/hub/_replication.py
@@ -1,5 +1,7 @@
 """The replicated catalogue: log, reads, voters."""
 
+from expression import Result
+
 from ..base import Effect, Message
 from ..catalogue import (
     CatalogueStored,
@@ -9,24 +11,19 @@
     unpack_content,
 )
 from ..consensus import (
-    Commit,
     EntryKind,
-    InstallSnapshot,
     LogEntry,
     Membership,
     ReadReady,
-    Role,
     RoleChanged,
     Send,
 )
 from ..replication import (
     Done,
-    Join,
     Refused,
     RefusedReason,
     Trace,
     plan_admission,
-    plan_join,
 )
 from ._messages import (
     Remember,
@@ -46,22 +43,15 @@
 class ReplicationMixin(HubState):
     """Keeps the catalogue with the other hubs."""
 
-    def _carry(self, now: float, effects: list[Effect]) -> None:
-        for effect in effects:
-            if isinstance(effect, Commit):
-                self._apply(now, effect.entries)
-            elif isinstance(effect, InstallSnapshot):
-                self.register.restore(self.codec.decode(effect.snapshot.data))
-                self._push_catalogue()
-            elif isinstance(effect, ReadReady):
-                self._answer_read(effect)
-            elif isinstance(effect, RoleChanged):
-                self._change_role(effect)
-            elif isinstance(effect, Send) and not effect.address:
-                address = self._derive_address(effect.identity)
-                self._effects.append(Send(effect.identity, address, effect.message))
-            else:
-                self._effects.append(effect)
+    def _pass_effect(self, effect: Effect) -> None:
+        if isinstance(effect, Send) and not effect.address:
+            address = self._derive_address(effect.identity)
+            effect = Send(effect.identity, address, effect.message)
+        super()._pass_effect(effect)
+
+    def _restore_state(self, state: Message) -> None:
+        self.register.restore(state)
+        self._push_catalogue()
 
     def _derive_address(self, identity: str) -> str:
         """Return where a replica is that this one's membership does not name yet.
@@ -97,13 +87,8 @@
             self._effects += self.subscribers.push_all(copy)
 
     def _change_role(self, effect: RoleChanged) -> None:
-        fields = {"replica_role": effect.role, "term": effect.term, "leader": effect.leader}
-        self._effects.append(Trace("replica_role_changed", fields))
+        super()._change_role(effect)
         self._learning_since = {}
-        if effect.role != Role.LEADER:
-            refused = Refused(RefusedReason.LEADERSHIP_LOST, self.leader_address)
-            for call in self._waiters.take_all_of_leader():
-                self._reply(call, refused)
 
     def _compact(self) -> None:
         applied = self.register.state.index
@@ -147,18 +132,7 @@
             # It changes nothing, but only the leader with a quorum knows the newest version.
             self._start_read(now, call, message)
             return
-        index = self.replica.propose(now, self.codec.encode(message))
-        if index is None:
-            self._refuse_as_follower(call)
-        else:
-            self._waiters.add_proposal(index, self.replica.term, call)
-
-    def _start_read(self, now: float, call: int, message: Message) -> None:
-        if not self.replica.has_committed_in_term:
-            self._refuse_as_follower(call)
-            return
-        number = self._waiters.add_read(call, message)
-        self._carry(now, self.replica.start_read(now, number))
+        self._propose(now, call, message)
 
     def _answer_read(self, ready: ReadReady) -> None:
         call, message = self._waiters.take_read(ready.number)
@@ -169,22 +143,17 @@
         else:
             self._reply(call, self.register.copy)
 
-    def _join(self, now: float, call: int, message: Join) -> None:
-        membership = self.replica.membership
-        if not self.replica.has_committed_in_term:
-            self._refuse_as_follower(call)
-        elif message.identity in membership.identities:
-            self._reply(call, Done(self.replica.commit))
+    def _propose_planned(
+        self, now: float, call: int, planned: Result[Membership, Refused]
+    ) -> None:
+        index = None
+        if planned.is_ok():
+            index = self.replica.propose_membership(now, planned.ok)
+        if index is None:
+            detail = "another change of the voters is under way"
+            self._reply(call, Refused(RefusedReason.BUSY, detail=detail))
         else:
-            planned = plan_join(membership, message)
-            index = None
-            if planned.is_ok():
-                index = self.replica.propose_membership(now, planned.ok)
-            if index is None:
-                detail = "another change of the voters is under way"
-                self._reply(call, Refused(RefusedReason.BUSY, detail=detail))
-            else:
-                self._waiters.add_proposal(index, self.replica.term, call)
+            self._waiters.add_proposal(index, self.replica.term, call)
 
     def _refuse_as_follower(self, call: int) -> None:
         self._reply(call, Refused(RefusedReason.NOT_LEADER, self.leader_address))
--- a/tarragonshelf/hub/_state.py
+++ b/tarragonshelf/hub/_state.py
@@ -2,26 +2,16 @@
 
 from random import Random
 
-from ..base import Codec, Effect, Message, StateMachine
+from ..base import Codec
 from ..catalogue import (
     CatalogueCopy,
     CatalogueReader,
     CatalogueRegister,
 )
-from ..consensus import (
-    HardState,
-    Log,
-    LogEntry,
-    Replica,
-    Snapshot,
-    Timing,
-)
+from ..consensus import HardState, LogEntry, Snapshot, Timing
 from ..forwarding import BudgetTerms
 from ..registry import TargetBook, TargetNews
-from ..replication import (
-    Reply,
-    Waiters,
-)
+from ..replication import ReplicatedNode
 from ._batches import EvidenceBatch, TargetBatch
 from ._drains import PendingDrains
 from ._loads import LoadBook
@@ -43,7 +33,7 @@
 CURRENT_SECONDS = 1.0
 
 
-class HubState(StateMachine):
+class HubState(ReplicatedNode):
     """The state of a hub; the mixins beside this module act on it."""
 
     def __init__(
@@ -61,20 +51,20 @@
         timing: Timing = Timing(),
         budget: BudgetTerms = NO_REPEATS,
     ):
+        super().__init__(
+            identity=f"{record.vm}/{incarnation}",
+            codec=codec,
+            random=random,
+            hard_state=hard_state,
+            snapshot=snapshot,
+            entries=entries,
+            timing=timing,
+        )
         self.record = record
-        self.identity = f"{record.vm}/{incarnation}"
-        self.codec = codec
         self.reader = reader
         self.register = CatalogueRegister()
         if snapshot is not None:
             self.register.restore(codec.decode(snapshot.data))
-        self.replica = Replica(
-            identity=self.identity,
-            log=Log(snapshot=snapshot, entries=entries),
-            hard_state=hard_state,
-            random=random,
-            timing=timing,
-        )
         self.targets = TargetBook()
         self.registrar = Registrar(record, places)
         self.subscribers = Subscribers(record.data_centre)
@@ -86,8 +76,6 @@
         self._evidence_for_hubs = EvidenceBatch()
         self._targets_for_entries = TargetBatch()
         self._targets_for_hubs = TargetBatch()
-        self._waiters = Waiters()
-        self._effects: list[Effect] = []
         self._beat_at = 0.0
         self._digest_at = 0.0
         self._was_current = False
@@ -103,12 +91,6 @@
         self._edges_changed = False
         self._edges_at = 0.0
 
-    @property
-    def leader_address(self) -> str:
-        """Where the leader is reached, or an empty text if none is known."""
-        member = self.replica.membership.get_member(self.replica.leader)
-        return member.address if member else ""
-
     def is_current(self, now: float) -> bool:
         """Tell whether this hub leads a quorum or heard a leader a moment ago."""
         if self.replica.is_leader:
@@ -125,10 +107,3 @@
         """Return the addresses of all other hubs."""
         members = {item.address for item in self.replica.membership.members}
         return sorted((members | self.registrar.list_addresses()) - {self.record.address})
-
-    def _reply(self, call: int, message: Message) -> None:
-        self._effects.append(Reply(call, message))
-
-    def _take_effects(self) -> list[Effect]:
-        effects, self._effects = self._effects, []
-        return effects
--- a/tarragonshelf/replication/__init__.py
+++ b/tarragonshelf/replication/__init__.py
@@ -19,6 +19,7 @@
             "StopRequested",
             "Trace",
         ),
+        "_node": ("ReplicatedNode",),
         "_waiters": ("FollowWaiter", "Waiters"),
     },
 )
@@ -31,6 +32,7 @@
     "PeerReceived",
     "Refused",
     "RefusedReason",
+    "ReplicatedNode",
     "Reply",
     "StopRequested",
     "Trace",
--- /dev/null
+++ b/tarragonshelf/replication/_node.py
@@ -0,0 +1,166 @@
+"""What nodes with a replica share."""
+
+from abc import abstractmethod
+from random import Random
+
+from expression import Result
+
+from ..base import Codec, Effect, Message, StateMachine
+from ..consensus import (
+    Commit,
+    HardState,
+    InstallSnapshot,
+    Log,
+    LogEntry,
+    Membership,
+    ReadReady,
+    Replica,
+    Role,
+    RoleChanged,
+    SaveSnapshot,
+    Snapshot,
+    Timing,
+)
+from ._admission import plan_join
+from ._messages import Done, Join, Refused, RefusedReason, Reply, Trace
+from ._waiters import Waiters
+
+
+class ReplicatedNode(StateMachine):
+    """A replica, and the calls that wait for it.
+
+    Parameters
+    ----------
+    identity : str
+        The replica's name.
+    codec : Codec
+        Encodes commands and snapshots.
+    random : Random
+        Spreads election timeouts.
+    hard_state, snapshot, entries
+        What the data folder held.
+    timing : Timing
+        Times of replication.
+    """
+
+    def __init__(
+        self,
+        *,
+        identity: str,
+        codec: Codec,
+        random: Random,
+        hard_state: HardState,
+        snapshot: Snapshot | None,
+        entries: tuple[LogEntry, ...],
+        timing: Timing,
+    ):
+        self.identity = identity
+        self.codec = codec
+        self.replica = Replica(
+            identity=identity,
+            log=Log(snapshot=snapshot, entries=entries),
+            hard_state=hard_state,
+            random=random,
+            timing=timing,
+        )
+        self._waiters = Waiters()
+        self._effects: list[Effect] = []
+
+    @property
+    def leader_address(self) -> str:
+        """Where the leader is reached, or an empty text if none is known."""
+        member = self.replica.membership.get_member(self.replica.leader)
+        return member.address if member else ""
+
+    # What differs
+
+    @abstractmethod
+    def _apply(self, now: float, entries: tuple[LogEntry, ...]) -> None:
+        """Apply committed entries."""
+
+    @abstractmethod
+    def _restore_state(self, state: Message) -> None:
+        """Take over the state of a snapshot."""
+
+    @abstractmethod
+    def _answer_read(self, ready: ReadReady) -> None:
+        """Answer a call that waited for the newest state."""
+
+    @abstractmethod
+    def _refuse_as_follower(self, call: int) -> None:
+        """Say that another replica has to answer a call."""
+
+    @abstractmethod
+    def _propose_planned(
+        self, now: float, call: int, planned: Result[Membership, Refused]
+    ) -> None:
+        """Propose a membership that was planned, or say why not."""
+
+    # Effects of the replica
+
+    def _carry(self, now: float, effects: list[Effect]) -> None:
+        for effect in effects:
+            if isinstance(effect, Commit):
+                self._apply(now, effect.entries)
+            elif isinstance(effect, InstallSnapshot):
+                self._restore_state(self.codec.decode(effect.snapshot.data))
+            elif isinstance(effect, ReadReady):
+                self._answer_read(effect)
+            elif isinstance(effect, RoleChanged):
+                self._change_role(effect)
+            else:
+                self._pass_effect(effect)
+
+    def _pass_effect(self, effect: Effect) -> None:
+        """Let the process carry out what the replica asks for."""
+        self._effects.append(effect)
+
+    def _change_role(self, effect: RoleChanged) -> None:
+        fields = {"replica_role": effect.role, "term": effect.term, "leader": effect.leader}
+        self._effects.append(Trace("replica_role_changed", fields))
+        if effect.role != Role.LEADER:
+            refused = Refused(RefusedReason.LEADERSHIP_LOST, self.leader_address)
+            for call in self._waiters.take_all_of_leader():
+                self._reply(call, refused)
+
+    def _form(self, membership: Membership, state: Message) -> None:
+        """Begin a system with its first voters and state."""
+        snapshot = Snapshot(1, 0, membership, self.codec.encode(state))
+        self.replica.log.compact(snapshot)
+        self.replica.commit = 1
+        self.replica.membership_index, self.replica.membership = 1, membership
+        self._restore_state(state)
+        self._effects.append(SaveSnapshot(snapshot))
+
+    # Calls
+
+    def _propose(self, now: float, call: int, command: Message) -> None:
+        index = self.replica.propose(now, self.codec.encode(command))
+        if index is None:
+            self._refuse_as_follower(call)
+        else:
+            self._waiters.add_proposal(index, self.replica.term, call)
+
+    def _start_read(self, now: float, call: int, message: Message) -> None:
+        if not self.replica.has_committed_in_term:
+            self._refuse_as_follower(call)
+            return
+        number = self._waiters.add_read(call, message)
+        self._carry(now, self.replica.start_read(now, number))
+
+    def _join(self, now: float, call: int, message: Join) -> None:
+        """Add a learner; only once it has caught up does it replace its old incarnation."""
+        membership = self.replica.membership
+        if not self.replica.has_committed_in_term:
+            self._refuse_as_follower(call)
+        elif message.identity in membership.identities:
+            self._reply(call, Done(self.replica.commit))
+        else:
+            self._propose_planned(now, call, plan_join(membership, message))
+
+    def _reply(self, call: int, message: Message) -> None:
+        self._effects.append(Reply(call, message))
+
+    def _take_effects(self) -> list[Effect]:
+        effects, self._effects = self._effects, []
+        return effects
