Set the user time-out of connections in one place, and read the loop's time in one

Cause: transport and site each set the same socket option to the same 1,500 ms; the two processes of a site each had a function for the event loop's time.

Ruled out: the daemons of the product's own interface, which keep theirs.

Change: transport.set_user_timeout serves both; site/_process.py has read_time.

--- a/tarragonshelf/site/_edge.py
+++ b/tarragonshelf/site/_edge.py
@@ -26,6 +26,7 @@
 from ._dialect import EdgePort, EdgeQuestions, TargetDialect
 from ._forwarder import Forwarder
 from ._pool import ConnectionPool
+from ._process import read_time
 from ._question_port import QuestionPort
 
 TICK_SECONDS = 0.05
@@ -144,7 +145,7 @@
     async def _tick(self) -> None:
         swept_at = 0.0
         while not self.should_stop:
-            now = _read_time()
+            now = read_time()
             self._carry_out(self.node.tick(now))
             if now - swept_at >= SWEEP_SECONDS:
                 swept_at = now
@@ -193,11 +194,11 @@
             if self._connection is connection:
                 self._connection = None
         self.logger.msg("hub_lost", hub=address, problem=problem)
-        self._carry_out(self.node.handle(_read_time(), HubLost(address)))
+        self._carry_out(self.node.handle(read_time(), HubLost(address)))
 
     async def _receive(self, address: str, frame: Frame) -> None:
         received = HubReceived(address, frame.message)
-        effects = self.node.handle(_read_time(), received)
+        effects = self.node.handle(read_time(), received)
         if self.node.is_ready and not self.callers.is_open:
             # Until now callers were turned away by the port itself, and tried elsewhere.
             await self.callers.start(self.addresses.callers)
@@ -205,7 +206,7 @@
         self._carry_out(effects)
 
     async def _ask_repeat(self, service: str) -> bool:
-        number = self.node.ask_repeat(_read_time(), service)
+        number = self.node.ask_repeat(read_time(), service)
         self._asked[number] = future = asyncio.get_running_loop().create_future()
         self._flush()
         # The answer comes in any case, also if this request is over by then.
@@ -224,7 +225,7 @@
         self.budget.write(event, **fields)
 
     def _refresh(self) -> None:
-        now = _read_time()
+        now = read_time()
         self.metrics.set("catalogue_version", self.node.version)
         self.metrics.set("hub_is_heard", int(self.node.hubs.is_heard(now)))
         self.metrics.set("requests_under_way", self.callers.under_way)
@@ -237,7 +238,3 @@
                     "targets_usable", len(self.node.targets.list_usable(spec.name)), service
                 )
                 self.metrics.set("retry_tokens", self.node.budgets.get_tokens(spec.name), service)
-
-
-def _read_time() -> float:
-    return asyncio.get_running_loop().time()
--- a/tarragonshelf/site/_exchange.py
+++ b/tarragonshelf/site/_exchange.py
@@ -1,26 +1,16 @@
 """One connection to a target, which carries one request at a time."""
 
 import asyncio
-import socket
 
 import h11
 
 from ..forwarding import AttemptOutcome, TargetAnswer
+from ..transport import set_user_timeout
 from ._dialect import TargetDialect
 
-# Unacknowledged bytes break a connection after so many milliseconds, so that a link that went
-# silent is noticed; within a site a round trip takes at most some 50 ms.
-USER_TIMEOUT_MILLISECONDS = 1500
 MAXIMUM_HEAD_BYTES = 64 << 10
 
 
-def set_user_timeout(transport: asyncio.BaseTransport) -> None:
-    """Let a connection break when its peer acknowledges nothing for some time."""
-    sock = transport.get_extra_info("socket")
-    if sock is not None:
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MILLISECONDS)
-
-
 class ExchangeFailedError(Exception):
     """A request was sent, in part at least, and no whole answer to it came."""
 
--- a/tarragonshelf/site/_hub.py
+++ b/tarragonshelf/site/_hub.py
@@ -52,6 +52,7 @@
 )
 from ._dialect import HubCalls, HubPort
 from ._hub_disk import HubDisk
+from ._process import read_time
 from ._question_port import QuestionPort
 
 TICK_SECONDS = 0.05
@@ -196,7 +197,7 @@
         """Ask to be let in for as long as no leader is heard."""
         while not self.should_stop:
             await asyncio.sleep(JOIN_SECONDS)
-            if self.node is None or not self.node.needs_to_join(_read_time()):
+            if self.node is None or not self.node.needs_to_join(read_time()):
                 continue
             record = self.settings.record
             own = Join(self.node.identity, record.vm, record.address)
@@ -231,7 +232,7 @@
             self._report("control_refused_to_start", problem=str(error))
             raise SystemExit(1) from error
         except OSError as error:
-            self._disk_failed_at = _read_time()
+            self._disk_failed_at = read_time()
             self._report("disk_refused", problem=repr(error))
 
     def _replace_node(self, restored: RestoredState) -> None:
@@ -261,7 +262,7 @@
         memories, problems = self.disk.load_memories()
         for name, problem in problems.items():
             self._report("memory_not_restored", file=name, problem=problem)
-        self.node.restore_memory(_read_time(), memories)
+        self.node.restore_memory(read_time(), memories)
 
     def _form_system(self) -> None:
         port = self.settings.record.address.rpartition(":")[2]
@@ -333,7 +334,7 @@
             self._carry_out(self._handle_batch(inbox, is_tick=is_tick))
         except OSError as error:
             # Memory is ahead of the disk: nothing of this batch may be acknowledged.
-            self._disk_failed_at = _read_time()
+            self._disk_failed_at = read_time()
             self._report("disk_refused", problem=repr(error))
             self._restore()
         except Exception as error:
@@ -344,7 +345,7 @@
     def _is_disk_refusing(self) -> bool:
         if self._disk_failed_at is None:
             return False
-        if _read_time() - self._disk_failed_at < DISK_RETRY_SECONDS:
+        if read_time() - self._disk_failed_at < DISK_RETRY_SECONDS:
             return True
         self._disk_failed_at = None
         self._restore()
@@ -357,7 +358,7 @@
                 self._finish_call(message.call, refused)
 
     def _handle_batch(self, inbox: list[Message], *, is_tick: bool) -> list[Effect]:
-        now = _read_time()
+        now = read_time()
         effects = self.node.tick(now) if is_tick else []
         for message in inbox:
             effects += self.node.handle(now, message)
@@ -404,14 +405,14 @@
 
     async def submit(self, message: Message) -> Message | None:
         """Return the leader's result, or None if there was none in time."""
-        deadline = _read_time() + SUBMIT_SECONDS
-        while (remaining := deadline - _read_time()) > 0:
+        deadline = read_time() + SUBMIT_SECONDS
+        while (remaining := deadline - read_time()) > 0:
             answer = await self._try(message, min(remaining, TRY_SECONDS))
             if answer is not None and not isinstance(answer, Refused):
                 return answer
             if isinstance(answer, Refused) and answer.reason == RefusedReason.INVALID:
                 return answer
-            await asyncio.sleep(max(0.0, min(PAUSE_SECONDS, deadline - _read_time())))
+            await asyncio.sleep(max(0.0, min(PAUSE_SECONDS, deadline - read_time())))
         return None
 
     async def _try(self, message: Message, timeout: float) -> Message | None:
@@ -429,9 +430,9 @@
     async def _hand_over(self) -> None:
         if self.node is None or not self.node.replica.is_leader:
             return
-        self._carry_out(self.node.handle(_read_time(), StopRequested()))
-        deadline = _read_time() + HANDOVER_SECONDS
-        while self.node.replica.is_leader and _read_time() < deadline:
+        self._carry_out(self.node.handle(read_time(), StopRequested()))
+        deadline = read_time() + HANDOVER_SECONDS
+        while self.node.replica.is_leader and read_time() < deadline:
             await asyncio.sleep(TICK_SECONDS)
 
     # Logs and metrics
@@ -441,14 +442,14 @@
         self.budget.write(event, **fields)
 
     def _is_ready(self) -> bool:
-        return self.node is not None and self.node.is_current(_read_time())
+        return self.node is not None and self.node.is_current(read_time())
 
     def _refresh(self) -> None:
         if self.node is None:
             return
         replica = self.node.replica
         self.metrics.set("control_is_leader", int(replica.is_leader))
-        self.metrics.set("control_is_current", int(self.node.is_current(_read_time())))
+        self.metrics.set("control_is_current", int(self.node.is_current(read_time())))
         self.metrics.set("control_term", replica.term)
         self.metrics.set("control_commit_index", replica.commit)
         self.metrics.set("catalogue_version", self.node.register.state.version)
@@ -456,7 +457,3 @@
         self.metrics.set("entries_attached", len(self._subscribers))
         for service, tokens in self.node.repeats.list_tokens().items():
             self.metrics.set("repeat_tokens", tokens, ("service", service))
-
-
-def _read_time() -> float:
-    return asyncio.get_running_loop().time()
--- a/tarragonshelf/site/_process.py
+++ b/tarragonshelf/site/_process.py
@@ -29,3 +29,8 @@
     await service.stop()
     crashed.cancel()
     return 1 if service.crashed else 0
+
+
+def read_time() -> float:
+    """Return the event loop's time in seconds."""
+    return asyncio.get_running_loop().time()
--- a/tarragonshelf/transport/__init__.py
+++ b/tarragonshelf/transport/__init__.py
@@ -7,6 +7,7 @@
     Link,
     PeerServer,
     UnreachableError,
+    set_user_timeout,
 )
 from ._frames import Frame, FrameCodec
 from ._handshake import Challenge, Proof, Welcome, compute_proof
@@ -31,4 +32,5 @@
     "Welcome",
     "compute_proof",
     "create_codec",
+    "set_user_timeout",
 ]
--- a/tarragonshelf/transport/_connection.py
+++ b/tarragonshelf/transport/_connection.py
@@ -26,7 +26,8 @@
 REDIAL_SECONDS = 0.1
 # One-way messages that wait for a connection under way.
 MAXIMUM_WAITING = 64
-# A peer acknowledges within some 50 ms; a link that went silent shows no other sign.
+# A peer acknowledges within some 50 ms; a link that went silent shows no other sign. Targets are
+# no farther away.
 USER_TIMEOUT_MILLISECONDS = 1500
 # Something on the way may acknowledge what never arrives, so peers are asked for a sign of life.
 # Round trips take 50 ms at most; a peer that rests for longer is frozen or cut off.
@@ -230,7 +231,7 @@
                 self.on_close(connection)
 
     async def _greet(self, reader: StreamReader, writer: StreamWriter) -> Connection | None:
-        _set_user_timeout(writer)
+        set_user_timeout(writer.transport)
         nonce = secrets.token_bytes(NONCE_BYTES)
         writer.write(self.frames.write(Frame(Challenge(nonce))))
         frame = await self.frames.read(reader, MAXIMUM_HANDSHAKE_BYTES)
@@ -371,7 +372,7 @@
     async def _open(self) -> Connection:
         host, _, port = self.address.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
-        _set_user_timeout(writer)
+        set_user_timeout(writer.transport)
         try:
             vm = await self._prove(reader, writer)
         except BaseException:
@@ -404,8 +405,8 @@
         return frame.message
 
 
-def _set_user_timeout(writer: StreamWriter) -> None:
-    """Let the connection break when its peer acknowledges nothing for some time."""
-    sock = writer.get_extra_info("socket")
+def set_user_timeout(transport: asyncio.BaseTransport) -> None:
+    """Let a connection break when its peer acknowledges nothing for some time."""
+    sock = transport.get_extra_info("socket")
     if sock is not None and hasattr(socket, "TCP_USER_TIMEOUT"):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MILLISECONDS)
