Sum what entries report of loads in one place

Cause: LoadBook added up the same two tables in two methods.

Ruled out: counts of busy targets elsewhere, which only one of the two takes in.

Change: both call one private method.

Before and after: no change of behaviour; the tests pass as they were.

--- a/tarragonshelf/hub/_loads.py
+++ b/tarragonshelf/hub/_loads.py
@@ -55,10 +55,7 @@
 
     def compute_totals(self) -> dict[str, int]:
         """Return what each target is known to hold."""
-        totals = dict(self._own)
-        for counts in self._away.values():
-            for target, count in counts.items():
-                totals[target] = totals.get(target, 0) + count
+        totals = self._sum_reported()
         for counts in self._busy.values():
             for target, count in counts.items():
                 totals[target] = max(totals.get(target, 0), count)
@@ -83,6 +80,14 @@
         self._exchanged_at = now
         return self._list_away(homes), self._list_busy(homes, slots)
 
+    def _sum_reported(self) -> dict[str, int]:
+        """Return what entries hold by their own reports, here and at other hubs."""
+        totals = dict(self._own)
+        for counts in self._away.values():
+            for target, count in counts.items():
+                totals[target] = totals.get(target, 0) + count
+        return totals
+
     def _list_away(self, homes: dict[str, str]) -> dict[str, HubLoad]:
         by_hub: dict[str, list[LoadItem]] = {vm: [] for vm in self._told_away}
         for target, count in sorted(self._own.items()):
@@ -97,10 +102,7 @@
         return news
 
     def _list_busy(self, homes: dict[str, str], slots: dict[str, int]) -> HubBusy | None:
-        totals = dict(self._own)
-        for counts in self._away.values():
-            for target, count in counts.items():
-                totals[target] = totals.get(target, 0) + count
+        totals = self._sum_reported()
         items = []
         for target in {*totals, *self._told_busy}:
             if homes.get(target, self.vm) != self.vm:
