Name signs of life keep-alives, and deadlines deadlines

Cause: the users' pages call a heartbeat a ping and a deadline a time limit; those words stand in platform/ alone, and Ping, Pong and time limit had come into transport, forwarding and a page.

Ruled out: digest and confirm, which are the field's own words for what they name here.

Numbers on the wire stay.

--- a/tarragonshelf/forwarding/_request.py
+++ b/tarragonshelf/forwarding/_request.py
@@ -196,7 +196,7 @@
         return self._try_next(now)
 
     def _record_error(self, now: float, target: TargetEntry, ended: AttemptEnded) -> None:
-        """Take an error in as evidence, unless the target only kept to its time limit."""
+        """Take an error in as evidence, unless the target only kept to its deadline."""
         if ended.answer.status != GATEWAY_TIMEOUT:
             self.context.record_evidence(now, self.request, target, EvidenceKind.ERROR)
         elif ended.seconds >= self.context.compute_hang_seconds(self.request.service):
--- a/tarragonshelf/forwarding/tests/test_request.py
+++ b/tarragonshelf/forwarding/tests/test_request.py
@@ -110,7 +110,7 @@
         assert find(effects, RespondWith).target == "a"
 
     def test_a_second_target_is_asked_while_it_has_time_to_answer(self):
-        """Short time limits: a first target that is slow must not use all of the time."""
+        """Short deadlines: a first target that is slow must not use all of the time."""
         context = FakeContext("a", "b")
         machine, _ = start(context, create_route(is_repeatable=True, timeout=1.2))
         effects = machine.handle(0.54, TimerFired())
--- a/tarragonshelf/transport/_connection.py
+++ b/tarragonshelf/transport/_connection.py
@@ -12,8 +12,8 @@
 from ._handshake import (
     NONCE_BYTES,
     Challenge,
-    Ping,
-    Pong,
+    KeepAlive,
+    KeepAliveReply,
     Proof,
     Welcome,
     compute_proof,
@@ -31,7 +31,7 @@
 USER_TIMEOUT_MILLISECONDS = 1500
 # Something on the way may acknowledge what never arrives, so peers are asked for a sign of life.
 # Round trips take 50 ms at most; a peer that rests for longer is frozen or cut off.
-PING_SECONDS = 0.7
+KEEP_ALIVE_SECONDS = 0.7
 SILENT_SECONDS = 2.0
 
 
@@ -129,9 +129,9 @@
                 self.clock.observe(frame.stamp)
                 if frame.is_reply:
                     self._resolve(frame)
-                elif isinstance(frame.message, Ping):
-                    self.send(Pong())
-                elif not isinstance(frame.message, Pong):
+                elif isinstance(frame.message, KeepAlive):
+                    self.send(KeepAliveReply())
+                elif not isinstance(frame.message, KeepAliveReply):
                     outcome = handler(self, frame)
                     if outcome is not None:
                         await outcome
@@ -145,8 +145,8 @@
         loop = asyncio.get_running_loop()
         self._heard_at = loop.time()
         while loop.time() - self._heard_at < SILENT_SECONDS:
-            self.send(Ping())
-            await asyncio.sleep(PING_SECONDS)
+            self.send(KeepAlive())
+            await asyncio.sleep(KEEP_ALIVE_SECONDS)
         # What is buffered would never leave.
         self.writer.transport.abort()
 
--- a/tarragonshelf/transport/_handshake.py
+++ b/tarragonshelf/transport/_handshake.py
@@ -35,12 +35,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Ping(Message):
+class KeepAlive(Message):
     """The connecting side asks for a sign of life."""
 
 
 @dataclass(frozen=True, slots=True)
-class Pong(Message):
+class KeepAliveReply(Message):
     """The accepting side gives it."""
 
 
--- a/tarragonshelf/transport/tarragonshelf.thrift
+++ b/tarragonshelf/transport/tarragonshelf.thrift
@@ -483,10 +483,10 @@
   2: optional binary digest
 }
 
-struct Ping {
+struct KeepAlive {
 }
 
-struct Pong {
+struct KeepAliveReply {
 }
 
 // Exactly one field is set: the message.
@@ -728,8 +728,8 @@
   92: optional RequestCount requestCount
   93: optional RepeatAsk repeatAsk
   94: optional RepeatReply repeatReply
-  95: optional Ping ping
-  96: optional Pong pong
+  95: optional KeepAlive keepAlive
+  96: optional KeepAliveReply keepAliveReply
 }
 
 // One frame: `call` is 0 for a one-way message, `is_reply` tells an answer from a call.
--- a/tests/test_silent_links.py
+++ b/tests/test_silent_links.py
@@ -67,7 +67,7 @@
 
 @pytest.fixture
 def short_silence(monkeypatch):
-    monkeypatch.setattr(_connection, "PING_SECONDS", 0.05)
+    monkeypatch.setattr(_connection, "KEEP_ALIVE_SECONDS", 0.05)
     monkeypatch.setattr(_connection, "SILENT_SECONDS", 0.3)
 
 
