Bound what a target in trouble may send: answers that never end

Cause: the body of an answer was kept without a bound, and interim answers and answers to other requests were skipped without one. A target whose bytes never end could use up the 200 MB of an entry, which then ends: an exit of its own. Ruled out: heads (h11 bounds one at 64 KiB), bytes while idle (they close the connection already). Change: 16 MiB an answer, 64 MiB for all unfinished answers of a process, 8 skipped answers; past these the connection is closed, the attempt counts as unusable (evidence against the target, the caller is told 502 or it goes elsewhere).

--- a/tarragonshelf/site/_exchange.py
+++ b/tarragonshelf/site/_exchange.py
@@ -9,6 +9,11 @@
 from ._dialect import TargetDialect
 
 MAXIMUM_HEAD_BYTES = 64 << 10
+# Answers that targets in trouble never end must not use up the memory of the process.
+MAXIMUM_ANSWER_BYTES = 16 << 20
+MAXIMUM_BUFFERED_BYTES = 64 << 20
+# Answers to other requests and interim answers that are skipped before the one that is waited for.
+MAXIMUM_SKIPPED = 8
 
 
 class ExchangeFailedError(Exception):
@@ -19,6 +24,24 @@
         self.outcome = outcome
 
 
+class AnswerBuffers:
+    """Counts the bytes of unfinished answers that one process holds."""
+
+    def __init__(self):
+        self.held = 0
+
+    def take(self, size: int) -> bool:
+        """Count bytes more, or return False if there is no room for them."""
+        if self.held + size > MAXIMUM_BUFFERED_BYTES:
+            return False
+        self.held += size
+        return True
+
+    def release(self, size: int) -> None:
+        """Count bytes less."""
+        self.held -= size
+
+
 class TargetConnection(asyncio.Protocol):
     """Sends requests and takes only whole answers that belong to them.
 
@@ -26,6 +49,8 @@
     ----------
     dialect : TargetDialect
         Tells to which request an answer belongs.
+    buffers : AnswerBuffers
+        Bounds what all connections of the process hold together.
 
     Notes
     -----
@@ -34,8 +59,9 @@
     target closed the connection in order.
     """
 
-    def __init__(self, dialect: TargetDialect):
+    def __init__(self, dialect: TargetDialect, buffers: AnswerBuffers):
         self.dialect = dialect
+        self.buffers = buffers
         self.is_reusable = False
         self.idle_seconds = 0.0
         self.idle_since = 0.0
@@ -46,6 +72,7 @@
         self._identity = b""
         self._head: h11.Response | None = None
         self._body = bytearray()
+        self._skipped = 0
 
     @property
     def is_open(self) -> bool:
@@ -62,6 +89,7 @@
         """
         self._request, self._identity = request, identity
         self.is_reusable = False
+        self._skipped = 0
         self._begin_parsing()
         self._waiting = asyncio.get_running_loop().create_future()
         content = self._parser.send(request)
@@ -73,6 +101,7 @@
             return await self._waiting
         finally:
             self._waiting = None
+            self._drop_body()
 
     def close(self) -> None:
         """Close the connection at once."""
@@ -108,6 +137,10 @@
     def _begin_parsing(self) -> None:
         self._parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAXIMUM_HEAD_BYTES)
         self._head = None
+        self._drop_body()
+
+    def _drop_body(self) -> None:
+        self.buffers.release(len(self._body))
         self._body = bytearray()
 
     def _parse(self, data: bytes) -> None:
@@ -125,14 +158,32 @@
                 return
             if isinstance(event, h11.Response):
                 self._head = event
+            elif isinstance(event, h11.InformationalResponse):
+                self._count_skipped()
             elif isinstance(event, h11.Data):
-                self._body += event.data
+                self._take_body(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 self._end_message()
             elif isinstance(event, h11.ConnectionClosed):
                 self._fail(AttemptOutcome.BROKEN, "closed without an answer")
                 return
 
+    def _take_body(self, data: bytes) -> None:
+        size = len(self._body) + len(data)
+        if size > MAXIMUM_ANSWER_BYTES or not self.buffers.take(len(data)):
+            self._fail(AttemptOutcome.UNUSABLE, f"an answer of {size} bytes that goes on")
+            self.close()
+            return
+        self._body += data
+
+    def _count_skipped(self) -> None:
+        self._skipped += 1
+        if self._skipped > MAXIMUM_SKIPPED:
+            self._fail(
+                AttemptOutcome.UNUSABLE, f"{self._skipped} answers before the one asked for"
+            )
+            self.close()
+
     def _end_message(self) -> None:
         head = self._head
         rest, is_closed = self._parser.trailing_data
@@ -164,6 +215,7 @@
             self._fail(AttemptOutcome.UNUSABLE, "an answer to another request, and no other")
             self.close()
             return
+        self._count_skipped()
         self._begin_parsing()
         # The new parser has to know of the request that is out; its bytes are not written again.
         self._parser.send(self._request)
--- a/tarragonshelf/site/_pool.py
+++ b/tarragonshelf/site/_pool.py
@@ -4,7 +4,7 @@
 
 from ..registry import TargetEntry
 from ._dialect import TargetDialect
-from ._exchange import TargetConnection
+from ._exchange import AnswerBuffers, TargetConnection
 
 # A target in another region answers a connection within 40 ms; the kernel repeats a lost opening
 # only after a second, when another target has long answered.
@@ -29,6 +29,7 @@
 
     def __init__(self, dialect: TargetDialect):
         self.dialect = dialect
+        self.buffers = AnswerBuffers()
         self.made = 0
         self._idle: dict[str, list[TargetConnection]] = {}
 
@@ -89,7 +90,7 @@
         loop = asyncio.get_running_loop()
         self.made += 1
         connecting = loop.create_connection(
-            lambda: TargetConnection(self.dialect), host, int(port)
+            lambda: TargetConnection(self.dialect, self.buffers), host, int(port)
         )
         _, connection = await asyncio.wait_for(connecting, CONNECT_SECONDS)
         return connection
