Account for every request that was not served: tarragonshelf losses

Change: losses reads the logs of all processes and groups each request that was not served by what was known of its target when it was sent (nothing; another entry had seen it fail, with the age of that news; the entry did not trust it; no target; caller gone), by ending and service; it counts lines that were left out, and draws the losses of each second (--svg).

--- a/tarragonshelf/cli.py
+++ b/tarragonshelf/cli.py
@@ -240,6 +240,21 @@
         if not explanation.events:
             _exit(EXIT_REFUSED)
 
+    def losses(self, *logs: str, svg: str = "") -> None:
+        """Account for every request that was not served, from the logs of all processes.
+
+        Example: tarragonshelf losses entry-*.log control-*.log --svg losses.svg
+        """
+        if not logs:
+            print("losses needs at least one log file", file=sys.stderr)
+            _exit(EXIT_USAGE)
+        with ExitStack() as stack:
+            files = [stack.enter_context(_open_log(log)) for log in logs]
+            ledger = queries.list_losses(queries.merge_logs(files))
+        print("\n".join(queries.format_losses(ledger)))
+        if svg:
+            _write_file(svg, queries.draw_losses(ledger))
+
 
 def _call(settings: str, control: str, secret_file: str, run) -> Any:
     """Run a call against the fleet, or exit with what was refused."""
@@ -291,6 +306,14 @@
         _exit(EXIT_REFUSED)
 
 
+def _write_file(path: str, content: str) -> None:
+    try:
+        Path(path).write_text(content)
+    except OSError as error:
+        print(f"file {path!r} cannot be written: {error.strerror}", file=sys.stderr)
+        _exit(EXIT_REFUSED)
+
+
 def _open_log(path: str):
     try:
         return Path(path).open()
