Believe by odds, take waiting as evidence, and keep the floor of working targets

Change: odds of a spell for each target; answer times learnt by route; attempts that wait tell so in two steps and an answer takes it back; trials of idle targets while more than a tenth of a service fails; hedges earlier and asked for again when the budget was used up; a late timer accuses nobody; refusals and failed attempts name target, belief and time. TestDeadline now asks for both signs of a hang.

--- a/tarragonshelf/avoidance/_messages.py
+++ b/tarragonshelf/avoidance/_messages.py
@@ -10,7 +10,10 @@
     """What one attempt showed; short words, as many travel.
 
     ``UNREACHABLE`` is a port that refuses, which holds for all; ``UNHEARD`` is silence, which may
-    be the entry's own link. ``DEPARTED`` is another target at the address.
+    be the entry's own link. ``DEPARTED`` is another target at the address. ``TRIAL`` is a request
+    to a target that is not trusted, and ``PASSED`` that it was answered well. ``SLOW`` and then
+    ``HUNG`` tell of a request that waits for its answer; ``ANSWERED`` and ``ANSWERED_LATE`` take
+    these back.
     """
 
     BROKEN = "b"
@@ -21,7 +24,10 @@
     DEPARTED = "d"
     FULL = "f"
     TRIAL = "t"
-    RECOVERED = "r"
+    PASSED = "p"
+    SLOW = "s"
+    ANSWERED = "a"
+    ANSWERED_LATE = "l"
 
 
 class Standing(StrEnum):
--- a/tarragonshelf/edge/_messages.py
+++ b/tarragonshelf/edge/_messages.py
@@ -12,7 +12,8 @@
 
     ``hubs`` are peer addresses of some hubs; ``places`` names the region of each data centre.
     The budget of repeats is for all entries together. Callers use the addresses that they are
-    told for ``address_seconds``; a stop takes ``grace_seconds`` at most.
+    told for ``address_seconds``; a stop takes ``grace_seconds`` at most. Of the targets of a
+    service that work, at least ``floor_share`` get requests.
     """
 
     vm: str
@@ -23,6 +24,7 @@
     budget: BudgetTerms
     address_seconds: float
     grace_seconds: float = 6.0
+    floor_share: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tarragonshelf/edge/_node.py
+++ b/tarragonshelf/edge/_node.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from ..avoidance import (
+    GOOD,
     AvoidanceBook,
     EvidenceItem,
     EvidenceKind,
@@ -17,13 +18,16 @@
     CatalogueCopy,
     CatalogueReader,
     Matched,
+    Route,
     RouteTable,
     unpack_content,
 )
 from ..forwarding import (
+    AnswerTimes,
     Balancer,
     ContextQueries,
     ForwardRequest,
+    Patience,
     Places,
     RefusalReason,
     RetryBudgets,
@@ -65,6 +69,8 @@
 # What an entry's own part of the budget holds when its hub is lost: with what the hubs gave out
 # just before, all entries together still stay below the whole.
 LOST_HUB_TOKENS = 0.4
+# Evidence that a request was lost, or is about to be.
+FAILURES = frozenset({EvidenceKind.BROKEN, EvidenceKind.ERROR, EvidenceKind.HUNG})
 
 
 class EdgeNode(StateMachine, ContextQueries):
@@ -87,10 +93,14 @@
         self.places = Places(settings.data_centre, settings.places)
         self.hubs = HubChoice(places=self.places, seeds=settings.hubs, random=random)
         self.targets = TargetBook()
-        self.avoidance = AvoidanceBook(random)
+        self.avoidance = AvoidanceBook()
         self.suspects = SuspectRequests()
         self.balancer = Balancer(
-            places=self.places, targets=self.targets, avoidance=self.avoidance, random=random
+            places=self.places,
+            targets=self.targets,
+            avoidance=self.avoidance,
+            random=random,
+            floor_share=settings.floor_share,
         )
         self.budgets = RetryBudgets(
             ratio=settings.budget.ratio,
@@ -104,6 +114,7 @@
         self._has_targets = False
         self._table: RouteTable | None = None
         self._profiles: dict[str, ServiceProfile] = {}
+        self._times: dict[str, AnswerTimes] = {}
         self._edges: tuple[EdgeRecord, ...] = ()
         self._told_load: tuple[LoadItem, ...] = ()
         self._load_at = float("-inf")
@@ -211,6 +222,7 @@
         elif isinstance(message, EdgeNews):
             self._edges = message.edges
             self.budgets.entries = max(message.total, len(message.edges), 1)
+            self.balancer.failures.entries = self.budgets.entries
         elif isinstance(message, HubNews):
             self.hubs.add(message.hubs)
         elif isinstance(message, RepeatReply):
@@ -250,6 +262,9 @@
         if item.kind == EvidenceKind.DEPARTED:
             self._note_departed(now, item.target)
             return
+        held = self.targets.get(item.target)
+        if item.kind in FAILURES and held is not None:
+            self.balancer.failures.record_failure(now, held.service)
         before = self.avoidance.get_standing(now, item.target)
         self.avoidance.record(now, item, source)
         self._trace_standing(now, item, before, source or "own")
@@ -286,6 +301,11 @@
 
     # What requests ask and tell
 
+    def record_request(self, now: float, service: str) -> None:
+        """Take in that a caller's request for a service begins."""
+        self.budgets.record_request(now, service)
+        self.balancer.failures.record_request(now, service)
+
     def choose_target(
         self, now: float, request: ForwardRequest, tried: frozenset[str]
     ) -> TargetEntry | RefusalReason:
@@ -312,20 +332,30 @@
         """Tell whether a request seems to crash targets."""
         return self.suspects.is_held_back(now, digest)
 
-    def compute_hang_seconds(self, service: str) -> float:
-        """Return after how many seconds an unanswered attempt counts as hung."""
-        return self._get_profile(service).hang_seconds
+    def estimate_patience(
+        self, now: float, request: ForwardRequest, target: TargetEntry
+    ) -> Patience:
+        """Return how long a sound target seldom takes to answer a request that begins now."""
+        usual = self._get_times(request.route).patience
+        profile = self._get_profile(request.service)
+        return self.balancer.estimate_patience(now, usual, profile, target)
 
     def compute_retry_after(self, now: float, service: str) -> float:
         """Return when a refused caller does best to come back, in seconds from now."""
         work = self._get_profile(service).work_seconds
         return max(MINIMUM_RETRY_AFTER, min(MAXIMUM_RETRY_AFTER, work))
 
+    def is_trusted(self, now: float, target: TargetEntry) -> bool:
+        """Tell whether nothing speaks against a target."""
+        return self.avoidance.get_standing(now, target.identity) == Standing.TRUSTED
+
     def record_start(self, now: float, request: ForwardRequest, target: TargetEntry) -> None:
         """Take in that an attempt begins."""
-        if self.avoidance.get_standing(now, target.identity) == Standing.ON_TRIAL:
-            self._tell(now, EvidenceItem(target.identity, EvidenceKind.TRIAL))
-        self.balancer.acquire(target.identity)
+        name = target.identity
+        standing = self.avoidance.get_standing(now, name)
+        if standing != Standing.TRUSTED and not self.avoidance.is_on_trial(now, name):
+            self._tell(now, EvidenceItem(name, EvidenceKind.TRIAL))
+        self.balancer.acquire(name)
 
     def record_end(self, now: float, target: TargetEntry) -> None:
         """Take in that an attempt no longer holds its target."""
@@ -334,11 +364,11 @@
     def record_evidence(
         self, now: float, request: ForwardRequest, target: TargetEntry, kind: EvidenceKind | None
     ) -> None:
-        """Take in what an attempt showed; None is a success."""
-        if kind is None:
+        """Take in what an attempt showed; None is a success at a target that was trusted."""
+        if kind is None or kind in GOOD:
             self.suspects.record_success(request.digest)
-            if self.avoidance.is_returning(now, target.identity):
-                self._tell(now, EvidenceItem(target.identity, EvidenceKind.RECOVERED))
+            if kind and not self.is_trusted(now, target):
+                self._tell(now, EvidenceItem(target.identity, kind))
             return
         if kind == EvidenceKind.BROKEN and self.balancer.is_overloaded(target):
             # Targets reset connections while their queue is long, so load explains this one.
@@ -346,9 +376,10 @@
         digest = request.digest if kind == EvidenceKind.BROKEN else 0
         self._tell(now, EvidenceItem(target.identity, kind, digest))
 
-    def record_success(self, service: str, seconds: float, size: int) -> None:
+    def record_success(self, request: ForwardRequest, seconds: float, size: int) -> None:
         """Take in how long a target took and how many bytes moved."""
-        self._get_profile(service).record(seconds, size)
+        self._get_profile(request.service).record(seconds, size)
+        self._get_times(request.route).record(seconds)
 
     def describe_target(self, now: float, target: TargetEntry) -> dict:
         """Return what the entry believes of a target, for the log."""
@@ -374,5 +405,8 @@
         told = replace(item, source=self.settings.vm)
         self._pending.append(SendToHub(EvidenceNews((told,))))
 
+    def _get_times(self, route: Route) -> AnswerTimes:
+        return self._times.setdefault(route.name, AnswerTimes(route.objective))
+
     def _get_profile(self, service: str) -> ServiceProfile:
         return self._profiles.setdefault(service, ServiceProfile())
--- a/tarragonshelf/forwarding/__init__.py
+++ b/tarragonshelf/forwarding/__init__.py
@@ -18,11 +18,14 @@
     Started,
     TargetAnswer,
     TimerFired,
+    WaitedFor,
 )
-from ._profile import ServiceProfile
+from ._meter import FailureMeter
+from ._profile import AnswerTimes, Patience, ServiceProfile
 from ._request import RequestMachine
 
 __all__ = [
+    "AnswerTimes",
     "AskRepeat",
     "Attempt",
     "AttemptEnded",
@@ -31,7 +34,9 @@
     "BudgetTerms",
     "Cancel",
     "ContextQueries",
+    "FailureMeter",
     "ForwardRequest",
+    "Patience",
     "Places",
     "Refuse",
     "RefusalReason",
@@ -44,4 +49,5 @@
     "Started",
     "TargetAnswer",
     "TimerFired",
+    "WaitedFor",
 ]
--- a/tarragonshelf/forwarding/_balancer.py
+++ b/tarragonshelf/forwarding/_balancer.py
@@ -7,7 +7,8 @@
 from ..avoidance import AvoidanceBook, Standing
 from ..registry import TargetBook, TargetEntry
 from ._messages import ForwardRequest, RefusalReason
-from ._profile import ServiceProfile
+from ._meter import FailureMeter
+from ._profile import Patience, ServiceProfile
 
 # Cost of a thousand bytes to another data centre or region, in answers that are worth full
 # credit. Links between data centres are what these fleets pay most for.
@@ -25,6 +26,8 @@
 # An avoided target fails most of what it gets; one that cannot be repeated is lost then.
 AVOIDED_COST = 1.0
 ORDER_AVOIDED_COST = 2.0
+# What is held back for another reason, such as a trial of another entry, counts so much.
+LEAST_AVOIDED_CHANCE = 0.5
 # A target that is full just now would refuse.
 FULL_COST = 0.5
 # Requests that wait for each slot before no more are sent: targets queue four for a slot, and
@@ -35,6 +38,14 @@
 # be repeated leave out more on strong evidence while the rest has a free slot: each failure there
 # is a loss.
 MOST_AVOIDED_SHARE = 0.4
+# Targets that may have recovered must get work while more than this share of a service fails.
+FLOOR_FAILURE_SHARE = 0.1
+# A target that is due for a trial although it is avoided gets this share of the lookups that are
+# free to go there. Orders wait for a lookup: their share grows from nothing to all in so long.
+DUE_LOOKUP_SHARE = 0.5
+# Entries draw from so many, those least likely to fail, so that few try the same one at once.
+DUE_CHOICES = 2
+DUE_ORDER_SECONDS = 1.5
 # Slots of one target that is still warming up count so much.
 WARM_FACTOR = 0.5
 
@@ -67,11 +78,21 @@
         Who is avoided.
     random : Random
         Breaks ties.
+    floor_share : float, optional
+        Share of the targets not proved to fail that must get work, from 0 to 1.
     """
 
     def __init__(
-        self, *, places: Places, targets: TargetBook, avoidance: AvoidanceBook, random: Random
+        self,
+        *,
+        places: Places,
+        targets: TargetBook,
+        avoidance: AvoidanceBook,
+        random: Random,
+        floor_share: float = 0.0,
     ):
+        self.floor_share = floor_share
+        self.failures = FailureMeter()
         self.places = places
         self.targets = targets
         self.avoidance = avoidance
@@ -124,6 +145,10 @@
         free = [item for item in candidates if self._has_room(now, request, profile, item)]
         if not free:
             return RefusalReason.ALL_FULL
+        if self.failures.estimate_share(now, request.service) > FLOOR_FAILURE_SHARE:
+            due = self._pick_due(now, request, usable, free)
+            if due is not None:
+                return due
         avoided = self._list_avoided(now, usable, request.route.is_repeatable)
         return min(
             free, key=lambda item: self._estimate_cost(now, request, profile, item, avoided)
@@ -133,6 +158,48 @@
         """Tell whether a target holds so much that it may turn away what comes."""
         return self.count_held(target.identity) >= target.slots * (1 + QUEUE_PER_SLOT) - 1
 
+    def estimate_patience(
+        self, now: float, usual: Patience, profile: ServiceProfile, target: TargetEntry
+    ) -> Patience:
+        """Return how long a sound target that holds as much seldom takes to answer."""
+        factor = 1 / WARM_FACTOR if self.targets.is_warming(now, target.identity) else 1.0
+        wait = self._estimate_wait(now, profile, target)
+        return Patience(factor * usual.slow + wait, factor * usual.hung + wait)
+
+    def _pick_due(
+        self,
+        now: float,
+        request: ForwardRequest,
+        usable: tuple[TargetEntry, ...],
+        free: list[TargetEntry],
+    ) -> TargetEntry | None:
+        """Return a target that this request should try so that the floor holds, if any."""
+        names = {item.identity for item in free}
+        due = [item for item in self._list_due(now, usable) if item.identity in names]
+        if not due:
+            return None
+        chosen = self.random.choice(due[:DUE_CHOICES])
+        share = DUE_LOOKUP_SHARE
+        if not request.route.is_repeatable:
+            idle = self.avoidance.get_idle_seconds(now, chosen.identity)
+            share = idle / DUE_ORDER_SECONDS
+        return chosen if self.random.random() < share else None
+
+    def _list_due(self, now: float, usable: tuple[TargetEntry, ...]) -> list[TargetEntry]:
+        """Return targets that are not trusted, may have recovered and must not all stay idle.
+
+        Whichever of them are sound, those in use stay at least ``floor_share`` of the sound ones.
+        """
+        in_use, idle = 0, []
+        for item in usable:
+            if self.avoidance.is_settled(now, item.identity):
+                in_use += 1
+            elif self.avoidance.get_idle_seconds(now, item.identity) > 0:
+                idle.append(item)
+        spare = int((1 - self.floor_share) * (in_use + len(idle)))
+        idle.sort(key=lambda item: self.avoidance.get_chance(now, item.identity))
+        return idle[: max(0, len(idle) - spare)]
+
     def _list_avoided(
         self, now: float, usable: tuple[TargetEntry, ...], is_repeatable: bool
     ) -> frozenset[str]:
@@ -144,19 +211,19 @@
         ]
         most = ceil(MOST_AVOIDED_SHARE * len(usable))
         if len(avoided) > most:
-            avoided.sort(key=lambda item: self.avoidance.measure_case(item.identity), reverse=True)
+            avoided.sort(
+                key=lambda item: self.avoidance.get_chance(now, item.identity), reverse=True
+            )
             if is_repeatable:
                 del avoided[most:]
             free = self._count_free(usable, avoided)
-            while len(avoided) > most and (free < 1 or self._is_weak_case(avoided[-1])):
+            while len(avoided) > most and (
+                free < 1 or not self.avoidance.is_certain(now, avoided[-1].identity)
+            ):
                 excused = avoided.pop()
                 free += excused.slots - self.count_held(excused.identity)
         return frozenset(item.identity for item in avoided)
 
-    def _is_weak_case(self, target: TargetEntry) -> bool:
-        """Tell whether only a sign that sound targets give, too, is held against a target."""
-        return self.avoidance.get_doubt(target.identity) < 1.0
-
     def _count_free(self, usable: tuple[TargetEntry, ...], besides: list[TargetEntry]) -> int:
         """Return how many slots are free at the targets that are not left out."""
         names = {item.identity for item in besides}
@@ -196,8 +263,8 @@
         is_excused = standing == Standing.AVOIDED and target.identity not in avoided
         if is_tried or is_excused:
             return TRIAL_COST if is_repeatable else ORDER_TRIAL_COST
-        doubt = self.avoidance.get_doubt(target.identity)
-        return doubt * (AVOIDED_COST if is_repeatable else ORDER_AVOIDED_COST)
+        chance = max(LEAST_AVOIDED_CHANCE, self.avoidance.get_chance(now, target.identity))
+        return chance * (AVOIDED_COST if is_repeatable else ORDER_AVOIDED_COST)
 
     def _estimate_wait(self, now: float, profile: ServiceProfile, target: TargetEntry) -> float:
         """Return how many seconds a request would wait for a slot."""
--- a/tarragonshelf/forwarding/_messages.py
+++ b/tarragonshelf/forwarding/_messages.py
@@ -8,6 +8,7 @@
 from ..base import Effect, Message
 from ..catalogue import Route
 from ..registry import TargetEntry
+from ._profile import Patience
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,11 +94,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Attempt(Effect):
-    """Send the request to a target, which may work on it until ``deadline``."""
+    """Send the request to a target, which may work on it until ``deadline``.
+
+    ``is_trial`` tells that the target is not trusted.
+    """
 
     number: int
     target: TargetEntry
     deadline: float
+    is_trial: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -129,17 +134,30 @@
     target: str
 
 
+@dataclass(frozen=True, slots=True)
+class WaitedFor:
+    """A target that had not answered after so many seconds.
+
+    ``was_trusted`` tells what was believed of it when the request was sent.
+    """
+
+    target: TargetEntry
+    seconds: float
+    was_trusted: bool = True
+
+
 @dataclass(frozen=True, slots=True)
 class Refuse(Effect):
     """The request ends with an answer of the entry's own.
 
     ``has_run`` is False only with proof that no target ran or will run it; ``retry_after`` is in
-    seconds.
+    seconds. ``waited_for`` are the targets that had not answered.
     """
 
     reason: RefusalReason
     has_run: bool
     retry_after: float = 0.0
+    waited_for: tuple[WaitedFor, ...] = ()
 
 
 class ContextQueries(ABC):
@@ -163,13 +181,19 @@
         """Tell whether a request seems to crash targets."""
 
     @abstractmethod
-    def compute_hang_seconds(self, service: str) -> float:
-        """Return after how many seconds an unanswered attempt counts as hung."""
+    def estimate_patience(
+        self, now: float, request: ForwardRequest, target: TargetEntry
+    ) -> Patience:
+        """Return how long a sound target seldom takes to answer a request that begins now."""
 
     @abstractmethod
     def compute_retry_after(self, now: float, service: str) -> float:
         """Return when a refused caller does best to come back, in seconds from now."""
 
+    @abstractmethod
+    def is_trusted(self, now: float, target: TargetEntry) -> bool:
+        """Tell whether nothing speaks against a target."""
+
     @abstractmethod
     def record_start(self, now: float, request: ForwardRequest, target: TargetEntry) -> None:
         """Take in that an attempt begins."""
@@ -182,10 +206,10 @@
     def record_evidence(
         self, now: float, request: ForwardRequest, target: TargetEntry, kind: EvidenceKind | None
     ) -> None:
-        """Take in what an attempt showed; None is a success."""
+        """Take in what an attempt showed; None is a success at a target that was trusted."""
 
     @abstractmethod
-    def record_success(self, service: str, seconds: float, size: int) -> None:
+    def record_success(self, request: ForwardRequest, seconds: float, size: int) -> None:
         """Take in how long a target took and how many bytes moved."""
 
     @abstractmethod
--- a/tarragonshelf/forwarding/_request.py
+++ b/tarragonshelf/forwarding/_request.py
@@ -1,5 +1,7 @@
 """The life of one request."""
 
+from dataclasses import dataclass
+
 from ..avoidance import EvidenceKind
 from ..base import Effect, Message, StateMachine
 from ..registry import TargetEntry
@@ -19,7 +21,9 @@
     Started,
     TargetAnswer,
     TimerFired,
+    WaitedFor,
 )
+from ._profile import Patience
 
 # Statuses from here on say that the target failed.
 SERVER_ERROR = 500
@@ -30,8 +34,13 @@
 MAXIMUM_REFUSALS = 4
 
 # A repeatable request goes to a second target after this share of the time it has left, so that
-# the second one has time to answer; sooner if the first one counts as hung.
+# the second one has time to answer; sooner if the first one was silent for too long.
 HEDGE_SHARE = 0.45
+# Where the budget of repeats was used up, it is asked for again after so long.
+ASK_AGAIN_SECONDS = 0.5
+# A timer that fires so late tells that the entry itself stood still: answers may have come since
+# then, and wait to be read.
+STALLED_SECONDS = 0.15
 
 PROOF_OF_NOT_RUN = frozenset(
     {
@@ -45,6 +54,32 @@
 NOT_CONNECTED = frozenset({AttemptOutcome.NOT_SENT, AttemptOutcome.UNHEARD})
 
 
+@dataclass(slots=True)
+class _OpenAttempt:
+    """An attempt that waits for its answer, and what its waiting has told so far."""
+
+    target: TargetEntry
+    began_at: float
+    patience: Patience
+    is_trial: bool
+    told: EvidenceKind | None = None
+
+    def get_next_time(self) -> float:
+        """Return when waiting tells more."""
+        if self.told is None:
+            return self.began_at + self.patience.slow
+        if self.told == EvidenceKind.SLOW:
+            return self.began_at + self.patience.hung
+        return float("inf")
+
+    def get_success(self) -> EvidenceKind | None:
+        """Return what an answer tells now."""
+        if self.told is not None:
+            is_slow = self.told == EvidenceKind.SLOW
+            return EvidenceKind.ANSWERED if is_slow else EvidenceKind.ANSWERED_LATE
+        return EvidenceKind.PASSED if self.is_trial else None
+
+
 class RequestMachine(StateMachine):
     """Decides which target gets a request, whether it is sent again, and how it ends.
 
@@ -66,8 +101,7 @@
         self.request = request
         self.context = context
         self.is_done = False
-        self._open: dict[int, TargetEntry] = {}
-        self._hung: set[int] = set()
+        self._open: dict[int, _OpenAttempt] = {}
         self._tried: set[str] = set()
         self._number = 0
         self._refusals = 0
@@ -76,8 +110,9 @@
         self._arrivals = 0
         self._may_have_run = False
         self._failure: tuple[TargetAnswer, str] | None = None
-        self._hang_at = 0.0
         self._hedge_at = 0.0
+        # Until then nothing is concluded from silence: the entry itself stood still.
+        self._deaf_until = 0.0
         self._is_asking = False
 
     def handle(self, now: float, message: Message) -> list[Effect]:
@@ -139,6 +174,8 @@
         self._is_asking = False
         if self._open:
             effects = self._hedge(now, is_granted=True) if answer.is_granted else []
+            if not effects:
+                self._hedge_at = now + ASK_AGAIN_SECONDS
             return [*effects, self._set_timer()]
         if not answer.is_granted:
             return self._fail(now, RefusalReason.NO_BUDGET)
@@ -149,23 +186,30 @@
         self._runs += 1
         self._arrivals += 1
         self._tried.add(target.identity)
-        self._open[self._number] = target
-        hang = self.context.compute_hang_seconds(self.request.service)
-        self._hang_at = now + hang
-        self._hedge_at = now + min(hang, HEDGE_SHARE * (self.request.deadline - now))
+        patience = self.context.estimate_patience(now, self.request, target)
+        is_trial = not self.context.is_trusted(now, target)
+        self._open[self._number] = _OpenAttempt(target, now, patience, is_trial)
+        patient = HEDGE_SHARE * (self.request.deadline - now)
+        self._hedge_at = now + min(patience.hedge, patient)
         self.context.record_start(now, self.request, target)
-        return [Attempt(self._number, target, self.request.deadline), self._set_timer()]
+        attempt = Attempt(self._number, target, self.request.deadline, is_trial)
+        return [attempt, self._set_timer()]
+
+    def _get_next_time(self) -> float:
+        times = [item.get_next_time() for item in self._open.values()]
+        return min([*times, self._hedge_at, self.request.deadline])
 
     def _set_timer(self) -> SetTimer:
-        return SetTimer(min(self._hang_at, self._hedge_at, self.request.deadline))
+        return SetTimer(max(self._get_next_time(), self._deaf_until))
 
     def _end_attempt(self, now: float, ended: AttemptEnded) -> list[Effect]:
-        target = self._open.pop(ended.number, None)
-        if target is None:
+        attempt = self._open.pop(ended.number, None)
+        if attempt is None:
             return []
+        target = attempt.target
         self.context.record_end(now, target)
         if ended.outcome == AttemptOutcome.ANSWERED:
-            return self._take_answer(now, target, ended)
+            return self._take_answer(now, attempt, ended)
         self._record_failure(now, target, ended.outcome)
         if ended.outcome in PROOF_OF_NOT_RUN:
             self._runs -= 1
@@ -179,14 +223,14 @@
             return self._fail(now, RefusalReason.MAY_HAVE_RUN)
         return self._try_next(now)
 
-    def _take_answer(self, now: float, target: TargetEntry, ended: AttemptEnded) -> list[Effect]:
-        answer = ended.answer
+    def _take_answer(self, now: float, attempt: _OpenAttempt, ended: AttemptEnded) -> list[Effect]:
+        answer, target = ended.answer, attempt.target
         if answer.status < SERVER_ERROR:
-            self.context.record_evidence(now, self.request, target, None)
+            self.context.record_evidence(now, self.request, target, attempt.get_success())
             size = len(answer.body) + self.request.size
-            self.context.record_success(self.request.service, ended.seconds, size)
+            self.context.record_success(self.request, ended.seconds, size)
             return self._respond(now, answer, target.identity)
-        self._record_error(now, target, ended)
+        self._record_error(now, attempt, ended)
         self._may_have_run = True
         self._failure = (answer, target.identity)
         if self._open:
@@ -195,12 +239,16 @@
             return self._respond(now, answer, target.identity)
         return self._try_next(now)
 
-    def _record_error(self, now: float, target: TargetEntry, ended: AttemptEnded) -> None:
+    def _record_error(self, now: float, attempt: _OpenAttempt, ended: AttemptEnded) -> None:
         """Take an error in as evidence, unless the target only kept to its deadline."""
         if ended.answer.status != GATEWAY_TIMEOUT:
-            self.context.record_evidence(now, self.request, target, EvidenceKind.ERROR)
-        elif ended.seconds >= self.context.compute_hang_seconds(self.request.service):
-            self.context.record_evidence(now, self.request, target, EvidenceKind.HUNG)
+            kind = EvidenceKind.ERROR
+        elif ended.seconds >= attempt.patience.hung:
+            kind = EvidenceKind.HUNG
+        else:
+            return
+        if kind != attempt.told:
+            self.context.record_evidence(now, self.request, attempt.target, kind)
 
     def _record_failure(self, now: float, target: TargetEntry, outcome: AttemptOutcome) -> None:
         if outcome == AttemptOutcome.MISDIRECTED:
@@ -216,20 +264,23 @@
     def _notice_time(self, now: float) -> list[Effect]:
         if now >= self.request.deadline:
             return self._miss_deadline(now)
+        if now - max(self._get_next_time(), self._deaf_until) > STALLED_SECONDS:
+            self._deaf_until = now + STALLED_SECONDS
+            return [self._set_timer()]
+        self._record_waiting(now)
         effects: list[Effect] = []
-        if now >= self._hang_at:
-            self._hang_at = self.request.deadline
-            self._record_hung(now)
         if now >= self._hedge_at:
             self._hedge_at = self.request.deadline
             effects = self._hedge(now)
         return [*effects, self._set_timer()]
 
-    def _record_hung(self, now: float) -> None:
-        for number, target in self._open.items():
-            if number not in self._hung:
-                self._hung.add(number)
-                self.context.record_evidence(now, self.request, target, EvidenceKind.HUNG)
+    def _record_waiting(self, now: float) -> None:
+        """Tell what waiting says of targets, more of it the longer it lasts."""
+        for attempt in self._open.values():
+            while now >= attempt.get_next_time():
+                is_first = attempt.told is None
+                attempt.told = EvidenceKind.SLOW if is_first else EvidenceKind.HUNG
+                self.context.record_evidence(now, self.request, attempt.target, attempt.told)
 
     def _hedge(self, now: float, *, is_granted: bool = False) -> list[Effect]:
         """Send a repeatable request that takes long to a second target as well."""
@@ -266,13 +317,17 @@
     def _refuse(self, now: float, reason: RefusalReason) -> list[Effect]:
         self.is_done = True
         retry_after = self.context.compute_retry_after(now, self.request.service)
+        waited_for = tuple(
+            WaitedFor(item.target, now - item.began_at, not item.is_trial)
+            for item in self._open.values()
+        )
         effects = self._cancel_open(now)
-        return [*effects, Refuse(reason, self._may_have_run, retry_after)]
+        return [*effects, Refuse(reason, self._may_have_run, retry_after, waited_for)]
 
     def _cancel_open(self, now: float) -> list[Effect]:
         effects: list[Effect] = []
-        for number, target in self._open.items():
-            self.context.record_end(now, target)
+        for number, attempt in self._open.items():
+            self.context.record_end(now, attempt.target)
             effects.append(Cancel(number))
         self._open = {}
         return effects
--- a/tarragonshelf/forwarding/tests/fakes.py
+++ b/tarragonshelf/forwarding/tests/fakes.py
@@ -9,6 +9,7 @@
     AttemptOutcome,
     ContextQueries,
     ForwardRequest,
+    Patience,
     RefusalReason,
     RequestMachine,
     Started,
@@ -38,8 +39,9 @@
         self.held: list[str] = []
         self.evidence: list[tuple[str, EvidenceKind | None]] = []
         self.departed: list[str] = []
+        self.doubted: set[str] = set()
         self.held_back: set[int] = set()
-        self.avoidance = AvoidanceBook(RANDOM)
+        self.avoidance = AvoidanceBook()
 
     def choose_target(self, now, request, tried):
         left = [item for item in self.targets if item.identity not in tried]
@@ -52,12 +54,15 @@
     def is_held_back(self, now, digest):
         return digest in self.held_back
 
-    def compute_hang_seconds(self, service):
-        return 1.0
+    def estimate_patience(self, now, request, target):
+        return Patience(0.9, 1.0)
 
     def compute_retry_after(self, now, service):
         return 0.3
 
+    def is_trusted(self, now, target):
+        return target.identity not in self.doubted
+
     def record_start(self, now, request, target):
         self.held.append(target.identity)
 
@@ -67,7 +72,7 @@
     def record_evidence(self, now, request, target, kind):
         self.evidence.append((target.identity, kind))
 
-    def record_success(self, service, seconds, size):
+    def record_success(self, request, seconds, size):
         pass
 
     def describe_target(self, now, target):
--- a/tarragonshelf/forwarding/tests/test_balancer.py
+++ b/tarragonshelf/forwarding/tests/test_balancer.py
@@ -25,7 +25,7 @@
         self.book = TargetBook()
         for target in targets:
             self.book.merge(0.0, target)
-        self.avoidance = AvoidanceBook(Random(1))
+        self.avoidance = AvoidanceBook()
         self.balancer = Balancer(
             places=PLACES, targets=self.book, avoidance=self.avoidance, random=Random(2)
         )
--- a/tarragonshelf/forwarding/tests/test_request.py
+++ b/tarragonshelf/forwarding/tests/test_request.py
@@ -104,7 +104,7 @@
         machine, _ = start(context, LOOKUP)
         effects = machine.handle(1.0, TimerFired())
         assert find(effects, Attempt).target.identity == "b"
-        assert context.evidence == [("a", EvidenceKind.HUNG)]
+        assert context.evidence == [("a", EvidenceKind.SLOW), ("a", EvidenceKind.HUNG)]
         effects = end(machine, 1, AttemptOutcome.ANSWERED, status=200, now=1.2)
         assert find(effects, Cancel).number == 2
         assert find(effects, RespondWith).target == "a"
@@ -152,6 +152,18 @@
         assert not find(machine.handle(0.96, RepeatAnswered(False)), Refuse)
         assert find(end(machine, 1, AttemptOutcome.ANSWERED, status=200), RespondWith)
 
+    def test_it_asks_again_while_it_has_time(self):
+        """The budget fills again within seconds, and a hung target does not answer."""
+        machine = self.create()
+        machine.handle(0.9, TimerFired())
+        again = find(machine.handle(0.95, RepeatAnswered(False)), SetTimer).at
+        effects = []
+        while again < 1.9 and not find(effects, AskRepeat):
+            effects = machine.handle(again, TimerFired())
+            again = find(effects, SetTimer).at
+        assert find(effects, AskRepeat)
+        assert find(machine.handle(1.5, RepeatAnswered(True)), Attempt).target.identity == "b"
+
     def test_a_first_target_that_fails_meanwhile_leaves_one_ask(self):
         machine = self.create()
         machine.handle(0.95, TimerFired())
@@ -186,7 +198,36 @@
         context = FakeContext("a", "b")
         machine, _ = start(context, ORDER)
         assert find(machine.handle(1.0, TimerFired()), Attempt) is None
-        assert context.evidence == [("a", EvidenceKind.HUNG)]
+        assert context.evidence == [("a", EvidenceKind.SLOW), ("a", EvidenceKind.HUNG)]
+
+    def test_the_refusal_names_who_was_waited_for(self):
+        machine, _ = start(FakeContext("a"), ORDER)
+        refuse = find(machine.handle(2.0, TimerFired()), Refuse)
+        assert [(item.target.identity, item.seconds) for item in refuse.waited_for] == [("a", 2.0)]
+
+
+class TestStalledEntry:
+    """A VM of our own that stood still: it heard nothing because it did not listen."""
+
+    def test_silence_while_the_entry_stood_still_is_no_evidence(self):
+        context = FakeContext("a")
+        machine, _ = start(context, ORDER)
+        effects = machine.handle(1.5, TimerFired())
+        assert context.evidence == []
+        assert find(effects, SetTimer).at < 2.0
+        end(machine, 1, AttemptOutcome.ANSWERED, status=200, now=1.51)
+        assert context.evidence == [("a", None)]
+
+    def test_silence_that_lasts_after_it_woke_is(self):
+        context = FakeContext("a")
+        machine, _ = start(context, ORDER)
+        again = find(machine.handle(1.5, TimerFired()), SetTimer).at
+        machine.handle(again, TimerFired())
+        assert context.evidence == [("a", EvidenceKind.SLOW), ("a", EvidenceKind.HUNG)]
+
+    def test_a_lookup_is_not_sent_twice_for_it(self):
+        machine, _ = start(FakeContext("a", "b"), LOOKUP)
+        assert find(machine.handle(1.5, TimerFired()), Attempt) is None
 
 
 class TestCallersThatLeave:
--- a/tarragonshelf/platform/_entry.py
+++ b/tarragonshelf/platform/_entry.py
@@ -22,6 +22,8 @@
 ADDRESS_SECONDS = 1.5
 # Where the platform does not say how long a stop may take.
 GRACE_SECONDS = 6.0
+# Where the platform does not say which share of working targets must get requests.
+FLOOR_SHARE = 0.7
 
 
 def create_service(fields: dict[str, Any]) -> EdgeService:
@@ -55,6 +57,7 @@
         places=dict(read_table(fields.get("zones"), "zones")),
         hubs=read_seed_hubs(fields),
         budget=read_budget_terms(bounds),
+        floor_share=float(bounds.get("floor_share", FLOOR_SHARE)),
         grace_seconds=read_bound(bounds, "grace", GRACE_SECONDS),
         address_seconds=min(ADDRESS_SECONDS, read_bound(bounds, "ttl_max", ADDRESS_SECONDS)),
     )
--- a/tarragonshelf/site/_caller_port.py
+++ b/tarragonshelf/site/_caller_port.py
@@ -8,7 +8,7 @@
 
 from ..catalogue import CallerLimits, Matched
 from ..edge import EdgeNode
-from ..forwarding import ForwardRequest, Refuse, RespondWith
+from ..forwarding import ForwardRequest, Refuse, RespondWith, WaitedFor
 from ..telemetry import Metrics
 from ..utils import compute_short_digest
 from ._dialect import CallerFields, TargetDialect
@@ -151,7 +151,7 @@
         fields = self.dialect.read_caller_fields(request.raw_headers)
         content = _create_content(request, body, fields.identity)
         forward = _create_forward(arrived_at, matched, fields, content)
-        node.budgets.record_request(arrived_at, matched.service)
+        node.record_request(arrived_at, matched.service)
         ended = await self.forwarder.run(forward, content)
         return self._finish(forward, fields.identity, ended)
 
@@ -172,6 +172,7 @@
                 has_run=ended.has_run,
                 version=self.node.version,
                 candidates=self._describe_candidates(forward.service),
+                waited_for=self._describe_waits(ended.waited_for),
                 seconds=round(seconds, 4),
             )
             return self.dialect.create_refusal(ended, identity)
@@ -201,6 +202,19 @@
             described.append(f"{item.identity} {known['standing']} {known['held']}/{item.slots}")
         return ", ".join(described)
 
+    def _describe_waits(self, waits: tuple[WaitedFor, ...]) -> list[dict]:
+        """Return what was believed of the targets that had not answered."""
+        now = asyncio.get_running_loop().time()
+        return [
+            {
+                "target": item.target.identity,
+                "seconds": round(item.seconds, 3),
+                "was_trusted": item.was_trusted,
+                **self.node.describe_target(now, item.target),
+            }
+            for item in waits
+        ]
+
     def _reject(self, status: int, reason: str, **fields) -> web.Response:
         self.metrics.count("requests_total", ("route", ""), ("outcome", reason))
         self.report("request_rejected", status=status, reason=reason, **fields)
--- a/tarragonshelf/site/_forwarder.py
+++ b/tarragonshelf/site/_forwarder.py
@@ -93,10 +93,10 @@
         try:
             connection = await self.pool.get(target, is_repeatable=run.request.route.is_repeatable)
         except TimeoutError as error:
-            self._report_failure(run, attempt, "unheard", repr(error))
+            self._report_failure(run, attempt, loop.time() - began, "unheard", repr(error))
             return AttemptEnded(attempt.number, AttemptOutcome.UNHEARD, loop.time() - began)
         except OSError as error:
-            self._report_failure(run, attempt, "not-sent", repr(error))
+            self._report_failure(run, attempt, loop.time() - began, "not-sent", repr(error))
             return AttemptEnded(attempt.number, AttemptOutcome.NOT_SENT, loop.time() - began)
         patience = attempt.deadline - loop.time()
         size = len(content.body) if content.has_body else None
@@ -109,7 +109,7 @@
             answer = await connection.exchange(head, content.body, content.identity)
         except ExchangeFailedError as error:
             connection.close()
-            self._report_failure(run, attempt, str(error.outcome), str(error))
+            self._report_failure(run, attempt, loop.time() - began, str(error.outcome), str(error))
             return AttemptEnded(attempt.number, error.outcome, loop.time() - began)
         except asyncio.CancelledError:
             connection.close()
@@ -117,10 +117,14 @@
         self.pool.put(target, connection)
         outcome = self.dialect.classify(answer)
         if outcome != AttemptOutcome.ANSWERED or answer.status >= 500:
-            self._report_failure(run, attempt, str(outcome), f"status {answer.status}")
+            self._report_failure(
+                run, attempt, loop.time() - began, str(outcome), f"status {answer.status}"
+            )
         return AttemptEnded(attempt.number, outcome, loop.time() - began, answer)
 
-    def _report_failure(self, run: "_Run", attempt: Attempt, outcome: str, reason: str) -> None:
+    def _report_failure(
+        self, run: "_Run", attempt: Attempt, seconds: float, outcome: str, reason: str
+    ) -> None:
         self.report(
             "attempt_failed",
             request=run.name,
@@ -129,6 +133,8 @@
             attempt=attempt.number,
             outcome=outcome,
             reason=reason,
+            seconds=round(seconds, 4),
+            was_trusted=not attempt.is_trial,
             **self.context.describe_target(asyncio.get_running_loop().time(), attempt.target),
         )
 
@@ -160,7 +166,7 @@
     def abandon(self) -> None:
         """Cancel what is under way."""
         self._carry_out(self.machine.abandon(self._loop.time()))
-        self.forwarder.report("request_abandoned", request=self.name)
+        self.forwarder.report("request_abandoned", request=self.name, service=self.request.service)
 
     def _handle(self, message: Message) -> None:
         if self._end.done():
