--- a/benchmarks/spells.py
+++ b/benchmarks/spells.py
@@ -95,7 +95,7 @@
             for index, book in enumerate(self.books)
         ]
         for balancer in self.balancers:
-            balancer.failures.entries = pattern.entries
+            balancer.floor.failures.entries = pattern.entries
         shares = (WeightedService("s", 1.0),)
         self.route = Route("r", "h", "/", False, pattern.deadline, pattern.objective, 1, 2, shares)
 
@@ -138,7 +138,7 @@
         index = self.random.randrange(self.pattern.entries)
         balancer, book = self.balancers[index], self.books[index]
         self._count(now, "sent")
-        balancer.failures.record_request(now, "s")
+        balancer.floor.failures.record_request(now, "s")
         request = ForwardRequest("q", self.route, "s", now, now + self.pattern.deadline)
         target = balancer.choose(now, request, self.profile, frozenset())
         if not isinstance(target, TargetEntry):
@@ -213,7 +213,7 @@
 
     def _meter(self, now: float, index: int, item: EvidenceItem) -> None:
         if item.kind in KINDS.values():
-            self.balancers[index].failures.record_failure(now, "s")
+            self.balancers[index].floor.failures.record_failure(now, "s")
 
     def _sample(self, now: float) -> None:
         self._at(now + SAMPLE_SECONDS, self._sample)
--- a/tarragonshelf/edge/_node.py
+++ b/tarragonshelf/edge/_node.py
@@ -222,7 +222,7 @@
         elif isinstance(message, EdgeNews):
             self._edges = message.edges
             self.budgets.entries = max(message.total, len(message.edges), 1)
-            self.balancer.failures.entries = self.budgets.entries
+            self.balancer.floor.failures.entries = self.budgets.entries
         elif isinstance(message, HubNews):
             self.hubs.add(message.hubs)
         elif isinstance(message, RepeatReply):
@@ -264,7 +264,7 @@
             return
         held = self.targets.get(item.target)
         if item.kind in FAILURES and held is not None:
-            self.balancer.failures.record_failure(now, held.service)
+            self.balancer.floor.failures.record_failure(now, held.service)
         before = self.avoidance.get_standing(now, item.target)
         self.avoidance.record(now, item, source)
         self._trace_standing(now, item, before, source or "own")
@@ -304,7 +304,7 @@
     def record_request(self, now: float, service: str) -> None:
         """Take in that a caller's request for a service begins."""
         self.budgets.record_request(now, service)
-        self.balancer.failures.record_request(now, service)
+        self.balancer.floor.failures.record_request(now, service)
 
     def choose_target(
         self, now: float, request: ForwardRequest, tried: frozenset[str]
--- a/tarragonshelf/edge/tests/test_edge.py
+++ b/tarragonshelf/edge/tests/test_edge.py
@@ -212,6 +212,37 @@
         fixture.node.record_evidence(fixture.now, request, TARGET, EvidenceKind.BROKEN)
         assert fixture.node.avoidance.get_standing(fixture.now, "i-1") == Standing.TRUSTED
 
+    def test_a_request_at_a_doubted_target_is_told_as_a_trial_and_its_answer_too(self):
+        fixture = Fixture().serve()
+        fixture.tell(EvidenceNews((EvidenceItem("i-1", EvidenceKind.ERROR),)))
+        node = fixture.node
+        request = ForwardRequest("q", create_route(is_repeatable=True), "s", 0.0, 1.0)
+        assert not node.is_trusted(fixture.now, TARGET)
+        node.record_start(fixture.now, request, TARGET)
+        node.record_evidence(fixture.now, request, TARGET, EvidenceKind.PASSED)
+        sent = [item.message for item in node.take_pending() if isinstance(item, SendToHub)]
+        kinds = [item.kind for news in sent for item in news.items]
+        assert kinds == [EvidenceKind.TRIAL, EvidenceKind.PASSED]
+
+    def test_answers_of_trusted_targets_are_not_told(self):
+        fixture = Fixture().serve()
+        request = ForwardRequest("q", create_route(is_repeatable=True), "s", 0.0, 1.0)
+        fixture.node.record_start(fixture.now, request, TARGET)
+        fixture.node.record_evidence(fixture.now, request, TARGET, None)
+        assert fixture.node.take_pending() == []
+
+    def test_quick_and_long_routes_of_one_service_are_measured_apart(self):
+        fixture = Fixture().serve()
+        quick = create_route(is_repeatable=True)
+        long = replace(quick, name="long")
+        for route, seconds in ((quick, 0.002), (long, 0.6)):
+            request = ForwardRequest("q", route, "s", 0.0, 5.0)
+            for _ in range(20):
+                fixture.node.record_success(request, seconds, 100)
+        request = ForwardRequest("q", long, "s", 0.0, 5.0)
+        patience = fixture.node.estimate_patience(fixture.now, request, TARGET)
+        assert 0.6 < patience.slow < patience.hung < 2.5
+
     def test_what_a_lost_hub_told_of_loads_is_forgotten(self):
         fixture = Fixture().serve()
         fixture.tell(LoadNews((LoadItem("i-1", 4), LoadItem("i-2", 2)), True))
--- a/tarragonshelf/forwarding/_balancer.py
+++ b/tarragonshelf/forwarding/_balancer.py
@@ -6,8 +6,8 @@
 
 from ..avoidance import AvoidanceBook, Standing
 from ..registry import TargetBook, TargetEntry
+from ._floor import Floor
 from ._messages import ForwardRequest, RefusalReason
-from ._meter import FailureMeter
 from ._profile import Patience, ServiceProfile
 
 # Cost of a thousand bytes to another data centre or region, in answers that are worth full
@@ -38,14 +38,6 @@
 # be repeated leave out more on strong evidence while the rest has a free slot: each failure there
 # is a loss.
 MOST_AVOIDED_SHARE = 0.4
-# Targets that may have recovered must get work while more than this share of a service fails.
-FLOOR_FAILURE_SHARE = 0.1
-# A target that is due for a trial although it is avoided gets this share of the lookups that are
-# free to go there. Orders wait for a lookup: their share grows from nothing to all in so long.
-DUE_LOOKUP_SHARE = 0.5
-# Entries draw from so many, those least likely to fail, so that few try the same one at once.
-DUE_CHOICES = 2
-DUE_ORDER_SECONDS = 1.5
 # Slots of one target that is still warming up count so much.
 WARM_FACTOR = 0.5
 
@@ -91,8 +83,7 @@
         random: Random,
         floor_share: float = 0.0,
     ):
-        self.floor_share = floor_share
-        self.failures = FailureMeter()
+        self.floor = Floor(share=floor_share, avoidance=avoidance, random=random)
         self.places = places
         self.targets = targets
         self.avoidance = avoidance
@@ -145,10 +136,9 @@
         free = [item for item in candidates if self._has_room(now, request, profile, item)]
         if not free:
             return RefusalReason.ALL_FULL
-        if self.failures.estimate_share(now, request.service) > FLOOR_FAILURE_SHARE:
-            due = self._pick_due(now, request, usable, free)
-            if due is not None:
-                return due
+        due = self.floor.pick_due(now, request, usable, free)
+        if due is not None:
+            return due
         avoided = self._list_avoided(now, usable, request.route.is_repeatable)
         return min(
             free, key=lambda item: self._estimate_cost(now, request, profile, item, avoided)
@@ -166,40 +156,6 @@
         wait = self._estimate_wait(now, profile, target)
         return Patience(factor * usual.slow + wait, factor * usual.hung + wait)
 
-    def _pick_due(
-        self,
-        now: float,
-        request: ForwardRequest,
-        usable: tuple[TargetEntry, ...],
-        free: list[TargetEntry],
-    ) -> TargetEntry | None:
-        """Return a target that this request should try so that the floor holds, if any."""
-        names = {item.identity for item in free}
-        due = [item for item in self._list_due(now, usable) if item.identity in names]
-        if not due:
-            return None
-        chosen = self.random.choice(due[:DUE_CHOICES])
-        share = DUE_LOOKUP_SHARE
-        if not request.route.is_repeatable:
-            idle = self.avoidance.get_idle_seconds(now, chosen.identity)
-            share = idle / DUE_ORDER_SECONDS
-        return chosen if self.random.random() < share else None
-
-    def _list_due(self, now: float, usable: tuple[TargetEntry, ...]) -> list[TargetEntry]:
-        """Return targets that are not trusted, may have recovered and must not all stay idle.
-
-        Whichever of them are sound, those in use stay at least ``floor_share`` of the sound ones.
-        """
-        in_use, idle = 0, []
-        for item in usable:
-            if self.avoidance.is_settled(now, item.identity):
-                in_use += 1
-            elif self.avoidance.get_idle_seconds(now, item.identity) > 0:
-                idle.append(item)
-        spare = int((1 - self.floor_share) * (in_use + len(idle)))
-        idle.sort(key=lambda item: self.avoidance.get_chance(now, item.identity))
-        return idle[: max(0, len(idle) - spare)]
-
     def _list_avoided(
         self, now: float, usable: tuple[TargetEntry, ...], is_repeatable: bool
     ) -> frozenset[str]:
--- a/tarragonshelf/forwarding/_profile.py
+++ b/tarragonshelf/forwarding/_profile.py
@@ -12,6 +12,8 @@
 # So many successes are needed before a route's times are trusted, and the guess of their spread
 # counts like so many.
 MEASURED_COUNT = 2
+# Until then half of what the operator aims at is slow, and all of it a hang.
+FIRST_SLOW_SHARE = 0.5
 SPREAD_COUNT = 3
 # Successes take log-normal times. An attempt counts as slow, and then as hung, at so many standard
 # deviations above the mean of their logarithms: one in fifteen and one in a thousand get there.
@@ -73,7 +75,7 @@
     def patience(self) -> Patience:
         """How long a sound and idle target seldom takes to answer."""
         if self._count < MEASURED_COUNT:
-            return Patience(self.objective, self.objective)
+            return Patience(FIRST_SLOW_SHARE * self.objective, self.objective)
         spread = max(MINIMUM_SPREAD, self._log_variance**0.5)
         slow = exp(self._log_mean + SLOW_DEVIATIONS * spread)
         hung = exp(self._log_mean + HUNG_DEVIATIONS * spread)
--- a/tarragonshelf/forwarding/_request.py
+++ b/tarragonshelf/forwarding/_request.py
@@ -1,10 +1,9 @@
 """The life of one request."""
 
-from dataclasses import dataclass
-
 from ..avoidance import EvidenceKind
 from ..base import Effect, Message, StateMachine
 from ..registry import TargetEntry
+from ._attempts import OpenAttempt
 from ._messages import (
     AskRepeat,
     Attempt,
@@ -23,7 +22,6 @@
     TimerFired,
     WaitedFor,
 )
-from ._profile import Patience
 
 # Statuses from here on say that the target failed.
 SERVER_ERROR = 500
@@ -54,32 +52,6 @@
 NOT_CONNECTED = frozenset({AttemptOutcome.NOT_SENT, AttemptOutcome.UNHEARD})
 
 
-@dataclass(slots=True)
-class _OpenAttempt:
-    """An attempt that waits for its answer, and what its waiting has told so far."""
-
-    target: TargetEntry
-    began_at: float
-    patience: Patience
-    is_trial: bool
-    told: EvidenceKind | None = None
-
-    def get_next_time(self) -> float:
-        """Return when waiting tells more."""
-        if self.told is None:
-            return self.began_at + self.patience.slow
-        if self.told == EvidenceKind.SLOW:
-            return self.began_at + self.patience.hung
-        return float("inf")
-
-    def get_success(self) -> EvidenceKind | None:
-        """Return what an answer tells now."""
-        if self.told is not None:
-            is_slow = self.told == EvidenceKind.SLOW
-            return EvidenceKind.ANSWERED if is_slow else EvidenceKind.ANSWERED_LATE
-        return EvidenceKind.PASSED if self.is_trial else None
-
-
 class RequestMachine(StateMachine):
     """Decides which target gets a request, whether it is sent again, and how it ends.
 
@@ -101,7 +73,7 @@
         self.request = request
         self.context = context
         self.is_done = False
-        self._open: dict[int, _OpenAttempt] = {}
+        self._open: dict[int, OpenAttempt] = {}
         self._tried: set[str] = set()
         self._number = 0
         self._refusals = 0
@@ -188,7 +160,7 @@
         self._tried.add(target.identity)
         patience = self.context.estimate_patience(now, self.request, target)
         is_trial = not self.context.is_trusted(now, target)
-        self._open[self._number] = _OpenAttempt(target, now, patience, is_trial)
+        self._open[self._number] = OpenAttempt(target, now, patience, is_trial)
         patient = HEDGE_SHARE * (self.request.deadline - now)
         self._hedge_at = now + min(patience.hedge, patient)
         self.context.record_start(now, self.request, target)
@@ -223,7 +195,7 @@
             return self._fail(now, RefusalReason.MAY_HAVE_RUN)
         return self._try_next(now)
 
-    def _take_answer(self, now: float, attempt: _OpenAttempt, ended: AttemptEnded) -> list[Effect]:
+    def _take_answer(self, now: float, attempt: OpenAttempt, ended: AttemptEnded) -> list[Effect]:
         answer, target = ended.answer, attempt.target
         if answer.status < SERVER_ERROR:
             self.context.record_evidence(now, self.request, target, attempt.get_success())
@@ -239,7 +211,7 @@
             return self._respond(now, answer, target.identity)
         return self._try_next(now)
 
-    def _record_error(self, now: float, attempt: _OpenAttempt, ended: AttemptEnded) -> None:
+    def _record_error(self, now: float, attempt: OpenAttempt, ended: AttemptEnded) -> None:
         """Take an error in as evidence, unless the target only kept to its deadline."""
         if ended.answer.status != GATEWAY_TIMEOUT:
             kind = EvidenceKind.ERROR
