Tell of slow attempts only where they end badly, and take back each thing that waiting told

Change: an entry learns which share of its slow attempts gets no good answer (SlowEnds); below a fifth it only tells of hangs. An answer takes back slow and hung by themselves. A late answer counts like any other that passed.

--- a/tarragonshelf/avoidance/_book.py
+++ b/tarragonshelf/avoidance/_book.py
@@ -51,11 +51,11 @@
     EvidenceKind.SLOW: 2.4,
     EvidenceKind.HUNG: 1.5,
     EvidenceKind.PASSED: -1.4,
-    # What waiting told is taken back, and the answer counts as one that passed.
-    EvidenceKind.ANSWERED: -2.4 - 1.4,
-    EvidenceKind.ANSWERED_LATE: -2.4 - 1.5 - 1.4,
+    # An answer takes back what waiting for it told.
+    EvidenceKind.NOT_SLOW: -2.4,
+    EvidenceKind.NOT_HUNG: -1.5,
 }
-GOOD = frozenset({EvidenceKind.PASSED, EvidenceKind.ANSWERED, EvidenceKind.ANSWERED_LATE})
+GOOD = frozenset({EvidenceKind.PASSED, EvidenceKind.NOT_SLOW, EvidenceKind.NOT_HUNG})
 
 
 def _compute_odds(chance: float) -> float:
--- a/tarragonshelf/avoidance/_messages.py
+++ b/tarragonshelf/avoidance/_messages.py
@@ -12,8 +12,8 @@
     ``UNREACHABLE`` is a port that refuses, which holds for all; ``UNHEARD`` is silence, which may
     be the entry's own link. ``DEPARTED`` is another target at the address. ``TRIAL`` is a request
     to a target that is not trusted, and ``PASSED`` that it was answered well. ``SLOW`` and then
-    ``HUNG`` tell of a request that waits for its answer; ``ANSWERED`` and ``ANSWERED_LATE`` take
-    these back.
+    ``HUNG`` tell of a request that waits for its answer; ``NOT_SLOW`` and ``NOT_HUNG`` take these
+    back.
     """
 
     BROKEN = "b"
@@ -26,8 +26,8 @@
     TRIAL = "t"
     PASSED = "p"
     SLOW = "s"
-    ANSWERED = "a"
-    ANSWERED_LATE = "l"
+    NOT_SLOW = "a"
+    NOT_HUNG = "l"
 
 
 class Standing(StrEnum):
--- a/tarragonshelf/edge/_node.py
+++ b/tarragonshelf/edge/_node.py
@@ -32,6 +32,7 @@
     RefusalReason,
     RetryBudgets,
     ServiceProfile,
+    SlowEnds,
 )
 from ..hub import (
     EdgeNews,
@@ -115,6 +116,7 @@
         self._table: RouteTable | None = None
         self._profiles: dict[str, ServiceProfile] = {}
         self._times: dict[str, AnswerTimes] = {}
+        self._slow_ends = SlowEnds()
         self._edges: tuple[EdgeRecord, ...] = ()
         self._told_load: tuple[LoadItem, ...] = ()
         self._load_at = float("-inf")
@@ -340,6 +342,14 @@
         profile = self._get_profile(request.service)
         return self.balancer.estimate_patience(now, usual, profile, target)
 
+    def is_slowness_ominous(self) -> bool:
+        """Tell whether enough of the slow attempts of late got no good answer in the end."""
+        return self._slow_ends.is_ominous
+
+    def record_slow_end(self, *, is_answered: bool) -> None:
+        """Take in how an attempt ended that had been slow."""
+        self._slow_ends.record(is_answered=is_answered)
+
     def compute_retry_after(self, now: float, service: str) -> float:
         """Return when a refused caller does best to come back, in seconds from now."""
         work = self._get_profile(service).work_seconds
--- a/tarragonshelf/forwarding/__init__.py
+++ b/tarragonshelf/forwarding/__init__.py
@@ -21,7 +21,7 @@
     WaitedFor,
 )
 from ._meter import FailureMeter
-from ._profile import AnswerTimes, Patience, ServiceProfile
+from ._profile import AnswerTimes, Patience, ServiceProfile, SlowEnds
 from ._request import RequestMachine
 
 __all__ = [
@@ -46,6 +46,7 @@
     "RetryBudgets",
     "ServiceProfile",
     "SetTimer",
+    "SlowEnds",
     "Started",
     "TargetAnswer",
     "TimerFired",
--- a/tarragonshelf/forwarding/_attempts.py
+++ b/tarragonshelf/forwarding/_attempts.py
@@ -15,19 +15,24 @@
     began_at: float
     patience: Patience
     is_trial: bool
-    told: EvidenceKind | None = None
+    is_slow: bool = False
+    is_hung: bool = False
+    is_slow_told: bool = False
 
     def get_next_time(self) -> float:
         """Return when waiting tells more."""
-        if self.told is None:
+        if not self.is_slow:
             return self.began_at + self.patience.slow
-        if self.told == EvidenceKind.SLOW:
+        if not self.is_hung:
             return self.began_at + self.patience.hung
         return float("inf")
 
-    def get_success(self) -> EvidenceKind | None:
-        """Return what an answer tells now."""
-        if self.told is not None:
-            is_slow = self.told == EvidenceKind.SLOW
-            return EvidenceKind.ANSWERED if is_slow else EvidenceKind.ANSWERED_LATE
-        return EvidenceKind.PASSED if self.is_trial else None
+    def list_good_news(self) -> list[EvidenceKind]:
+        """Return what an answer tells: what waiting told is taken back."""
+        told = self.is_slow_told or self.is_hung
+        news = [EvidenceKind.PASSED] if self.is_trial or told else []
+        if self.is_slow_told:
+            news.append(EvidenceKind.NOT_SLOW)
+        if self.is_hung:
+            news.append(EvidenceKind.NOT_HUNG)
+        return news
--- a/tarragonshelf/forwarding/_messages.py
+++ b/tarragonshelf/forwarding/_messages.py
@@ -186,6 +186,14 @@
     ) -> Patience:
         """Return how long a sound target seldom takes to answer a request that begins now."""
 
+    @abstractmethod
+    def is_slowness_ominous(self) -> bool:
+        """Tell whether enough of the slow attempts of late got no good answer in the end."""
+
+    @abstractmethod
+    def record_slow_end(self, *, is_answered: bool) -> None:
+        """Take in how an attempt ended that had been slow."""
+
     @abstractmethod
     def compute_retry_after(self, now: float, service: str) -> float:
         """Return when a refused caller does best to come back, in seconds from now."""
--- a/tarragonshelf/forwarding/_profile.py
+++ b/tarragonshelf/forwarding/_profile.py
@@ -24,6 +24,11 @@
 # Rare long requests take several times as long as others; one alone hardly widens the bound.
 MAXIMUM_DEVIATION = 3.0
 MINIMUM_SPREAD = 0.2
+# Of slow attempts so many fail before any was seen to end; from the second share on slowness is
+# told. One end in so many counts.
+FIRST_FAILED_SHARE = 0.5
+OMINOUS_SHARE = 0.2
+SLOW_SMOOTHING = 0.15
 # The shortest time that is told from none, in seconds.
 RESOLUTION_SECONDS = 0.001
 
@@ -56,6 +61,26 @@
         return (self.slow * self.hung) ** 0.5
 
 
+class SlowEnds:
+    """Which share of the slow attempts gets no good answer in the end.
+
+    Where targets hang in their spells it is most of them; where they reset connections slowness
+    says little, and telling of it would only send work elsewhere.
+    """
+
+    def __init__(self):
+        self._failed_share = FIRST_FAILED_SHARE
+
+    @property
+    def is_ominous(self) -> bool:
+        """Whether slowness is worth telling."""
+        return self._failed_share >= OMINOUS_SHARE
+
+    def record(self, *, is_answered: bool) -> None:
+        """Take the end of one slow attempt in."""
+        self._failed_share += SLOW_SMOOTHING * ((not is_answered) - self._failed_share)
+
+
 class AnswerTimes:
     """How long successful requests of one route take.
 
--- a/tarragonshelf/forwarding/_request.py
+++ b/tarragonshelf/forwarding/_request.py
@@ -180,6 +180,9 @@
             return []
         target = attempt.target
         self.context.record_end(now, target)
+        if attempt.is_slow:
+            is_answered = ended.answer is not None and ended.answer.status < SERVER_ERROR
+            self.context.record_slow_end(is_answered=is_answered)
         if ended.outcome == AttemptOutcome.ANSWERED:
             return self._take_answer(now, attempt, ended)
         self._record_failure(now, target, ended.outcome)
@@ -198,7 +201,8 @@
     def _take_answer(self, now: float, attempt: OpenAttempt, ended: AttemptEnded) -> list[Effect]:
         answer, target = ended.answer, attempt.target
         if answer.status < SERVER_ERROR:
-            self.context.record_evidence(now, self.request, target, attempt.get_success())
+            for kind in attempt.list_good_news() or [None]:
+                self.context.record_evidence(now, self.request, target, kind)
             size = len(answer.body) + self.request.size
             self.context.record_success(self.request, ended.seconds, size)
             return self._respond(now, answer, target.identity)
@@ -219,7 +223,7 @@
             kind = EvidenceKind.HUNG
         else:
             return
-        if kind != attempt.told:
+        if kind == EvidenceKind.ERROR or not attempt.is_hung:
             self.context.record_evidence(now, self.request, attempt.target, kind)
 
     def _record_failure(self, now: float, target: TargetEntry, outcome: AttemptOutcome) -> None:
@@ -250,9 +254,15 @@
         """Tell what waiting says of targets, more of it the longer it lasts."""
         for attempt in self._open.values():
             while now >= attempt.get_next_time():
-                is_first = attempt.told is None
-                attempt.told = EvidenceKind.SLOW if is_first else EvidenceKind.HUNG
-                self.context.record_evidence(now, self.request, attempt.target, attempt.told)
+                if attempt.is_slow:
+                    attempt.is_hung = True
+                    kind = EvidenceKind.HUNG
+                else:
+                    attempt.is_slow = True
+                    attempt.is_slow_told = self.context.is_slowness_ominous()
+                    kind = EvidenceKind.SLOW if attempt.is_slow_told else None
+                if kind is not None:
+                    self.context.record_evidence(now, self.request, attempt.target, kind)
 
     def _hedge(self, now: float, *, is_granted: bool = False) -> list[Effect]:
         """Send a repeatable request that takes long to a second target as well."""
@@ -272,6 +282,9 @@
 
     def _miss_deadline(self, now: float) -> list[Effect]:
         self._may_have_run = self._may_have_run or bool(self._open)
+        for attempt in self._open.values():
+            if attempt.is_slow:
+                self.context.record_slow_end(is_answered=False)
         return self._fail(now, RefusalReason.DEADLINE)
 
     # Ends
--- a/tarragonshelf/forwarding/tests/fakes.py
+++ b/tarragonshelf/forwarding/tests/fakes.py
@@ -40,6 +40,8 @@
         self.evidence: list[tuple[str, EvidenceKind | None]] = []
         self.departed: list[str] = []
         self.doubted: set[str] = set()
+        self.is_ominous = True
+        self.slow_ends: list[bool] = []
         self.held_back: set[int] = set()
         self.avoidance = AvoidanceBook()
 
@@ -57,6 +59,12 @@
     def estimate_patience(self, now, request, target):
         return Patience(0.9, 1.0)
 
+    def is_slowness_ominous(self):
+        return self.is_ominous
+
+    def record_slow_end(self, *, is_answered):
+        self.slow_ends.append(is_answered)
+
     def compute_retry_after(self, now, service):
         return 0.3
 
--- a/tarragonshelf/forwarding/tests/test_profile.py
+++ b/tarragonshelf/forwarding/tests/test_profile.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from ...forwarding import AnswerTimes
+from ...forwarding import AnswerTimes, SlowEnds
 from .._profile import MINIMUM_HUNG_SECONDS, MINIMUM_SLOW_SECONDS
 
 SAMPLES = 120
@@ -48,3 +48,26 @@
     def test_quick_routes_are_given_a_least_time(self):
         patience = learn(0.005, 0.1).patience
         assert (patience.slow, patience.hung) == (MINIMUM_SLOW_SECONDS, MINIMUM_HUNG_SECONDS)
+
+
+class TestSlowEnds:
+    def test_slowness_is_told_until_it_proves_harmless(self):
+        ends = SlowEnds()
+        assert ends.is_ominous
+        for _ in range(10):
+            ends.record(is_answered=True)
+        assert not ends.is_ominous
+
+    def test_where_half_of_it_ends_badly_it_stays_ominous(self):
+        ends = SlowEnds()
+        for number in range(40):
+            ends.record(is_answered=number % 2 == 0)
+            assert ends.is_ominous
+
+    def test_it_is_told_again_once_targets_begin_to_hang(self):
+        ends = SlowEnds()
+        for _ in range(50):
+            ends.record(is_answered=True)
+        for _ in range(3):
+            ends.record(is_answered=False)
+        assert ends.is_ominous
--- a/tarragonshelf/forwarding/tests/test_request.py
+++ b/tarragonshelf/forwarding/tests/test_request.py
@@ -206,6 +206,37 @@
         assert [(item.target.identity, item.seconds) for item in refuse.waited_for] == [("a", 2.0)]
 
 
+class TestSlowAttempts:
+    """Waiting is evidence where slow attempts end badly, and an answer takes it back."""
+
+    def test_an_answer_takes_back_what_was_told(self):
+        context = FakeContext("a")
+        machine, _ = start(context, ORDER)
+        machine.handle(0.9, TimerFired())
+        end(machine, 1, AttemptOutcome.ANSWERED, status=200, now=0.95)
+        kinds = [kind for _, kind in context.evidence]
+        assert kinds == [EvidenceKind.SLOW, EvidenceKind.PASSED, EvidenceKind.NOT_SLOW]
+        assert context.slow_ends == [True]
+
+    def test_where_slowness_is_harmless_only_a_hang_is_told(self):
+        context = FakeContext("a")
+        context.is_ominous = False
+        machine, _ = start(context, ORDER)
+        machine.handle(0.9, TimerFired())
+        assert context.evidence == []
+        machine.handle(1.0, TimerFired())
+        end(machine, 1, AttemptOutcome.ANSWERED, status=200, now=1.1)
+        kinds = [kind for _, kind in context.evidence]
+        assert kinds == [EvidenceKind.HUNG, EvidenceKind.PASSED, EvidenceKind.NOT_HUNG]
+
+    def test_a_slow_attempt_at_the_deadline_ended_badly(self):
+        context = FakeContext("a")
+        machine, _ = start(context, ORDER)
+        machine.handle(0.9, TimerFired())
+        machine.handle(2.0, TimerFired())
+        assert context.slow_ends == [False]
+
+
 class TestStalledEntry:
     """A VM of our own that stood still: it heard nothing because it did not listen."""
 
