--- a/tarragonshelf/edge/_node.py
+++ b/tarragonshelf/edge/_node.py
@@ -1,6 +1,5 @@
 """The decisions of an entry process of a site."""
 
-from dataclasses import replace
 from random import Random
 
 from ..avoidance import (
@@ -47,8 +46,9 @@
     RequestCount,
     Subscribe,
 )
-from ..registry import TargetBook, TargetEntry, TargetNews, TargetState
+from ..registry import TargetBook, TargetEntry, TargetNews
 from ..replication import Trace
+from ._evidence import Evidence
 from ._hubs import HubChoice
 from ._messages import (
     EdgeSettings,
@@ -70,8 +70,6 @@
 # What an entry's own part of the budget holds when its hub is lost: with what the hubs gave out
 # just before, all entries together still stay below the whole.
 LOST_HUB_TOKENS = 0.4
-# Evidence that a request was lost, or is about to be.
-FAILURES = frozenset({EvidenceKind.BROKEN, EvidenceKind.ERROR, EvidenceKind.HUNG})
 
 
 class EdgeNode(StateMachine, ContextQueries):
@@ -103,6 +101,14 @@
             random=random,
             floor_share=settings.floor_share,
         )
+        self.evidence = Evidence(
+            vm=settings.vm,
+            targets=self.targets,
+            avoidance=self.avoidance,
+            suspects=self.suspects,
+            failures=self.balancer.floor.failures,
+            emit=lambda effect: self._pending.append(effect),
+        )
         self.budgets = RetryBudgets(
             ratio=settings.budget.ratio,
             slack=settings.budget.slack,
@@ -220,7 +226,7 @@
             self._take_targets(now, message)
         elif isinstance(message, EvidenceNews):
             for item in message.items:
-                self._take_evidence(now, item, source=item.source or "hub")
+                self.evidence.take(now, item, source=item.source or "hub")
         elif isinstance(message, EdgeNews):
             self._edges = message.edges
             self.budgets.entries = max(message.total, len(message.edges), 1)
@@ -259,34 +265,6 @@
             self._pending.append(Trace("target_changed", fields))
         self._has_targets = self._has_targets or bool(self.targets.list_all())
 
-    def _take_evidence(self, now: float, item: EvidenceItem, *, source: str = "") -> None:
-        """Take evidence of another entry in, or with no source of this one."""
-        if item.kind == EvidenceKind.DEPARTED:
-            self._note_departed(now, item.target)
-            return
-        held = self.targets.get(item.target)
-        if item.kind in FAILURES and held is not None:
-            self.balancer.floor.failures.record_failure(now, held.service)
-        before = self.avoidance.get_standing(now, item.target)
-        self.avoidance.record(now, item, source)
-        self._trace_standing(now, item, before, source or "own")
-        if item.kind == EvidenceKind.BROKEN:
-            self.suspects.record_break(now, item.request_digest, item.target)
-
-    def _trace_standing(
-        self, now: float, item: EvidenceItem, before: Standing, source: str
-    ) -> None:
-        """Write down that a target is believed to fail or to work again."""
-        after = self.avoidance.get_standing(now, item.target)
-        if after == before:
-            return
-        fields = {"target": item.target, "evidence": item.kind.name.lower(), "source": source}
-        if after == Standing.AVOIDED and item.kind != EvidenceKind.TRIAL:
-            seconds = self.avoidance.get_avoided_seconds(now, item.target)
-            self._pending.append(Trace("target_avoided", {**fields, "seconds": round(seconds, 2)}))
-        elif after == Standing.TRUSTED:
-            self._pending.append(Trace("target_recovered", fields))
-
     def _report_load(self, now: float) -> None:
         pause = LOAD_SECONDS
         if self.hubs.address and not self.hubs.is_near():
@@ -364,7 +342,7 @@
         name = target.identity
         standing = self.avoidance.get_standing(now, name)
         if standing != Standing.TRUSTED and not self.avoidance.is_on_trial(now, name):
-            self._tell(now, EvidenceItem(name, EvidenceKind.TRIAL))
+            self.evidence.tell(now, EvidenceItem(name, EvidenceKind.TRIAL))
         self.balancer.acquire(name)
 
     def record_end(self, now: float, target: TargetEntry) -> None:
@@ -378,13 +356,13 @@
         if kind is None or kind in GOOD:
             self.suspects.record_success(request.digest)
             if kind and not self.is_trusted(now, target):
-                self._tell(now, EvidenceItem(target.identity, kind))
+                self.evidence.tell(now, EvidenceItem(target.identity, kind))
             return
         if kind == EvidenceKind.BROKEN and self.balancer.is_overloaded(target):
             # Targets reset connections while their queue is long, so load explains this one.
             kind = EvidenceKind.FULL
         digest = request.digest if kind == EvidenceKind.BROKEN else 0
-        self._tell(now, EvidenceItem(target.identity, kind, digest))
+        self.evidence.tell(now, EvidenceItem(target.identity, kind, digest))
 
     def record_success(self, request: ForwardRequest, seconds: float, size: int) -> None:
         """Take in how long a target took and how many bytes moved."""
@@ -402,18 +380,7 @@
 
     def record_departed(self, now: float, target: TargetEntry) -> None:
         """Take in that another target has the address."""
-        self._tell(now, EvidenceItem(target.identity, EvidenceKind.DEPARTED))
-
-    def _note_departed(self, now: float, identity: str) -> None:
-        held = self.targets.get(identity)
-        if held is not None and self.targets.merge(now, replace(held, state=TargetState.LEFT)):
-            fields = {"target": identity, "state": TargetState.LEFT, "service": held.service}
-            self._pending.append(Trace("target_changed", fields))
-
-    def _tell(self, now: float, item: EvidenceItem) -> None:
-        self._take_evidence(now, item)
-        told = replace(item, source=self.settings.vm)
-        self._pending.append(SendToHub(EvidenceNews((told,))))
+        self.evidence.tell(now, EvidenceItem(target.identity, EvidenceKind.DEPARTED))
 
     def _get_times(self, route: Route) -> AnswerTimes:
         return self._times.setdefault(route.name, AnswerTimes(route.objective))
