Log declared request rate limits and the attempts that are made under them

Cause: no log line or metric names a limit, so the three hypotheses of docs/incidents/limit.md cannot be told apart. Ruled out: counting request_answered by target is not enough; it shows neither what an entry knew nor the kind of the attempt. Change: Server-Limit is decoded once, in platform/. An entry logs limit_declared, limit_changed and limit_lifted, and limited_attempt for each attempt at a target whose limit it knows, with kind (first, retry, hedge), standing, rate and age. Gauge targets_limited. Which target a request goes to is unchanged. Conclusion: limited_attempt after limit_declared at the usual rate speaks for hypothesis 1, only with kind retry or hedge or an untrusted standing for hypothesis 3, at most the limit for each entry for hypothesis 2.

--- a/tarragonshelf/edge/_node.py
+++ b/tarragonshelf/edge/_node.py
@@ -22,6 +22,7 @@
     decompress_content,
 )
 from ..forwarding import (
+    AttemptKind,
     Balancer,
     ForwardingContext,
     ForwardRequest,
@@ -48,6 +49,7 @@
 )
 from ..registry import TargetEntry, TargetNews, TargetRegistry
 from ..replication import EmitEvent
+from ..throttling import DeclaredLimits, LimitStatement
 from ._evidence import EvidenceProcessor
 from ._hub_selector import HubSelector
 from ._messages import (
@@ -94,6 +96,7 @@
         self.targets = TargetRegistry()
         self.avoidance = GrayFailureDetector()
         self.suspects = SuspectRequests()
+        self.limits = DeclaredLimits()
         self.balancer = Balancer(
             topology=self.topology,
             targets=self.targets,
@@ -257,6 +260,7 @@
                 continue
             if before is None or before.started != entry.started:
                 self.avoidance.forget(entry.identity)
+                self.limits.forget(entry.identity)
             held = self.targets.get(entry.identity)
             fields = {
                 "target": held.identity,
@@ -345,10 +349,11 @@
         return self.avoidance.get_standing(now, target.identity) == Standing.TRUSTED
 
     def record_attempt_start(
-        self, now: float, request: ForwardRequest, target: TargetEntry
+        self, now: float, request: ForwardRequest, target: TargetEntry, kind: AttemptKind
     ) -> None:
         """Count an attempt at its target, and report a trial of a target that is not trusted."""
         name = target.identity
+        self._emit_limited_attempt(now, request, name, kind)
         standing = self.avoidance.get_standing(now, name)
         if standing != Standing.TRUSTED and not self.avoidance.is_on_trial(now, name):
             self.evidence.report(now, EvidenceItem(name, EvidenceKind.TRIAL))
@@ -373,6 +378,40 @@
         digest = request.digest if kind == EvidenceKind.BROKEN else 0
         self.evidence.report(now, EvidenceItem(target.identity, kind, digest))
 
+    def record_limit(
+        self, now: float, target: TargetEntry, statement: LimitStatement, *, sent_at: float
+    ) -> None:
+        """Record what a response to a request sent at ``sent_at`` says about a target's limit."""
+        change = self.limits.find_change(target.identity, statement, sent_at=sent_at)
+        if change is None:
+            return
+        fields = {
+            "target": target.identity,
+            "service": target.service,
+            "rate": statement.rate,
+            "age": round(self.limits.get_age(now, target.identity), 3),
+        }
+        self._pending_effects.append(EmitEvent(f"limit_{change}", fields))
+        self.limits.record(now, target.identity, statement.rate)
+
+    def _emit_limited_attempt(
+        self, now: float, request: ForwardRequest, target: str, kind: AttemptKind
+    ) -> None:
+        """Emit an event for an attempt at a target that declares a limit."""
+        rate = self.limits.get_rate(target)
+        if rate is None:
+            return
+        fields = {
+            "request": request.identity,
+            "target": target,
+            "service": request.service,
+            "kind": kind,
+            "rate": rate,
+            "age": round(self.limits.get_age(now, target), 3),
+            "standing": self.avoidance.get_standing(now, target),
+        }
+        self._pending_effects.append(EmitEvent("limited_attempt", fields))
+
     def record_success(self, request: ForwardRequest, seconds: float, size: int) -> None:
         """Record the response time and the number of transferred bytes of an attempt."""
         self._get_profile(request.service).record(seconds, size)
--- a/tarragonshelf/edge/tests/test_edge.py
+++ b/tarragonshelf/edge/tests/test_edge.py
@@ -14,7 +14,7 @@
     RetryDecided,
     SendToHub,
 )
-from ...forwarding import ForwardRequest, RetryBudgetSettings
+from ...forwarding import AttemptKind, ForwardRequest, RetryBudgetSettings
 from ...forwarding.tests.fakes import create_route
 from ...hub import (
     EdgeNews,
@@ -32,6 +32,7 @@
 from ...hub.tests.fakes import FakeReader
 from ...registry import TargetEntry, TargetNews, TargetState
 from ...replication import EmitEvent
+from ...throttling import LimitStatement
 
 REGIONS = {"z0": "r0", "z1": "r0", "z2": "r1"}
 SETTINGS = EdgeSettings(
@@ -218,7 +219,7 @@
         node = fixture.node
         request = ForwardRequest("q", create_route(is_repeatable=True), "s", 0.0, 1.0)
         assert not node.is_trusted(fixture.now, TARGET)
-        node.record_attempt_start(fixture.now, request, TARGET)
+        node.record_attempt_start(fixture.now, request, TARGET, AttemptKind.FIRST)
         node.record_evidence(fixture.now, request, TARGET, EvidenceKind.PASSED)
         sent = [item.message for item in node.pop_pending_effects() if isinstance(item, SendToHub)]
         kinds = [item.kind for news in sent for item in news.items]
@@ -227,7 +228,7 @@
     def test_successes_of_trusted_targets_are_not_reported(self):
         fixture = Fixture().serve()
         request = ForwardRequest("q", create_route(is_repeatable=True), "s", 0.0, 1.0)
-        fixture.node.record_attempt_start(fixture.now, request, TARGET)
+        fixture.node.record_attempt_start(fixture.now, request, TARGET, AttemptKind.FIRST)
         fixture.node.record_evidence(fixture.now, request, TARGET, EvidenceKind.PASSED)
         assert fixture.node.pop_pending_effects() == []
 
@@ -290,3 +291,37 @@
         fixture.tick(0.5)
         assert [type(item.message) for item in fixture.find(SendToHub)] == [LoadReport]
         assert not fixture.tick(0.5).find(SendToHub)
+
+
+class TestLimitEvents:
+    """Logs show which entry knows a limit, and which attempts it still sends to the target."""
+
+    def test_events_of_a_limit_and_of_attempts_under_it(self):
+        fixture = Fixture().serve()
+        node = fixture.node
+        request = ForwardRequest("q", create_route(is_repeatable=True), "s", 0.0, 1.0)
+        node.record_limit(10.0, TARGET, LimitStatement(2.0), sent_at=9.8)
+        node.record_attempt_start(11.5, request, TARGET, AttemptKind.RETRY)
+        node.record_limit(12.0, TARGET, LimitStatement(None), sent_at=11.5)
+        node.record_attempt_start(13.0, request, TARGET, AttemptKind.FIRST)
+        events = [item for item in node.pop_pending_effects() if isinstance(item, EmitEvent)]
+        assert [item.event for item in events] == [
+            "limit_declared",
+            "limited_attempt",
+            "limit_lifted",
+        ]
+        assert events[1].fields == {
+            "request": "q",
+            "target": "i-1",
+            "service": "s",
+            "kind": "retry",
+            "rate": 2.0,
+            "age": 1.5,
+            "standing": "trusted",
+        }
+
+    def test_new_incarnation_of_a_target_has_no_limit(self):
+        fixture = Fixture().serve()
+        fixture.node.record_limit(fixture.now, TARGET, LimitStatement(2.0), sent_at=9.0)
+        fixture.receive(TargetNews((replace(TARGET, started=2000),)))
+        assert fixture.node.limits.list_rates() == {}
--- a/tarragonshelf/forwarding/__init__.py
+++ b/tarragonshelf/forwarding/__init__.py
@@ -5,6 +5,7 @@
 from ._messages import (
     Attempt,
     AttemptEnded,
+    AttemptKind,
     AttemptOutcome,
     Cancel,
     ForwardingContext,
@@ -29,6 +30,7 @@
     "RequestRetryGrant",
     "Attempt",
     "AttemptEnded",
+    "AttemptKind",
     "AttemptOutcome",
     "Balancer",
     "RetryBudgetSettings",
--- a/tarragonshelf/forwarding/_messages.py
+++ b/tarragonshelf/forwarding/_messages.py
@@ -8,8 +8,12 @@
 from ..base import Effect, Message
 from ..catalogue import Route
 from ..registry import TargetEntry
+from ..throttling import LimitStatement
 from ._profile import LatencyThresholds
 
+# Statuses from this one on mean that the target failed.
+MINIMUM_ERROR_STATUS = 500
+
 
 @dataclass(frozen=True, slots=True)
 class ForwardRequest:
@@ -36,6 +40,11 @@
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
 
+    @property
+    def is_error(self) -> bool:
+        """Whether the status means that the target failed."""
+        return self.status >= MINIMUM_ERROR_STATUS
+
 
 class AttemptOutcome(StrEnum):
     """How an attempt ended.
@@ -54,6 +63,17 @@
     UNUSABLE = "unusable"
 
 
+class AttemptKind(StrEnum):
+    """Why a request is sent to a target.
+
+    ``HEDGE`` is sent while an earlier attempt may still be answered, ``RETRY`` after it failed.
+    """
+
+    FIRST = "first"
+    RETRY = "retry"
+    HEDGE = "hedge"
+
+
 class RefusalReason(StrEnum):
     """Why the entry itself answers a request with an error."""
 
@@ -73,12 +93,16 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptEnded(Message):
-    """An attempt ended; ``seconds`` is how long it took."""
+    """An attempt ended; ``seconds`` is how long it took.
+
+    ``limit`` is what the response says about the target's limit, if anything.
+    """
 
     number: int
     outcome: AttemptOutcome
     seconds: float = 0.0
     answer: TargetAnswer | None = None
+    limit: LimitStatement | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -205,7 +229,7 @@
 
     @abstractmethod
     def record_attempt_start(
-        self, now: float, request: ForwardRequest, target: TargetEntry
+        self, now: float, request: ForwardRequest, target: TargetEntry, kind: AttemptKind
     ) -> None:
         """Record the start of an attempt."""
 
@@ -219,6 +243,12 @@
     ) -> None:
         """Record evidence of an attempt about its target."""
 
+    @abstractmethod
+    def record_limit(
+        self, now: float, target: TargetEntry, statement: LimitStatement, *, sent_at: float
+    ) -> None:
+        """Record what a response to a request sent at ``sent_at`` says about a target's limit."""
+
     @abstractmethod
     def record_success(self, request: ForwardRequest, seconds: float, size: int) -> None:
         """Record the response time in seconds and the bytes of request and response."""
--- a/tarragonshelf/forwarding/_request.py
+++ b/tarragonshelf/forwarding/_request.py
@@ -7,6 +7,7 @@
 from ._messages import (
     Attempt,
     AttemptEnded,
+    AttemptKind,
     AttemptOutcome,
     Cancel,
     ForwardingContext,
@@ -23,8 +24,6 @@
     UnansweredAttempt,
 )
 
-# Statuses from this one on mean that the target failed.
-MINIMUM_ERROR_STATUS = 500
 GATEWAY_TIMEOUT = 504
 # Attempts with less time left than this are not started: the response would come too late.
 MINIMUM_ATTEMPT_SECONDS = 0.02
@@ -163,6 +162,9 @@
         return self._try_next(now, is_granted=True)
 
     def _start_attempt(self, now: float, target: TargetEntry) -> list[Effect]:
+        kind = AttemptKind.RETRY if self._number else AttemptKind.FIRST
+        if self._open:
+            kind = AttemptKind.HEDGE
         self._number += 1
         self._executions += 1
         self._deliveries += 1
@@ -172,7 +174,7 @@
         self._open[self._number] = OpenAttempt(target, now, thresholds, is_trial)
         hedge_delay = HEDGE_SHARE * (self.request.deadline - now)
         self._hedge_at = now + min(thresholds.hedge, hedge_delay)
-        self.context.record_attempt_start(now, self.request, target)
+        self.context.record_attempt_start(now, self.request, target, kind)
         attempt = Attempt(self._number, target, self.request.deadline, is_trial)
         return [attempt, self._set_timer()]
 
@@ -190,8 +192,10 @@
         target = attempt.target
         self.context.record_attempt_end(now, target)
         if attempt.is_slow:
-            is_answered = ended.answer is not None and ended.answer.status < MINIMUM_ERROR_STATUS
+            is_answered = ended.answer is not None and not ended.answer.is_error
             self.context.record_slow_outcome(is_answered=is_answered)
+        if ended.limit is not None:
+            self.context.record_limit(now, target, ended.limit, sent_at=attempt.started_at)
         if ended.outcome == AttemptOutcome.ANSWERED:
             return self._handle_response(now, attempt, ended)
         self._record_failure(now, target, ended.outcome)
@@ -211,7 +215,7 @@
         self, now: float, attempt: OpenAttempt, ended: AttemptEnded
     ) -> list[Effect]:
         answer, target = ended.answer, attempt.target
-        if answer.status < MINIMUM_ERROR_STATUS:
+        if not answer.is_error:
             for kind in attempt.list_success_evidence():
                 self.context.record_evidence(now, self.request, target, kind)
             size = len(answer.body) + self.request.size
--- a/tarragonshelf/forwarding/tests/fakes.py
+++ b/tarragonshelf/forwarding/tests/fakes.py
@@ -43,6 +43,7 @@
         self.is_predictive = True
         self.slow_outcomes: list[bool] = []
         self.quarantined: set[int] = set()
+        self.limits: list[tuple[str, float | None]] = []
         self.avoidance = GrayFailureDetector()
 
     def choose_target(self, now, request, tried):
@@ -71,7 +72,7 @@
     def is_trusted(self, now, target):
         return target.identity not in self.untrusted
 
-    def record_attempt_start(self, now, request, target):
+    def record_attempt_start(self, now, request, target, kind):
         self.occupied.append(target.identity)
 
     def record_attempt_end(self, now, target):
@@ -80,6 +81,9 @@
     def record_evidence(self, now, request, target, kind):
         self.evidence.append((target.identity, kind))
 
+    def record_limit(self, now, target, statement, *, sent_at):
+        self.limits.append((target.identity, statement.rate))
+
     def record_success(self, request, seconds, size):
         pass
 
--- a/tarragonshelf/platform/_entry_http.py
+++ b/tarragonshelf/platform/_entry_http.py
@@ -5,7 +5,8 @@
 from ..forwarding import AttemptOutcome, RefusalReason, Refuse, TargetAnswer
 from ..registry import TargetEntry
 from ..site import CallerFields, DiscoveryHandler, EdgeQueries, HttpDialect, RawHeaders
-from ._values import format_seconds
+from ..throttling import LimitStatement
+from ._values import format_seconds, read_decimal
 
 REQUEST_ID_HEADER = b"request-id"
 DEADLINE_HEADER = b"deadline-ms"
@@ -13,6 +14,9 @@
 # Set by a target on each response that it created itself, as proof of origin.
 STAMP_HEADER = b"response-stamp"
 NOT_EXECUTED_HEADER = b"not-executed"
+# Requests per second that the target accepts from all entries together, in each of its responses
+# while the limit is in force.
+LIMIT_HEADER = b"server-limit"
 MISDIRECTED_STATUS = 421
 # Used if no Keep-Alive header states a time-out. Targets close idle connections after some
 # seconds.
@@ -81,6 +85,23 @@
             return AttemptOutcome.REFUSED
         return AttemptOutcome.ANSWERED
 
+    def read_limit(self, response: TargetAnswer) -> LimitStatement | None:
+        """Return what a response says about its target's limit.
+
+        A response without a limit says that there is none only if the target ran the request
+        without an error: refusals and errors need not repeat the limit, and a misdirected request
+        was answered by another target.
+        """
+        outcome = self.classify(response)
+        if outcome == AttemptOutcome.MISDIRECTED:
+            return None
+        text = _get_header(response.headers, LIMIT_HEADER).strip()
+        if text:
+            return LimitStatement(read_decimal(text, "Server-Limit"))
+        if outcome == AttemptOutcome.ANSWERED and not response.is_error:
+            return LimitStatement(None)
+        return None
+
     def get_idle_seconds(self, headers: RawHeaders) -> float:
         """Return for how many seconds a connection may stay idle after a response."""
         for part in _get_header(headers, b"keep-alive").split(b","):
--- a/tarragonshelf/platform/_values.py
+++ b/tarragonshelf/platform/_values.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 _DURATION = re.compile(r"^(\d+(?:\.\d+)?)(ms|s)$")
+_DECIMAL = re.compile(r"^\d+(?:\.\d+)?$")
 _VERSION = re.compile(r"^[0-9a-f]{8}$")
 _ADDRESS = re.compile(r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")
 
@@ -53,6 +54,13 @@
     return float(value)
 
 
+def read_decimal(text: bytes, field_path: str) -> float:
+    """Return the value of a decimal number such as ``2`` or ``0.5``."""
+    if not _DECIMAL.match(text.decode("latin-1")):
+        raise MalformedError(f"{field_path}: {text!r} is not a decimal number")
+    return float(text)
+
+
 def read_table(value: Any, field_path: str) -> dict:
     """Return a table."""
     if not isinstance(value, dict):
--- a/tarragonshelf/platform/tests/test_platform.py
+++ b/tarragonshelf/platform/tests/test_platform.py
@@ -7,6 +7,7 @@
 from ...catalogue import UnreadableCatalogueError, find_validation_errors
 from ...forwarding import AttemptOutcome, RefusalReason, Refuse, TargetAnswer
 from ...registry import TargetEntry, TargetState
+from ...throttling import LimitStatement
 from .._control import create_hub_settings
 from .._documents import DocumentReader
 from .._entry import create_edge_settings
@@ -202,6 +203,48 @@
         assert ("Retry-After" in response.headers) == (status == 503)
 
 
+class TestLimitHeader:
+    """A target names its limit in responses of every kind; only a success lifts it."""
+
+    @pytest.mark.parametrize(("text", "rate"), [(b"2", 2.0), (b"0.5", 0.5), (b" 12.25 ", 12.25)])
+    @pytest.mark.parametrize("status", [200, 404, 500, 503])
+    def test_limit_is_a_decimal_number(self, text, rate, status):
+        response = TargetAnswer(status, ((b"Server-Limit", text),), b"")
+        assert PlatformDialect().read_limit(response) == LimitStatement(rate)
+
+    def test_refusal_names_a_limit(self):
+        headers = ((b"Not-Executed", b"1"), (b"server-limit", b"2"))
+        assert PlatformDialect().read_limit(TargetAnswer(503, headers, b"")).rate == 2.0
+
+    def test_success_without_limit_says_that_there_is_none(self):
+        assert PlatformDialect().read_limit(TargetAnswer(200, (), b"")) == LimitStatement(None)
+
+    @pytest.mark.parametrize(
+        ("status", "headers"),
+        [
+            (500, ()),
+            (504, ()),
+            (503, ((b"Not-Executed", b"1"),)),
+            (400, ((b"Not-Executed", b"1"),)),
+            (421, ((b"Not-Executed", b"1"),)),
+        ],
+    )
+    def test_refusal_or_error_without_limit_says_nothing(self, status, headers):
+        assert PlatformDialect().read_limit(TargetAnswer(status, headers, b"")) is None
+
+    def test_limit_of_another_target_at_the_address_is_ignored(self):
+        response = TargetAnswer(421, ((b"Server-Limit", b"2"),), b"")
+        assert PlatformDialect().read_limit(response) is None
+
+    @pytest.mark.parametrize(
+        "text", [b"x", b"-1", b"1,5", b"1e9", b"inf", b"nan", b"1 2", b"\xff"]
+    )
+    def test_malformed_limit_is_rejected(self, text):
+        response = TargetAnswer(200, ((b"Server-Limit", text),), b"")
+        with pytest.raises(MalformedError, match="Server-Limit"):
+            PlatformDialect().read_limit(response)
+
+
 class TestSettings:
     def test_entry_settings(self):
         settings, addresses = create_edge_settings(SETTINGS)
--- a/tarragonshelf/site/_edge.py
+++ b/tarragonshelf/site/_edge.py
@@ -260,6 +260,7 @@
         self.metrics.set("hub_is_heard", int(self.node.hubs.has_current_hub(now)))
         self.metrics.set("requests_under_way", self.caller_server.in_flight)
         self.metrics.set("targets_avoided", self.node.avoidance.count_avoided(now))
+        self.metrics.set("targets_limited", len(self.node.limits.list_rates()))
         self.metrics.set("connections_made", self.pool.connections_made)
         if self.node.catalogue is not None:
             for spec in self.node.catalogue.services:
--- a/tarragonshelf/site/_forwarder.py
+++ b/tarragonshelf/site/_forwarder.py
@@ -21,8 +21,10 @@
     RetryGrantAnswered,
     SetTimer,
     Started,
+    TargetAnswer,
     TimerFired,
 )
+from ..throttling import LimitStatement
 from ._exchange import ExchangeFailedError
 from ._interfaces import HttpDialect, RawHeaders
 from ._pool import ConnectionPool
@@ -128,7 +130,7 @@
             raise
         self.pool.put(target, connection)
         outcome = self.dialect.classify(response)
-        if outcome != AttemptOutcome.ANSWERED or response.status >= 500:
+        if outcome != AttemptOutcome.ANSWERED or response.is_error:
             self._report_failure(
                 execution,
                 attempt,
@@ -136,7 +138,22 @@
                 str(outcome),
                 f"status {response.status}",
             )
-        return AttemptEnded(attempt.number, outcome, loop.time() - started_at, response)
+        limit = self._read_limit(execution, attempt, response)
+        return AttemptEnded(attempt.number, outcome, loop.time() - started_at, response, limit)
+
+    def _read_limit(
+        self, execution: "_RequestExecution", attempt: Attempt, response: TargetAnswer
+    ) -> LimitStatement | None:
+        try:
+            return self.dialect.read_limit(response)
+        except ValueError as error:
+            self.report(
+                "limit_malformed",
+                request=execution.request_id,
+                target=attempt.target.identity,
+                problem=str(error),
+            )
+            return None
 
     def _report_failure(
         self,
--- a/tarragonshelf/site/_interfaces.py
+++ b/tarragonshelf/site/_interfaces.py
@@ -9,6 +9,7 @@
 from ..base import Message
 from ..forwarding import AttemptOutcome, RefusalReason, Refuse, TargetAnswer
 from ..registry import TargetEntry
+from ..throttling import LimitStatement
 
 RawHeaders = Iterable[tuple[bytes, bytes]]
 
@@ -56,6 +57,16 @@
         Any outcome but ``ANSWERED`` needs proof that the target did not run the request.
         """
 
+    @abstractmethod
+    def read_limit(self, response: TargetAnswer) -> LimitStatement | None:
+        """Return what a response says about its target's limit, or None if it says nothing.
+
+        Raises
+        ------
+        ValueError
+            If the limit is malformed.
+        """
+
     @abstractmethod
     def get_idle_seconds(self, headers: RawHeaders) -> float:
         """Return for how many seconds a connection may stay idle after a response."""
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -26,6 +26,7 @@
     "registry",
     "replication",
     "routing",
+    "throttling",
 )
 # Terms of the outer platform; only the adapter package ``platform`` translates them.
 PLATFORM_TERMS = (
@@ -34,6 +35,7 @@
     "Not-Executed",
     "Request-Id",
     "Response-Stamp",
+    "Server-Limit",
     "back end",
     "backend",
     "beat_addr",
