Failing test: a target that names a limit gets its usual share

Ruled out: with one network hop and no faults the fault shows at 6 and at 100 entries and for three rates, so it needs neither a restart nor a cut. Change: a fleet of entries, hubs and targets on a simulated clock (edge/tests/fakes.py), and the rule of the users' specification checked on it. Conclusion: reproduced.

--- /dev/null
+++ b/tarragonshelf/edge/tests/fakes.py
@@ -0,0 +1,353 @@
+"""Entries, hubs and targets that declare limits, on a simulated network and clock."""
+
+import heapq
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from itertools import count
+from random import Random
+
+from ...base import Effect
+from ...edge import (
+    EdgeNode,
+    EdgeSettings,
+    FollowHub,
+    HubLost,
+    HubReceived,
+    RetryDecided,
+    SendToHub,
+)
+from ...forwarding import (
+    Attempt,
+    AttemptEnded,
+    AttemptOutcome,
+    Cancel,
+    ForwardRequest,
+    Refuse,
+    RequestMachine,
+    RequestRetryGrant,
+    RespondWith,
+    RetryBudgetSettings,
+    RetryGrantAnswered,
+    SetTimer,
+    Started,
+    TargetAnswer,
+    TimerFired,
+)
+from ...forwarding.tests.fakes import create_route
+from ...hub import AnnounceTarget, SubscriberLost, SubscriberReceived
+from ...hub.tests.fakes import PORT, REGIONS, FakeReader, FakeSite
+from ...registry import TargetEntry, TargetState
+from ...throttling import LimitStatement
+
+STEP = 0.01
+TICK_STEPS = 5
+MEAN_WORK_SECONDS = 0.15
+# Bounds of the users' specification for targets that name a limit.
+LIMIT_WINDOW_SECONDS = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
+LIMIT_SETTLE_SECONDS = 3.0
+TOLD_SECONDS = 0.5
+
+
+@dataclass(slots=True)
+class Arrival:
+    """A request that reached a target; ``was_told`` is whether its entry had to know the limit."""
+
+    at: float
+    entry: str
+    was_told: bool
+
+
+@dataclass(slots=True)
+class FakeTarget:
+    """A target, the limit that it names, and the requests that reached it."""
+
+    entry: TargetEntry
+    limit: float | None = None
+    arrivals: list[Arrival] = field(default_factory=list)
+    # When each entry first passed on a response that names the limit.
+    told_at: dict[str, float] = field(default_factory=dict)
+
+    def count_arrivals(self, start: float, end: float) -> int:
+        """Return how many requests arrived in a span of time."""
+        return sum(start <= item.at < end for item in self.arrivals)
+
+
+@dataclass(slots=True)
+class Outcome:
+    """How a request ended; ``refusal`` is None if a target responded."""
+
+    request: ForwardRequest
+    entry: str
+    ended_at: float
+    refusal: Refuse | None
+
+
+@dataclass(slots=True)
+class FakeEntry:
+    """An entry process and its connection to a hub."""
+
+    name: str
+    node: EdgeNode
+    hub: str = ""
+    number: int = 0
+    is_cut: bool = False
+    is_frozen: bool = False
+    inbox: list[Callable[[], None]] = field(default_factory=list)
+
+
+class FakeFleet:
+    """Entries that forward requests to targets of one service.
+
+    Parameters
+    ----------
+    entries, targets, hubs : int
+        Number of each.
+    rate : float
+        Requests per second of all callers together.
+    seed : int, optional
+        Seed of everything random.
+    """
+
+    def __init__(self, *, entries: int, targets: int, rate: float, hubs: int = 3, seed: int = 1):
+        self.random = Random(seed)
+        self.rate = rate
+        self.site = FakeSite(hubs, seed=seed, data_centres=3)
+        self.site.step = STEP
+        self.numbers = count(1)
+        self.events: list = []
+        self.outcomes: list[Outcome] = []
+        # Ids of the requests that reached a target.
+        self.ran: set[str] = set()
+        self.entries: dict[str, FakeEntry] = {}
+        self.disturbed: set[str] = set()
+        self.site.put(1)
+        self.targets = [self._announce_target(number) for number in range(targets)]
+        for number in range(entries):
+            self.start_entry(f"e{number}")
+        self._next_request_at = float("inf")
+        self._steps = 0
+        self._pending: dict[tuple[str, int], RequestMachine] = {}
+        self.advance(6.0)
+        assert all(item.node.is_ready for item in self.entries.values())
+        self._next_request_at = self.now
+
+    @property
+    def now(self) -> float:
+        """The simulated time in seconds."""
+        return self.site.now
+
+    # Faults
+
+    def start_entry(self, name: str) -> None:
+        """Start an entry process, or restart it without any state."""
+        data_centre = f"z{int(name[1:]) % 3}"
+        settings = EdgeSettings(
+            vm=name,
+            address=f"{name}:80",
+            data_centre=data_centre,
+            regions=REGIONS,
+            hubs=tuple(f"{vm}:{PORT}" for vm in self.site.seeds),
+            budget=RetryBudgetSettings(ratio=0.2, slack=40.0, window=10.0),
+            address_lifetime_seconds=1.5,
+        )
+        if name in self.entries:
+            self.disturbed.add(name)
+            self._disconnect(self.entries[name])
+        node = EdgeNode(settings=settings, reader=FakeReader(), random=Random(name))
+        self.entries[name] = FakeEntry(name, node)
+
+    def cut_entry(self, name: str, *, is_cut: bool) -> None:
+        """Cut an entry off from all hubs, or reconnect it."""
+        self.disturbed.add(name)
+        self.entries[name].is_cut = is_cut
+
+    def freeze_entry(self, name: str, *, is_frozen: bool) -> None:
+        """Suspend an entry process, or let it go on with what arrived meanwhile."""
+        self.disturbed.add(name)
+        entry = self.entries[name]
+        entry.is_frozen = is_frozen
+        if not is_frozen:
+            inbox, entry.inbox = entry.inbox, []
+            for handle in inbox:
+                handle()
+
+    # Simulation
+
+    def advance(self, seconds: float) -> None:
+        """Advance the clock; deliver messages, requests and responses."""
+        for _ in range(round(seconds / STEP)):
+            self.site.advance(STEP)
+            self._steps += 1
+            self._deliver_pushes()
+            while self.events and self.events[0][0] <= self.now:
+                heapq.heappop(self.events)[2]()
+            while self._next_request_at <= self.now:
+                self._next_request_at += self.random.expovariate(self.rate)
+                self._start_request()
+            if self._steps % TICK_STEPS == 0:
+                for entry in self.entries.values():
+                    if not entry.is_frozen:
+                        self._execute(entry, entry.node.tick(self.now))
+
+    def find_excess(self, target: FakeTarget, named_at: float, *, is_strict: bool) -> list[str]:
+        """Return the windows in which a target got more than its limit allows.
+
+        Parameters
+        ----------
+        target : FakeTarget
+            A target whose limit did not change since ``named_at``.
+        named_at : float
+            When it began to name the limit.
+        is_strict : bool
+            Whether requests of all entries count; otherwise only those of undisturbed entries
+            that the target had told its limit, as the users' specification says.
+        """
+        allowed = LIMIT_FACTOR * target.limit * LIMIT_WINDOW_SECONDS + LIMIT_SLACK
+        times = [
+            item.at
+            for item in target.arrivals
+            if item.at >= named_at + LIMIT_SETTLE_SECONDS
+            and (is_strict or (item.was_told and item.entry not in self.disturbed))
+        ]
+        found = []
+        for start in times:
+            got = sum(start <= at < start + LIMIT_WINDOW_SECONDS for at in times)
+            if got > allowed:
+                name = target.entry.identity
+                found.append(f"{name} got {got} from {start:.2f} s on; allowed {allowed:.0f}")
+        return found
+
+    def _announce_target(self, number: int) -> FakeTarget:
+        entry = TargetEntry(
+            f"t{number}", 1000, 1, TargetState.READY, f"t{number}:80", "s", f"z{number % 3}", 3
+        )
+        self.site.call(self.site.leader, AnnounceTarget(entry))
+        return FakeTarget(entry)
+
+    def _after(self, seconds: float, handle: Callable[[], None]) -> None:
+        heapq.heappush(self.events, (self.now + seconds, next(self.numbers), handle))
+
+    def _run_at(self, entry: FakeEntry, handle: Callable[[], None]) -> None:
+        """Run a handler in an entry process, once it is not frozen, unless it was restarted."""
+        if self.entries.get(entry.name) is not entry:
+            return
+        if entry.is_frozen:
+            entry.inbox.append(handle)
+        else:
+            handle()
+
+    # Hubs
+
+    def _deliver_pushes(self) -> None:
+        pushed, self.site.pushed = self.site.pushed, []
+        by_number = {(item.hub, item.number): item for item in self.entries.values()}
+        for vm, number, message in pushed:
+            entry = by_number.get((vm, number))
+            if entry is not None and not entry.is_cut:
+                self._run_at(
+                    entry,
+                    lambda entry=entry, vm=vm, message=message: self._execute(
+                        entry,
+                        entry.node.handle(self.now, HubReceived(f"{vm}:{PORT}", message)),
+                    ),
+                )
+
+    def _execute(self, entry: FakeEntry, effects: list[Effect]) -> None:
+        for effect in effects:
+            if isinstance(effect, FollowHub):
+                self._follow(entry, effect.address.partition(":")[0])
+            elif isinstance(effect, SendToHub):
+                self._send_to_hub(entry, effect.message)
+            elif isinstance(effect, RetryDecided):
+                machine = self._pending.pop((entry.name, effect.number))
+                answer = RetryGrantAnswered(effect.is_granted)
+                self._handle(entry, machine, answer)
+
+    def _follow(self, entry: FakeEntry, vm: str) -> None:
+        self._disconnect(entry)
+        hub = self.site.hubs.get(vm)
+        if entry.is_cut or hub is None or hub.node is None:
+            lost = HubLost(f"{vm}:{PORT}")
+            self._after(0.35, lambda: self._execute(entry, entry.node.handle(self.now, lost)))
+            return
+        entry.hub, entry.number = vm, next(self.numbers)
+        self._send_to_hub(entry, entry.node.create_subscription())
+
+    def _disconnect(self, entry: FakeEntry) -> None:
+        if entry.hub and self.site.hubs[entry.hub].node is not None:
+            self.site.receive(entry.hub, SubscriberLost(entry.number))
+        entry.hub = ""
+
+    def _send_to_hub(self, entry: FakeEntry, message) -> None:
+        if entry.hub and not entry.is_cut:
+            self.site.receive(entry.hub, SubscriberReceived(entry.number, message))
+
+    # Requests
+
+    def _start_request(self) -> None:
+        entry = self.random.choice(list(self.entries.values()))
+        self._run_at(entry, lambda: self._forward(entry))
+
+    def _forward(self, entry: FakeEntry) -> None:
+        if not entry.node.is_ready:
+            return
+        route = create_route(is_repeatable=self.random.random() < 0.4)
+        identity = f"q{next(self.numbers)}"
+        request = ForwardRequest(identity, route, "s", self.now, self.now + route.timeout)
+        entry.node.record_request(self.now, "s")
+        self._handle(entry, RequestMachine(request, entry.node), Started())
+
+    def _handle(self, entry: FakeEntry, machine: RequestMachine, message) -> None:
+        for effect in machine.handle(self.now, message):
+            if isinstance(effect, Attempt):
+                self._send_attempt(entry, machine, effect)
+            elif isinstance(effect, SetTimer):
+                self._set_timer(entry, machine, effect.at)
+            elif isinstance(effect, RequestRetryGrant):
+                number = entry.node.request_retry(self.now, effect.service)
+                self._pending[entry.name, number] = machine
+            elif isinstance(effect, RespondWith | Refuse):
+                self._finish(entry, machine, effect)
+            else:
+                assert isinstance(effect, Cancel)
+        self._execute(entry, entry.node.pop_pending_effects())
+
+    def _set_timer(self, entry: FakeEntry, machine: RequestMachine, at: float) -> None:
+        self._after(
+            max(0.0, at - self.now),
+            lambda: self._run_at(entry, lambda: self._handle(entry, machine, TimerFired())),
+        )
+
+    def _send_attempt(self, entry: FakeEntry, machine: RequestMachine, attempt: Attempt) -> None:
+        target = self.targets[int(attempt.target.identity[1:])]
+        told_at = target.told_at.get(entry.name, float("inf"))
+        was_told = target.limit is not None and self.now - told_at >= TOLD_SECONDS
+        target.arrivals.append(Arrival(self.now, entry.name, was_told))
+        self.ran.add(machine.request.identity)
+        seconds = self.random.expovariate(1 / MEAN_WORK_SECONDS)
+        self._after(seconds, lambda: self._answer(entry, machine, attempt.number, target, seconds))
+
+    def _answer(
+        self,
+        entry: FakeEntry,
+        machine: RequestMachine,
+        number: int,
+        target: FakeTarget,
+        seconds: float,
+    ) -> None:
+        limit = LimitStatement(target.limit)
+        answer = TargetAnswer(200, (), b"")
+        ended = AttemptEnded(number, AttemptOutcome.ANSWERED, seconds, answer, limit)
+
+        def handle() -> None:
+            if limit.rate is not None:
+                target.told_at.setdefault(entry.name, self.now)
+            self._handle(entry, machine, ended)
+
+        self._run_at(entry, handle)
+
+    def _finish(self, entry: FakeEntry, machine: RequestMachine, effect: Effect) -> None:
+        refusal = effect if isinstance(effect, Refuse) else None
+        self.outcomes.append(Outcome(machine.request, entry.name, self.now, refusal))
--- a/tarragonshelf/hub/tests/fakes.py
+++ b/tarragonshelf/hub/tests/fakes.py
@@ -72,6 +72,7 @@
     def __init__(self, count: int, *, seed: int = 0, data_centres: int | None = None):
         self.random = Random(seed)
         self.now = 100.0
+        self.step = TICK
         self.hubs: dict[str, FakeHub] = {}
         self.blocked_links: set[tuple[str, str]] = set()
         self.drop_next_target_news = 0
@@ -137,7 +138,7 @@
         end = self.now + seconds
         joined_at = self.now
         while self.now < end:
-            self.now += TICK
+            self.now += self.step
             self._deliver()
             for hub in list(self.hubs.values()):
                 self._run(hub, None)
