--- a/benchmarks/spells.py
+++ b/benchmarks/spells.py
@@ -32,6 +32,7 @@
 )
 from tarragonshelf.forwarding._attempts import OpenAttempt
 from tarragonshelf.registry import TargetEntry, TargetRegistry, TargetState
+from tarragonshelf.throttling import DeclaredLimits
 
 REGIONS_BY_DATA_CENTRE = {f"z{index}": f"r{index // 2}" for index in range(6)}
 EVIDENCE_KINDS = {
@@ -106,6 +107,7 @@
                 topology=Topology(data_centres[index % 6], REGIONS_BY_DATA_CENTRE),
                 targets=self.targets,
                 avoidance=detector,
+                limits=DeclaredLimits(),
                 random=Random(seed * 1000 + index),
                 floor_share=pattern.floor_share,
             )
--- a/tarragonshelf/avoidance/_messages.py
+++ b/tarragonshelf/avoidance/_messages.py
@@ -14,6 +14,8 @@
     another target has the address. ``TRIAL`` is a request to a target that is not trusted, and
     ``PASSED`` a good response of such a target. ``SLOW`` and then ``HUNG`` are reported while an
     attempt waits for its response; ``NOT_SLOW`` and ``NOT_HUNG`` retract these reports.
+    ``LIMITED`` means that a response named a request rate limit of the target, ``UNLIMITED`` that
+    it named none any more.
     """
 
     BROKEN = "b"
@@ -28,6 +30,8 @@
     SLOW = "s"
     NOT_SLOW = "a"
     NOT_HUNG = "l"
+    LIMITED = "r"
+    UNLIMITED = "o"
 
 
 class Standing(StrEnum):
@@ -44,13 +48,14 @@
 
     ``request_digest`` identifies the request if its connection broke, so that requests that crash
     targets can be distinguished from failing targets. ``source`` is the VM of the entry that made
-    the attempt.
+    the attempt. ``rate`` is the limit in requests per second of ``LIMITED``.
     """
 
     target: str
     kind: EvidenceKind
     request_digest: int = 0
     source: str = ""
+    rate: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tarragonshelf/edge/__init__.py
+++ b/tarragonshelf/edge/__init__.py
@@ -6,6 +6,7 @@
     FollowHub,
     HubLost,
     HubReceived,
+    PermitAnswered,
     RetryDecided,
     SendToHub,
 )
@@ -19,6 +20,7 @@
     "HubLost",
     "HubReceived",
     "HubSelector",
+    "PermitAnswered",
     "RetryDecided",
     "SendToHub",
     "StopPlan",
--- a/tarragonshelf/edge/_evidence.py
+++ b/tarragonshelf/edge/_evidence.py
@@ -15,8 +15,11 @@
 from ..forwarding import FailureMeter
 from ..registry import TargetRegistry, TargetState
 from ..replication import EmitEvent
+from ..throttling import DeclaredLimits
 from ._messages import SendToHub
 
+# What targets say about their request rate limits.
+LIMIT_EVIDENCE = frozenset({EvidenceKind.LIMITED, EvidenceKind.UNLIMITED})
 # Evidence that a request failed or is likely to fail.
 FAILURE_EVIDENCE = frozenset({EvidenceKind.BROKEN, EvidenceKind.ERROR, EvidenceKind.HUNG})
 
@@ -28,7 +31,7 @@
     ----------
     vm : str
         The VM of this entry.
-    targets, avoidance, suspects, failures
+    targets, avoidance, limits, suspects, failures
         Objects that evidence updates.
     emit : callable
         Receives effects.
@@ -40,6 +43,7 @@
         vm: str,
         targets: TargetRegistry,
         avoidance: GrayFailureDetector,
+        limits: DeclaredLimits,
         suspects: SuspectRequests,
         failures: FailureMeter,
         emit: Callable[[Effect], None],
@@ -47,6 +51,7 @@
         self.vm = vm
         self.targets = targets
         self.avoidance = avoidance
+        self.limits = limits
         self.suspects = suspects
         self.failures = failures
         self.emit = emit
@@ -61,6 +66,9 @@
         if item.kind == EvidenceKind.DEPARTED:
             self._record_departed(now, item.target)
             return
+        if item.kind in LIMIT_EVIDENCE:
+            self._record_limit(now, item, source or "own")
+            return
         held = self.targets.get(item.target)
         if item.kind in FAILURE_EVIDENCE and held is not None:
             self.failures.record_failure(now, held.service)
@@ -76,6 +84,14 @@
             fields = {"target": identity, "state": TargetState.LEFT, "service": held.service}
             self.emit(EmitEvent("target_changed", fields))
 
+    def _record_limit(self, now: float, item: EvidenceItem, source: str) -> None:
+        age = self.limits.get_age(now, item.target)
+        rate = item.rate if item.kind == EvidenceKind.LIMITED else None
+        change = self.limits.record(now, item.target, rate)
+        if change is not None:
+            fields = {"target": item.target, "rate": rate, "age": round(age, 3), "source": source}
+            self.emit(EmitEvent(f"limit_{change}", fields))
+
     def _emit_standing_change(
         self, now: float, item: EvidenceItem, before: Standing, source: str
     ) -> None:
--- a/tarragonshelf/edge/_messages.py
+++ b/tarragonshelf/edge/_messages.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from ..base import Effect, Message
-from ..forwarding import RetryBudgetSettings
+from ..forwarding import PermitDecided, RetryBudgetSettings
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -73,6 +73,14 @@
     is_granted: bool
 
 
+@dataclass(frozen=True, slots=True)
+class PermitAnswered(Effect):
+    """Report the decision on the permit request with a number."""
+
+    number: int
+    decided: PermitDecided
+
+
 @dataclass(frozen=True, slots=True)
 class SendToHub(Effect):
     """Send a message to the followed hub."""
--- a/tarragonshelf/edge/_node.py
+++ b/tarragonshelf/edge/_node.py
@@ -27,6 +27,7 @@
     ForwardingContext,
     ForwardRequest,
     LatencyThresholds,
+    PermitNeeded,
     RefusalReason,
     ResponseTimeModel,
     RetryBudgets,
@@ -49,7 +50,7 @@
 )
 from ..registry import TargetEntry, TargetNews, TargetRegistry
 from ..replication import EmitEvent
-from ..throttling import DeclaredLimits, LimitStatement
+from ..throttling import DeclaredLimits, LimitStatement, PermitReply
 from ._evidence import EvidenceProcessor
 from ._hub_selector import HubSelector
 from ._messages import (
@@ -57,9 +58,11 @@
     FollowHub,
     HubLost,
     HubReceived,
+    PermitAnswered,
     RetryDecided,
     SendToHub,
 )
+from ._permits import PendingPermitRequests
 from ._retries import PendingRetryRequests
 
 MAXIMUM_ADDRESSES = 64
@@ -101,6 +104,7 @@
             topology=self.topology,
             targets=self.targets,
             avoidance=self.avoidance,
+            limits=self.limits,
             random=random,
             floor_share=settings.floor_share,
         )
@@ -108,6 +112,7 @@
             vm=settings.vm,
             targets=self.targets,
             avoidance=self.avoidance,
+            limits=self.limits,
             suspects=self.suspects,
             failures=self.balancer.floor.failures,
             emit=lambda effect: self._pending_effects.append(effect),
@@ -119,6 +124,7 @@
             initial_tokens=INITIAL_LOCAL_TOKENS,
         )
         self.retry_requests = PendingRetryRequests(self.budgets)
+        self.permit_requests = PendingPermitRequests(self.limits, random)
         self.catalogue: Catalogue | None = None
         self.is_stopping = False
         self._has_targets = False
@@ -179,6 +185,7 @@
         if isinstance(message, HubLost):
             self.hubs.record_disconnect(now, message.address)
             self._decide_timed_out_retries(now, is_lost=True)
+            self._decide_unanswered_permits(now, is_lost=True)
             # Load counts are out of date within a second; the next hub sends its own.
             self.balancer.update_peer_load({}, is_whole=True)
             return self._choose_hub(now)
@@ -197,6 +204,7 @@
         """Run periodic work and handle time-outs."""
         self._report_load(now)
         self._decide_timed_out_retries(now)
+        self._decide_unanswered_permits(now)
         if self.hubs.has_current_hub(now):
             self.budgets.clear_tokens()
         self.suspects.remove_expired(now)
@@ -235,12 +243,17 @@
         elif isinstance(message, EdgeNews):
             self._edges = message.edges
             self.budgets.entries = max(message.total, len(message.edges), 1)
+            self.permit_requests.entries = self.budgets.entries
             self.balancer.floor.failures.entries = self.budgets.entries
         elif isinstance(message, HubNews):
             self.hubs.add(message.hubs)
         elif isinstance(message, RepeatReply):
             if self.retry_requests.complete(message.number):
                 self._pending_effects.append(RetryDecided(message.number, message.is_granted))
+        elif isinstance(message, PermitReply):
+            decided = self.permit_requests.complete(now, message)
+            if decided is not None:
+                self._pending_effects.append(PermitAnswered(message.number, decided))
         elif isinstance(message, LoadNews):
             counts = {item.target: item.count for item in message.items}
             self.balancer.update_peer_load(counts, is_whole=message.is_whole)
@@ -294,7 +307,7 @@
 
     def choose_target(
         self, now: float, request: ForwardRequest, tried: frozenset[str]
-    ) -> TargetEntry | RefusalReason:
+    ) -> TargetEntry | PermitNeeded | RefusalReason:
         """Return the target for the next attempt, or the reason why there is none."""
         return self.balancer.choose(now, request, self._get_profile(request.service), tried)
 
@@ -319,6 +332,23 @@
             RetryDecided(number, is_granted) for number, is_granted in decided
         )
 
+    def request_permit(self, now: float, needed: PermitNeeded) -> int:
+        """Request a permit and return the number of the request.
+
+        A ``PermitAnswered`` effect with this number follows. The leader decides, or this entry
+        itself while it has no hub that is in contact with a leader.
+        """
+        request = self.permit_requests.add(now, needed)
+        if self.hubs.has_current_hub(now):
+            self._pending_effects.append(SendToHub(request))
+        else:
+            self._decide_unanswered_permits(now, is_lost=True)
+        return request.number
+
+    def _decide_unanswered_permits(self, now: float, *, is_lost: bool = False) -> None:
+        decisions = self.permit_requests.decide_unanswered(now, is_lost=is_lost)
+        self._pending_effects += (PermitAnswered(*item) for item in decisions)
+
     def is_quarantined(self, now: float, digest: int) -> bool:
         """Return whether a request is suspected of crashing targets."""
         return self.suspects.is_quarantined(now, digest)
@@ -382,17 +412,13 @@
         self, now: float, target: TargetEntry, statement: LimitStatement, *, sent_at: float
     ) -> None:
         """Record what a response to a request sent at ``sent_at`` says about a target's limit."""
-        change = self.limits.find_change(target.identity, statement, sent_at=sent_at)
-        if change is None:
+        if not self.limits.is_changed_by(target.identity, statement, sent_at=sent_at):
             return
-        fields = {
-            "target": target.identity,
-            "service": target.service,
-            "rate": statement.rate,
-            "age": round(self.limits.get_age(now, target.identity), 3),
-        }
-        self._pending_effects.append(EmitEvent(f"limit_{change}", fields))
-        self.limits.record(now, target.identity, statement.rate)
+        if statement.rate is None:
+            item = EvidenceItem(target.identity, EvidenceKind.UNLIMITED)
+        else:
+            item = EvidenceItem(target.identity, EvidenceKind.LIMITED, rate=statement.rate)
+        self.evidence.report(now, item)
 
     def _emit_limited_attempt(
         self, now: float, request: ForwardRequest, target: str, kind: AttemptKind
@@ -424,6 +450,7 @@
             "held": self.balancer.count_outstanding(target.identity),
             "data_centre": target.data_centre,
             "version": self.version,
+            "limit": self.limits.get_rate(target.identity),
         }
 
     def record_misdirected(self, now: float, target: TargetEntry) -> None:
--- a/tarragonshelf/edge/tests/fakes.py
+++ b/tarragonshelf/edge/tests/fakes.py
@@ -2,7 +2,7 @@
 
 import heapq
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from itertools import count
 from random import Random
 
@@ -13,6 +13,7 @@
     FollowHub,
     HubLost,
     HubReceived,
+    PermitAnswered,
     RetryDecided,
     SendToHub,
 )
@@ -24,6 +25,7 @@
     ForwardRequest,
     Refuse,
     RequestMachine,
+    RequestPermit,
     RequestRetryGrant,
     RespondWith,
     RetryBudgetSettings,
@@ -42,6 +44,7 @@
 STEP = 0.01
 TICK_STEPS = 5
 MEAN_WORK_SECONDS = 0.15
+ANNOUNCEMENT_SECONDS = 2.0
 # Bounds of the users' specification for targets that name a limit.
 LIMIT_WINDOW_SECONDS = 4.0
 LIMIT_FACTOR = 1.5
@@ -97,6 +100,13 @@
     inbox: list[Callable[[], None]] = field(default_factory=list)
 
 
+def create_target(number: int) -> FakeTarget:
+    """Return a target that is ready."""
+    name = f"t{number}"
+    entry = TargetEntry(name, 1000, 1, TargetState.READY, f"{name}:80", "s", f"z{number % 3}", 3)
+    return FakeTarget(entry)
+
+
 class FakeFleet:
     """Entries that forward requests to targets of one service.
 
@@ -123,12 +133,15 @@
         self.entries: dict[str, FakeEntry] = {}
         self.disturbed: set[str] = set()
         self.site.put(1)
-        self.targets = [self._announce_target(number) for number in range(targets)]
-        for number in range(entries):
-            self.start_entry(f"e{number}")
+        self.targets = [create_target(number) for number in range(targets)]
         self._next_request_at = float("inf")
         self._steps = 0
-        self._pending: dict[tuple[str, int], RequestMachine] = {}
+        self._pending_retries: dict[tuple[str, int], RequestMachine] = {}
+        self._pending_permits: dict[tuple[str, int], RequestMachine] = {}
+        for number in range(entries):
+            self.start_entry(f"e{number}")
+        for target in self.targets:
+            self._announce(target)
         self.advance(6.0)
         assert all(item.node.is_ready for item in self.entries.values())
         self._next_request_at = self.now
@@ -191,6 +204,31 @@
                     if not entry.is_frozen:
                         self._execute(entry, entry.node.tick(self.now))
 
+    def stop_hubs(self, *vms: str) -> None:
+        """Kill hubs; the entries that follow them lose their connections."""
+        for vm in vms:
+            self.site.stop(vm)
+        for entry in self.entries.values():
+            if entry.hub in vms:
+                lost = HubLost(f"{entry.hub}:{PORT}")
+                entry.hub = ""
+                self._execute(entry, entry.node.handle(self.now, lost))
+
+    def start_hubs(self, *vms: str) -> None:
+        """Start hubs from their disks."""
+        for vm in vms:
+            self.site.start(vm)
+
+    def restart_target(self, target: FakeTarget) -> None:
+        """Start a target again under its name, as a new incarnation."""
+        started = target.entry.started + 1000
+        target.entry = replace(target.entry, started=started, sequence=0)
+        target.told_at.clear()
+
+    def list_refusals(self, since: float) -> list[Outcome]:
+        """Return the requests that were refused since a time."""
+        return [item for item in self.outcomes if item.refusal and item.ended_at >= since]
+
     def find_excess(self, target: FakeTarget, named_at: float, *, is_strict: bool) -> list[str]:
         """Return the windows in which a target got more than its limit allows.
 
@@ -219,12 +257,13 @@
                 found.append(f"{name} got {got} from {start:.2f} s on; allowed {allowed:.0f}")
         return found
 
-    def _announce_target(self, number: int) -> FakeTarget:
-        entry = TargetEntry(
-            f"t{number}", 1000, 1, TargetState.READY, f"t{number}:80", "s", f"z{number % 3}", 3
-        )
-        self.site.call(self.site.leader, AnnounceTarget(entry))
-        return FakeTarget(entry)
+    def _announce(self, target: FakeTarget) -> None:
+        """Announce a target to any hub that runs, now and from time to time."""
+        running = [vm for vm, hub in self.site.hubs.items() if hub.node is not None]
+        target.entry = replace(target.entry, sequence=target.entry.sequence + 1)
+        if running:
+            self.site.call(self.random.choice(running), AnnounceTarget(target.entry))
+        self._after(ANNOUNCEMENT_SECONDS, lambda: self._announce(target))
 
     def _after(self, seconds: float, handle: Callable[[], None]) -> None:
         heapq.heappush(self.events, (self.now + seconds, next(self.numbers), handle))
@@ -261,9 +300,11 @@
             elif isinstance(effect, SendToHub):
                 self._send_to_hub(entry, effect.message)
             elif isinstance(effect, RetryDecided):
-                machine = self._pending.pop((entry.name, effect.number))
-                answer = RetryGrantAnswered(effect.is_granted)
-                self._handle(entry, machine, answer)
+                machine = self._pending_retries.pop((entry.name, effect.number))
+                self._handle(entry, machine, RetryGrantAnswered(effect.is_granted))
+            elif isinstance(effect, PermitAnswered):
+                machine = self._pending_permits.pop((entry.name, effect.number))
+                self._handle(entry, machine, effect.decided)
 
     def _follow(self, entry: FakeEntry, vm: str) -> None:
         self._disconnect(entry)
@@ -307,7 +348,10 @@
                 self._set_timer(entry, machine, effect.at)
             elif isinstance(effect, RequestRetryGrant):
                 number = entry.node.request_retry(self.now, effect.service)
-                self._pending[entry.name, number] = machine
+                self._pending_retries[entry.name, number] = machine
+            elif isinstance(effect, RequestPermit):
+                number = entry.node.request_permit(self.now, effect.needed)
+                self._pending_permits[entry.name, number] = machine
             elif isinstance(effect, RespondWith | Refuse):
                 self._finish(entry, machine, effect)
             else:
--- a/tarragonshelf/forwarding/_balancer.py
+++ b/tarragonshelf/forwarding/_balancer.py
@@ -6,8 +6,9 @@
 
 from ..avoidance import GrayFailureDetector, Standing
 from ..registry import TargetEntry, TargetRegistry
+from ..throttling import DeclaredLimits
 from ._floor import TrafficFloor
-from ._messages import ForwardRequest, RefusalReason
+from ._messages import ForwardRequest, PermitNeeded, RefusalReason
 from ._profile import LatencyThresholds, ServiceProfile
 
 # Cost of sending 1000 bytes to another data centre or region, as a share of the value of one
@@ -70,6 +71,8 @@
         Targets that announced themselves.
     avoidance : GrayFailureDetector
         Standing and failure probability of each target.
+    limits : DeclaredLimits
+        Limits of the targets that declare one.
     random : Random
         Breaks ties.
     floor_share : float, optional
@@ -83,6 +86,7 @@
         topology: Topology,
         targets: TargetRegistry,
         avoidance: GrayFailureDetector,
+        limits: DeclaredLimits,
         random: Random,
         floor_share: float = 0.0,
     ):
@@ -90,6 +94,7 @@
         self.topology = topology
         self.targets = targets
         self.avoidance = avoidance
+        self.limits = limits
         self.random = random
         self._outstanding: dict[str, int] = {}
         self._peer_load: dict[str, int] = {}
@@ -134,8 +139,11 @@
         request: ForwardRequest,
         profile: ServiceProfile,
         tried: frozenset[str],
-    ) -> TargetEntry | RefusalReason:
-        """Return the target with the lowest expected cost, or why there is none."""
+    ) -> TargetEntry | PermitNeeded | RefusalReason:
+        """Return the target with the lowest expected cost, or why there is none.
+
+        If targets with a limit are the best choice, a permit for one of them is needed.
+        """
         usable = self.targets.list_usable(request.service)
         candidates = [item for item in usable if item.identity not in tried]
         if not candidates:
@@ -143,13 +151,31 @@
         free = [item for item in candidates if self._has_room(now, request, profile, item)]
         if not free:
             return RefusalReason.ALL_FULL
-        trial_target = self.floor.choose_trial_target(now, request, usable, free)
+        rates = {item.identity: self.limits.get_rate(item.identity) for item in free}
+        unlimited = [item for item in free if rates[item.identity] is None]
+        service_rate = sum(rate for rate in rates.values() if rate is not None)
+        open_targets = [item for item in free if not self.limits.is_closed(now, item.identity)]
+        trial_target = self.floor.choose_trial_target(now, request, usable, open_targets)
         if trial_target is not None:
-            return trial_target
+            if rates[trial_target.identity] is None:
+                return trial_target
+            return PermitNeeded(request.service, (trial_target,), service_rate, True)
         avoided = self._list_avoided(now, usable, request.route.is_repeatable)
-        return min(
-            free, key=lambda item: self._estimate_cost(now, request, profile, item, avoided)
-        )
+        # Without an unlimited target, closed ones are asked for, too: the leader then tells when
+        # the caller should return.
+        costs = {
+            item.identity: self._estimate_cost(now, request, profile, item, avoided)
+            for item in (open_targets if unlimited else free)
+        }
+        if not unlimited:
+            ranked = sorted(free, key=lambda item: costs[item.identity])
+            return PermitNeeded(request.service, tuple(ranked), service_rate, False)
+        best = min(unlimited, key=lambda item: costs[item.identity])
+        cheaper = [item for item in open_targets if costs[item.identity] < costs[best.identity]]
+        if not cheaper:
+            return best
+        cheaper.sort(key=lambda item: costs[item.identity])
+        return PermitNeeded(request.service, tuple(cheaper), service_rate, True)
 
     def is_overloaded(self, target: TargetEntry) -> bool:
         """Return whether a target's queue is so long that it may refuse requests."""
--- a/tarragonshelf/forwarding/_messages.py
+++ b/tarragonshelf/forwarding/_messages.py
@@ -82,6 +82,7 @@
     NO_BUDGET = "no-budget"
     NO_ATTEMPT_LEFT = "no-attempt-left"
     HELD_BACK = "held-back"
+    LIMITED = "limited"
     MAY_HAVE_RUN = "may-have-run"
     DEADLINE = "deadline"
 
@@ -112,6 +113,32 @@
     is_granted: bool
 
 
+@dataclass(frozen=True, slots=True)
+class PermitNeeded:
+    """Targets that are the best choice for a request, but declare a limit.
+
+    ``targets`` are ordered by preference, ``service_rate`` is the sum of their limits and of those
+    of less preferred ones, in requests per second. With ``has_alternative`` another target can
+    take the request without a permit.
+    """
+
+    service: str
+    targets: tuple[TargetEntry, ...]
+    service_rate: float
+    has_alternative: bool
+
+
+@dataclass(frozen=True, slots=True)
+class PermitDecided(Message):
+    """Decision on ``RequestPermit``: the permitted target, or an empty string if it is denied.
+
+    A caller that is refused for it should return after ``retry_after`` seconds.
+    """
+
+    target: str
+    retry_after: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class TimerFired(Message):
     """The time of the last ``SetTimer`` is reached."""
@@ -144,6 +171,13 @@
     service: str
 
 
+@dataclass(frozen=True, slots=True)
+class RequestPermit(Effect):
+    """Ask for a permit to send the request to a target that declares a limit."""
+
+    needed: PermitNeeded
+
+
 @dataclass(frozen=True, slots=True)
 class SetTimer(Effect):
     """Send ``TimerFired`` at a time; replaces the previous timer."""
@@ -191,8 +225,11 @@
     @abstractmethod
     def choose_target(
         self, now: float, request: ForwardRequest, tried: frozenset[str]
-    ) -> TargetEntry | RefusalReason:
-        """Return the target for the next attempt, or why there is none."""
+    ) -> TargetEntry | PermitNeeded | RefusalReason:
+        """Return the target for the next attempt, or why there is none.
+
+        ``tried`` are targets that must not be chosen.
+        """
 
     @abstractmethod
     def spend_retry(self, now: float, service: str) -> bool | None:
--- a/tarragonshelf/forwarding/_request.py
+++ b/tarragonshelf/forwarding/_request.py
@@ -12,8 +12,11 @@
     Cancel,
     ForwardingContext,
     ForwardRequest,
+    PermitDecided,
+    PermitNeeded,
     RefusalReason,
     Refuse,
+    RequestPermit,
     RequestRetryGrant,
     RespondWith,
     RetryGrantAnswered,
@@ -69,7 +72,8 @@
     A request that is not repeatable is sent again only with proof that the previous target did
     not run it. A repeatable one is sent again after any failure, within ``maximum_attempts`` and
     the retry budget; one that hangs is hedged: it is sent to a second target while the first may
-    still respond.
+    still respond. A target that declares a limit gets a request only with a permit, and no hedged
+    one.
     """
 
     def __init__(self, request: ForwardRequest, context: ForwardingContext):
@@ -90,9 +94,12 @@
         # After a stall of this entry, missing responses are no evidence before this time.
         self._ignore_silence_until = 0.0
         self._is_grant_pending = False
+        self._pending_permit: PermitNeeded | None = None
+        # Targets with a limit that were not permitted.
+        self._denied: set[str] = set()
 
     def handle(self, now: float, message: Message) -> list[Effect]:
-        """Handle the start, the end of an attempt, the timer or the response to a retry grant."""
+        """Handle the start, the end of an attempt, the timer, or a decision of the hub."""
         if self.is_done:
             return []
         if isinstance(message, Started):
@@ -103,6 +110,8 @@
             return self._handle_timer(now)
         if isinstance(message, RetryGrantAnswered):
             return self._handle_grant(now, message)
+        if isinstance(message, PermitDecided):
+            return self._handle_permit(now, message)
         raise TypeError(f"request state machine cannot handle {type(message).__name__}")
 
     def tick(self, now: float) -> list[Effect]:
@@ -123,6 +132,8 @@
 
     def _try_next(self, now: float, *, is_granted: bool = False) -> list[Effect]:
         """Send the request to the next target, or end it."""
+        if self._pending_permit is not None:
+            return []
         if self._is_grant_pending:
             # A grant was requested for a hedged request before the first attempt failed; the same
             # grant is used for the retry.
@@ -135,7 +146,7 @@
             or self._refusals >= MAXIMUM_REFUSALS
         ):
             return self._fail(now, RefusalReason.NO_ATTEMPT_LEFT)
-        chosen = self.context.choose_target(now, request, frozenset(self._tried))
+        chosen = self.context.choose_target(now, request, frozenset(self._tried | self._denied))
         if isinstance(chosen, RefusalReason):
             return self._fail(now, chosen)
         if self._deliveries and not is_granted:
@@ -144,8 +155,22 @@
                 return self._request_grant()
             if not granted:
                 return self._fail(now, RefusalReason.NO_BUDGET)
+        if isinstance(chosen, PermitNeeded):
+            self._pending_permit = chosen
+            return [RequestPermit(chosen), SetTimer(request.deadline)]
         return self._start_attempt(now, chosen)
 
+    def _handle_permit(self, now: float, decided: PermitDecided) -> list[Effect]:
+        needed, self._pending_permit = self._pending_permit, None
+        for target in needed.targets:
+            if target.identity == decided.target:
+                return self._start_attempt(now, target)
+        self._denied.update(target.identity for target in needed.targets)
+        if needed.has_alternative:
+            # A retry that was granted before is still unused.
+            return self._try_next(now, is_granted=True)
+        return self._fail(now, RefusalReason.LIMITED, retry_after=decided.retry_after)
+
     def _request_grant(self) -> list[Effect]:
         self._is_grant_pending = True
         return [RequestRetryGrant(self.request.service)]
@@ -283,8 +308,8 @@
             return []
         if not request.route.is_repeatable or self._executions >= request.route.maximum_attempts:
             return []
-        chosen = self.context.choose_target(now, request, frozenset(self._tried))
-        if isinstance(chosen, RefusalReason):
+        chosen = self._choose_unlimited(now)
+        if chosen is None:
             return []
         granted = is_granted or self.context.spend_retry(now, request.service)
         if granted is None:
@@ -292,6 +317,15 @@
         # SetTimer is dropped: the calling method sets one timer for both attempts.
         return self._start_attempt(now, chosen)[:1] if granted else []
 
+    def _choose_unlimited(self, now: float) -> TargetEntry | None:
+        """Return the best target without a limit, or None."""
+        excluded = self._tried | self._denied
+        chosen = self.context.choose_target(now, self.request, frozenset(excluded))
+        while isinstance(chosen, PermitNeeded):
+            excluded |= {target.identity for target in chosen.targets}
+            chosen = self.context.choose_target(now, self.request, frozenset(excluded))
+        return None if isinstance(chosen, RefusalReason) else chosen
+
     def _handle_deadline(self, now: float) -> list[Effect]:
         self._may_have_run = self._may_have_run or bool(self._open)
         for attempt in self._open.values():
@@ -301,19 +335,24 @@
 
     # End of the request
 
-    def _fail(self, now: float, reason: RefusalReason) -> list[Effect]:
+    def _fail(
+        self, now: float, reason: RefusalReason, *, retry_after: float | None = None
+    ) -> list[Effect]:
         """End with the last error response of a target, or else with one of the entry itself."""
         if self._last_error is not None:
             return self._respond(now, *self._last_error)
-        return self._refuse(now, reason)
+        return self._refuse(now, reason, retry_after=retry_after)
 
     def _respond(self, now: float, answer: TargetAnswer, target: str) -> list[Effect]:
         self.is_done = True
         return [*self._cancel_open(now), RespondWith(answer, target)]
 
-    def _refuse(self, now: float, reason: RefusalReason) -> list[Effect]:
+    def _refuse(
+        self, now: float, reason: RefusalReason, *, retry_after: float | None = None
+    ) -> list[Effect]:
         self.is_done = True
-        retry_after = self.context.compute_retry_after(now, self.request.service)
+        if retry_after is None:
+            retry_after = self.context.compute_retry_after(now, self.request.service)
         waited_for = tuple(
             UnansweredAttempt(item.target, now - item.started_at, not item.is_trial)
             for item in self._open.values()
--- a/tarragonshelf/forwarding/tests/fakes.py
+++ b/tarragonshelf/forwarding/tests/fakes.py
@@ -10,6 +10,7 @@
     ForwardingContext,
     ForwardRequest,
     LatencyThresholds,
+    PermitNeeded,
     RefusalReason,
     RequestMachine,
     Started,
@@ -31,9 +32,12 @@
 
 
 class FakeContext(ForwardingContext):
-    """Returns targets in order and grants ``retries`` retries."""
+    """Returns targets in order and grants ``retries`` retries; ``limited`` ones need a permit."""
 
-    def __init__(self, *targets: str, retries: int = 10):
+    def __init__(
+        self, *targets: str, retries: int = 10, limited: frozenset[str] | set[str] = frozenset()
+    ):
+        self.limited = limited
         self.targets = [create_target(name) for name in targets]
         self.retries = retries
         self.occupied: list[str] = []
@@ -48,7 +52,12 @@
 
     def choose_target(self, now, request, tried):
         remaining = [item for item in self.targets if item.identity not in tried]
-        return remaining[0] if remaining else RefusalReason.NO_TARGET
+        if not remaining:
+            return RefusalReason.NO_TARGET
+        if remaining[0].identity not in self.limited:
+            return remaining[0]
+        limited = tuple(item for item in remaining if item.identity in self.limited)
+        return PermitNeeded("s", limited, float(len(limited)), len(limited) < len(remaining))
 
     def spend_retry(self, now, service):
         self.retries -= 1
--- a/tarragonshelf/forwarding/tests/test_balancer.py
+++ b/tarragonshelf/forwarding/tests/test_balancer.py
@@ -6,12 +6,14 @@
 from ...forwarding import (
     Balancer,
     ForwardRequest,
+    PermitNeeded,
     RefusalReason,
     RetryBudgets,
     ServiceProfile,
     Topology,
 )
 from ...registry import TargetRegistry
+from ...throttling import DeclaredLimits
 from .fakes import create_route, create_target
 
 TOPOLOGY = Topology("z", {"z": "r1", "y": "r1", "x": "r2"})
@@ -26,8 +28,13 @@
         for target in targets:
             self.registry.merge(0.0, target)
         self.avoidance = GrayFailureDetector()
+        self.limits = DeclaredLimits()
         self.balancer = Balancer(
-            topology=TOPOLOGY, targets=self.registry, avoidance=self.avoidance, random=Random(2)
+            topology=TOPOLOGY,
+            targets=self.registry,
+            avoidance=self.avoidance,
+            limits=self.limits,
+            random=Random(2),
         )
         self.profile = ServiceProfile()
 
@@ -159,3 +166,50 @@
         assert budget.spend(0.0, "s")
         assert not budget.spend(0.0, "s")
         assert budget.spend(30.0, "s")
+
+
+class TestLimitedTargets:
+    def test_limited_target_is_chosen_with_a_permit_if_it_is_the_best_one(self):
+        near, far = create_target("near"), create_target("far", data_centre="x")
+        fixture = Fixture(near, far)
+        fixture.limits.record(0.0, "near", 2.0)
+        assert fixture.choose() == PermitNeeded("s", (near,), 2.0, True)
+
+    def test_limited_target_that_is_no_better_needs_no_permit(self):
+        fixture = Fixture(create_target("near"), create_target("far", data_centre="x"))
+        fixture.limits.record(0.0, "far", 2.0)
+        assert fixture.choose().identity == "near"
+
+    def test_target_without_a_free_permit_is_not_asked_for(self):
+        fixture = Fixture(create_target("near"), create_target("far", data_centre="x"))
+        fixture.limits.record(0.0, "near", 2.0)
+        fixture.limits.close("near", 0.5)
+        assert fixture.choose(now=0.4).identity == "far"
+        assert isinstance(fixture.choose(now=0.5), PermitNeeded)
+
+    def test_all_limited_targets_with_room_are_asked_for_if_there_is_no_other(self):
+        """Without another target the leader decides, and schedules the return of the caller."""
+        fixture = Fixture(
+            create_target("near"), create_target("far", data_centre="x"), create_target("full")
+        )
+        for name in ("near", "far", "full"):
+            fixture.limits.record(0.0, name, 2.0)
+        fixture.limits.close("near", 9.0)
+        for _ in range(9):
+            fixture.balancer.acquire("full")
+        needed = fixture.choose(now=1.0)
+        assert [item.identity for item in needed.targets] == ["near", "far"]
+        assert (needed.service_rate, needed.has_alternative) == (4.0, False)
+
+    def test_trial_at_a_limited_target_needs_a_permit(self):
+        fixture = Fixture(*(create_target(name) for name in "abcd"))
+        fixture.balancer.floor.share = 1.0
+        for number in range(20):
+            fixture.balancer.floor.failures.record_request(number / 10, "s")
+            fixture.balancer.floor.failures.record_failure(number / 10, "s")
+        fixture.avoidance.record(0.0, EvidenceItem("a", EvidenceKind.BROKEN))
+        fixture.limits.record(0.0, "a", 2.0)
+        chosen = [fixture.choose(now=5.0) for _ in range(20)]
+        trials = [item for item in chosen if isinstance(item, PermitNeeded)]
+        assert trials
+        assert {item.targets[0].identity for item in trials} == {"a"}
--- a/tarragonshelf/forwarding/tests/test_floor.py
+++ b/tarragonshelf/forwarding/tests/test_floor.py
@@ -15,6 +15,7 @@
 from ...avoidance import EvidenceItem, EvidenceKind, GrayFailureDetector, Standing
 from ...forwarding import Balancer, ForwardRequest, ServiceProfile, Topology
 from ...registry import TargetRegistry
+from ...throttling import DeclaredLimits
 from .fakes import create_route, create_target
 
 FLOOR_SHARE = 0.7
@@ -65,6 +66,7 @@
                 topology=Topology(data_centres[index % len(data_centres)], REGIONS),
                 targets=self.targets,
                 avoidance=detector,
+                limits=DeclaredLimits(),
                 random=Random(self.seed - index),
                 floor_share=self.floor_share,
             )
--- a/tarragonshelf/forwarding/tests/test_request.py
+++ b/tarragonshelf/forwarding/tests/test_request.py
@@ -9,8 +9,10 @@
     Attempt,
     AttemptOutcome,
     Cancel,
+    PermitDecided,
     RefusalReason,
     Refuse,
+    RequestPermit,
     RequestRetryGrant,
     RespondWith,
     RetryGrantAnswered,
@@ -281,3 +283,64 @@
         context.quarantined = {7}
         _, effects = start(context, LOOKUP)
         assert find_effect(effects, Refuse).reason == RefusalReason.HELD_BACK
+
+
+class TestPermits:
+    """A target with a limit gets a request only with a permit."""
+
+    def test_permitted_request_is_sent_to_the_granted_target(self):
+        context = FakeContext("a", "b", limited={"a", "b"})
+        machine, effects = start(context, ORDER)
+        needed = find_effect(effects, RequestPermit).needed
+        assert [item.identity for item in needed.targets] == ["a", "b"]
+        assert not needed.has_alternative
+        assert context.occupied == []
+        effects = machine.handle(0.05, PermitDecided("b"))
+        assert find_effect(effects, Attempt).target.identity == "b"
+
+    def test_denied_request_goes_to_a_target_without_a_limit(self):
+        machine, effects = start(FakeContext("a", "b", limited={"a"}), ORDER)
+        assert find_effect(effects, RequestPermit).needed.has_alternative
+        effects = machine.handle(0.05, PermitDecided("", 3.0))
+        assert find_effect(effects, Attempt).target.identity == "b"
+
+    def test_denied_request_without_another_target_is_refused_at_once(self):
+        machine, _ = start(FakeContext("a", limited={"a"}), ORDER)
+        refuse = find_effect(machine.handle(0.05, PermitDecided("", 3.0)), Refuse)
+        assert (refuse.reason, refuse.has_run, refuse.retry_after) == (
+            RefusalReason.LIMITED,
+            False,
+            3.0,
+        )
+
+    def test_order_that_may_have_run_is_not_sent_again_with_a_permit(self):
+        machine, _ = start(FakeContext("a", "b", limited={"a", "b"}), ORDER)
+        machine.handle(0.05, PermitDecided("a"))
+        refuse = find_effect(end(machine, 1, AttemptOutcome.BROKEN), Refuse)
+        assert refuse.reason == RefusalReason.MAY_HAVE_RUN
+
+    def test_retry_needs_a_permit_but_no_second_retry_grant(self):
+        context = FakeContext("a", "b", "c", limited={"b"}, retries=1)
+        machine, _ = start(context, LOOKUP)
+        effects = end(machine, 1, AttemptOutcome.BROKEN)
+        assert find_effect(effects, RequestPermit)
+        effects = machine.handle(0.2, PermitDecided(""))
+        assert find_effect(effects, Attempt).target.identity == "c"
+
+    def test_hedged_request_is_not_sent_to_a_target_with_a_limit(self):
+        machine, _ = start(FakeContext("a", "b", "c", limited={"b"}), LOOKUP)
+        effects = machine.handle(1.0, TimerFired())
+        assert find_effect(effects, RequestPermit) is None
+        assert find_effect(effects, Attempt).target.identity == "c"
+
+    def test_request_whose_deadline_passes_without_a_decision_has_not_run(self):
+        machine, effects = start(FakeContext("a", limited={"a"}), ORDER)
+        assert find_effect(effects, SetTimer).at == 2.0
+        refuse = find_effect(machine.handle(2.0, TimerFired()), Refuse)
+        assert (refuse.reason, refuse.has_run) == (RefusalReason.DEADLINE, False)
+        assert machine.handle(2.1, PermitDecided("a")) == []
+
+    def test_permit_for_an_abandoned_request_sends_nothing(self):
+        machine, _ = start(FakeContext("a", limited={"a"}), ORDER)
+        machine.abandon(0.02)
+        assert machine.handle(0.05, PermitDecided("a")) == []
--- a/tarragonshelf/hub/_entries.py
+++ b/tarragonshelf/hub/_entries.py
@@ -1,9 +1,15 @@
 """Messages of the entries that follow a hub, and updates sent to them."""
 
-from ..avoidance import EvidenceNews
+from ..avoidance import EvidenceItem, EvidenceKind, EvidenceNews
 from ..base import Message
 from ..registry import TargetNews
 from ..replication import EmitEvent
+from ..throttling import (
+    PermitReply,
+    PermitRequest,
+    RelayedPermitReply,
+    RelayedPermitRequest,
+)
 from ._messages import (
     HubBeat,
     LoadReport,
@@ -15,6 +21,9 @@
 )
 from ._state import HubState
 
+# A request that needs a permit is denied while no leader is known. Electing one takes about this
+# time.
+LEADERLESS_WAIT_SECONDS = 1.0
 # Changes of the serving entries are batched, as many happen when the fleet starts.
 EDGE_NEWS_INTERVAL_SECONDS = 0.2
 
@@ -31,11 +40,53 @@
                 self.retry_pool.record_requests(now, item.service, item.count)
         elif isinstance(message, RepeatAsk):
             self._answer_retry_request(now, number, message)
+        elif isinstance(message, PermitRequest):
+            self._handle_permit_request(now, number, message)
         elif isinstance(message, EvidenceNews):
             for item in message.items:
-                self._evidence_for_entries.add_evidence(now, item)
+                self._add_evidence(now, item)
                 self._evidence_for_hubs.add_evidence(now, item)
 
+    def _add_evidence(self, now: float, item: EvidenceItem) -> None:
+        """Add evidence for the entries that follow this hub."""
+        if item.kind == EvidenceKind.LIMITED:
+            self.limits.record(now, item.target, item.rate)
+        elif item.kind == EvidenceKind.UNLIMITED:
+            self.limits.forget(item.target)
+        self._evidence_for_entries.add_evidence(now, item)
+
+    def _handle_permit_request(self, now: float, number: int, request: PermitRequest) -> None:
+        """Decide a request for a permit if this hub leads, or else relay it to the leader."""
+        if not self.replica.is_leader and self.leader_address:
+            relayed = RelayedPermitRequest(self.record.address, number, request)
+            self._effects.append(SendToPeer(self.leader_address, relayed))
+        else:
+            reply = self._allocate_permit(now, request)
+            self._effects.append(PushToSubscriber(number, reply))
+
+    def _answer_relayed_permit(self, now: float, message: RelayedPermitRequest) -> None:
+        reply = self._allocate_permit(now, message.request)
+        relayed = RelayedPermitReply(message.subscriber, reply)
+        self._effects.append(SendToPeer(message.address, relayed))
+
+    def _allocate_permit(self, now: float, request: PermitRequest) -> PermitReply:
+        """Grant or deny a permit; only a leader that has contact with a quorum grants any."""
+        if not self.replica.has_committed_in_term or not self.is_current(now):
+            wait = LEADERLESS_WAIT_SECONDS
+            retry_after = self.permits.random.uniform(wait, 2 * wait)
+            return PermitReply(request.number, "", wait, retry_after)
+        reply = self.permits.allocate(now, request)
+        event = "permit_granted" if reply.target else "permit_denied"
+        fields = {
+            "service": request.service,
+            "targets": len(request.limits),
+            "target": reply.target,
+            "wait": round(reply.wait, 3),
+            "retry_after": round(reply.retry_after, 3),
+        }
+        self._effects.append(EmitEvent(event, fields))
+        return reply
+
     def _answer_retry_request(self, now: float, number: int, request: RepeatAsk) -> None:
         is_granted = self.retry_pool.spend(now, request.service)
         if not is_granted:
@@ -58,6 +109,12 @@
         if self._saved_catalogue.version > message.version:
             messages.append(self._saved_catalogue)
         messages.append(self._create_full_target_news())
+        if rates := self.limits.list_rates():
+            items = (
+                EvidenceItem(target, EvidenceKind.LIMITED, rate=rate)
+                for target, rate in sorted(rates.items())
+            )
+            messages.append(EvidenceNews(tuple(items)))
         self._effects += (PushToSubscriber(number, item) for item in messages)
         self._edges_changed = True
 
--- a/tarragonshelf/hub/_node.py
+++ b/tarragonshelf/hub/_node.py
@@ -32,6 +32,7 @@
     RefusedReason,
     StopRequested,
 )
+from ..throttling import RelayedPermitReply, RelayedPermitRequest
 from ._entries import EntriesMixin
 from ._messages import (
     AnnounceTarget,
@@ -39,6 +40,7 @@
     HubBusy,
     HubLoad,
     HubNews,
+    PushToSubscriber,
     SaveMessage,
     SendToPeer,
     SubscriberLost,
@@ -119,12 +121,15 @@
     def adopt_volatile_state(self, previous: "HubNode") -> None:
         """Take over state of the previous node after its replica was restarted from disk.
 
-        Targets, hubs, subscribers and retry budgets are not part of the replicated log.
+        Targets and their limits, hubs, subscribers, retry budgets and permits are not part of the
+        replicated log.
         """
         self.targets = previous.targets
         self.registrar = previous.registrar
         self.subscribers = previous.subscribers
         self.retry_pool = previous.retry_pool
+        self.limits = previous.limits
+        self.permits = previous.permits
         self._saved_catalogue = previous._saved_catalogue
 
     def handle(self, now: float, message: Message) -> list[Effect]:
@@ -190,7 +195,11 @@
             self._compare_digests(message)
         elif isinstance(message, EvidenceNews):
             for item in message.items:
-                self._evidence_for_entries.add_evidence(now, item)
+                self._add_evidence(now, item)
+        elif isinstance(message, RelayedPermitRequest):
+            self._answer_relayed_permit(now, message)
+        elif isinstance(message, RelayedPermitReply):
+            self._effects.append(PushToSubscriber(message.subscriber, message.reply))
         elif isinstance(message, HubLoad):
             self.loads.record_remote(message)
         elif isinstance(message, HubBusy):
--- a/tarragonshelf/hub/_state.py
+++ b/tarragonshelf/hub/_state.py
@@ -10,8 +10,9 @@
 )
 from ..consensus import HardState, LogEntry, Snapshot, Timing
 from ..forwarding import RetryBudgetSettings
-from ..registry import TargetNews, TargetRegistry
+from ..registry import TargetEntry, TargetNews, TargetRegistry, TargetState
 from ..replication import ReplicatedNode
+from ..throttling import DeclaredLimits, PermitAllocator
 from ._batches import EvidenceBatch, TargetBatch
 from ._drains import PendingDrains
 from ._loads import LoadAggregator
@@ -70,6 +71,9 @@
         self.subscribers = Subscribers(record.data_centre)
         self.loads = LoadAggregator(record.vm)
         self.retry_pool = RetryPool(budget)
+        # The limits are sent to entries that subscribe; the leader grants permits under them.
+        self.limits = DeclaredLimits()
+        self.permits = PermitAllocator(random)
         self._drains = PendingDrains(record.vm)
         # Evidence of local entries goes to entries and hubs, evidence of other hubs to entries
         # only.
@@ -92,6 +96,19 @@
         self._edges_changed = False
         self._edges_pushed_at = 0.0
 
+    def _merge_target(self, now: float, entry: TargetEntry) -> bool:
+        """Add or update a target and return whether it changed.
+
+        The limit of an earlier incarnation, or of a target that left, is forgotten.
+        """
+        before = self.targets.get(entry.identity)
+        if not self.targets.merge(now, entry):
+            return False
+        is_same = before is not None and before.started == entry.started
+        if not is_same or entry.state == TargetState.LEFT:
+            self.limits.forget(entry.identity)
+        return True
+
     def is_current(self, now: float) -> bool:
         """Return whether this hub leads with a quorum or has recent contact with a leader."""
         if self.replica.is_leader:
--- a/tarragonshelf/hub/_targets.py
+++ b/tarragonshelf/hub/_targets.py
@@ -26,7 +26,7 @@
 
     def _handle_announcement(self, now: float, call: int, message: AnnounceTarget) -> None:
         entry = self.registrar.complete_entry(now, message.target, self.targets)
-        is_new = entry is not None and self.targets.merge(now, entry)
+        is_new = entry is not None and self._merge_target(now, entry)
         is_leaving = message.target.state != TargetState.READY
         if entry is None:
             # An unknown target leaves: no entry sends requests to it, so nothing is replicated.
@@ -62,7 +62,7 @@
             self._effects.append(SendToPeer(self.registrar.find_address(vm), news))
 
     def _handle_target_news(self, now: float, news: TargetNews) -> None:
-        changed = [item for item in news.targets if self.targets.merge(now, item)]
+        changed = [item for item in news.targets if self._merge_target(now, item)]
         held = tuple(self.targets.get(item.identity) for item in changed)
         if held and news.number:
             self._effects += self.subscribers.push_all(TargetNews(held))
--- a/tarragonshelf/hub/tests/test_site.py
+++ b/tarragonshelf/hub/tests/test_site.py
@@ -25,6 +25,7 @@
 )
 from ...registry import TargetEntry, TargetNews, TargetState
 from ...replication import EmitEvent, Refused, RefusedReason
+from ...throttling import PermitReply, PermitRequest, RateLimit
 from .fakes import FakeSite
 
 TARGET = TargetEntry("i-1", 1000, 1, TargetState.READY, "10.0.0.1:80", "s", "z0", 3)
@@ -291,6 +292,77 @@
         assert EmitEvent("repeat_denied", {"service": "s", "entry": "a"}) in site.events
 
 
+def request_permit(site: FakeSite, vm: str, subscriber: int, number: int) -> None:
+    request = PermitRequest(number, "s", (RateLimit("i-1", 1.0),), 1.0)
+    site.receive(vm, SubscriberReceived(subscriber, request))
+
+
+class TestPermits:
+    """Entries of all hubs share the permits of one leader."""
+
+    def test_entries_of_different_hubs_share_one_permit(self):
+        site = FakeSite(3)
+        for number, vm in enumerate(site.hubs):
+            site.subscribe(vm, number, f"e{number}")
+        site.advance(0.5)
+        for number, vm in enumerate(site.hubs):
+            request_permit(site, vm, number, 10 + number)
+        site.advance(0.3)
+        pushed = list_pushed(site, PermitReply)
+        assert sorted((vm, number) for vm, number, _ in pushed) == [
+            ("vm0", 0),
+            ("vm1", 1),
+            ("vm2", 2),
+        ]
+        assert {number + 10 == message.number for _, number, message in pushed} == {True}
+        assert [message.target for _, _, message in pushed].count("i-1") == 1
+        assert {event.event for event in site.events} >= {"permit_granted", "permit_denied"}
+
+    def test_leader_without_a_quorum_grants_no_permit(self):
+        site = FakeSite(3)
+        leader = site.leader
+        site.subscribe(leader, 1, "a")
+        site.isolate(leader)
+        site.advance(3.0)
+        request_permit(site, leader, 1, 1)
+        replies = [message for _, _, message in list_pushed(site, PermitReply)]
+        assert [reply.target for reply in replies] == [""]
+        assert replies[0].retry_after >= replies[0].wait > 0.0
+
+    def test_new_subscriber_receives_the_known_limits(self):
+        """A restarted entry must not use a target freely until its own first response."""
+        site = FakeSite(3)
+        site.call("vm0", AnnounceTarget(TARGET))
+        site.subscribe("vm0", 1, "a")
+        limited = EvidenceItem("i-1", EvidenceKind.LIMITED, source="a", rate=2.0)
+        site.receive("vm0", SubscriberReceived(1, EvidenceNews((limited,))))
+        site.advance(0.5)
+        site.pushed.clear()
+        site.subscribe("vm2", 2, "b")
+        news = [message for _, number, message in list_pushed(site, EvidenceNews) if number == 2]
+        assert [(item.target, item.kind, item.rate) for item in news[0].items] == [
+            ("i-1", EvidenceKind.LIMITED, 2.0)
+        ]
+
+    @pytest.mark.parametrize("end", ["lifted", "restarted", "left"])
+    def test_ended_limit_is_not_sent_to_new_subscribers(self, end):
+        site = FakeSite(3)
+        site.call("vm0", AnnounceTarget(TARGET))
+        site.subscribe("vm0", 1, "a")
+        limited = EvidenceItem("i-1", EvidenceKind.LIMITED, source="a", rate=2.0)
+        site.receive("vm0", SubscriberReceived(1, EvidenceNews((limited,))))
+        site.advance(0.5)
+        if end == "lifted":
+            lifted = EvidenceItem("i-1", EvidenceKind.UNLIMITED, source="a")
+            site.receive("vm0", SubscriberReceived(1, EvidenceNews((lifted,))))
+        elif end == "restarted":
+            site.call("vm1", AnnounceTarget(replace(TARGET, started=2000)))
+        else:
+            site.call("vm1", AnnounceTarget(replace(TARGET, sequence=2, state=TargetState.LEFT)))
+        site.advance(0.5)
+        assert all(hub.node.limits.list_rates() == {} for hub in site.hubs.values())
+
+
 class TestLoads:
     def test_entries_of_one_hub_receive_load_of_the_others(self):
         site = FakeSite(3)
--- a/tarragonshelf/queries/_explain.py
+++ b/tarragonshelf/queries/_explain.py
@@ -17,6 +17,8 @@
     "no-attempt-left": "it had failed at as many targets as its route allows",
     "held-back": "attempts of this or an identical request had broken the connections of several "
     "targets",
+    "limited": "every target of service {service} that could take it names a request rate limit, "
+    "and these limits were used up",
     "deadline": "its time was up: the deadline of the caller or of the route had passed",
 }
 
--- a/tarragonshelf/site/_caller_server.py
+++ b/tarragonshelf/site/_caller_server.py
@@ -176,6 +176,7 @@
                 service=forward_request.service,
                 reason=result.reason,
                 has_run=result.has_run,
+                retry_after=round(result.retry_after, 3),
                 version=self.node.version,
                 candidates=self._describe_candidates(forward_request.service),
                 waited_for=self._describe_unanswered(result.waited_for),
@@ -205,8 +206,10 @@
         descriptions = []
         for item in self.node.targets.list_usable(service)[:MAXIMUM_LOGGED_TARGETS]:
             description = self.node.describe_target(now, item)
+            limit = "" if description["limit"] is None else f" limit {description['limit']:g}/s"
             descriptions.append(
-                f"{item.identity} {description['standing']} {description['held']}/{item.slots}"
+                f"{item.identity} {description['standing']} "
+                f"{description['held']}/{item.slots}{limit}"
             )
         return ", ".join(descriptions)
 
--- a/tarragonshelf/site/_edge.py
+++ b/tarragonshelf/site/_edge.py
@@ -15,10 +15,12 @@
     FollowHub,
     HubLost,
     HubReceived,
+    PermitAnswered,
     RetryDecided,
     SendToHub,
     plan_stop,
 )
+from ..forwarding import PermitDecided, PermitNeeded
 from ..replication import EmitEvent
 from ..telemetry import AdministrationServer, LogRateLimiter, Metrics, create_clock, create_logger
 from ..transport import EDGE_PACKAGES, Connection, Frame, PeerLinks, UnreachableError, create_codec
@@ -99,6 +101,7 @@
             flush=self._flush,
             report=self._report,
             request_retry=self._request_retry,
+            request_permit=self._request_permit,
         )
         self.caller_server = CallerServer(
             node=self.node,
@@ -116,6 +119,7 @@
         self._hub_connection: Connection | None = None
         self._hub_task: asyncio.Task | None = None
         self._pending_retries: dict[int, asyncio.Future] = {}
+        self._pending_permits: dict[int, asyncio.Future] = {}
 
     # Queries of the platform
 
@@ -194,6 +198,8 @@
                     self._hub_connection.send(effect.message)
             elif isinstance(effect, RetryDecided):
                 self._pending_retries.pop(effect.number).set_result(effect.is_granted)
+            elif isinstance(effect, PermitAnswered):
+                self._pending_permits.pop(effect.number).set_result(effect.decided)
             elif isinstance(effect, EmitEvent):
                 self._report(effect.event, **effect.fields)
 
@@ -236,7 +242,16 @@
 
     async def _request_retry(self, service: str) -> bool:
         number = self.node.request_retry(read_time(), service)
-        self._pending_retries[number] = future = asyncio.get_running_loop().create_future()
+        return await self._wait_for_decision(self._pending_retries, number)
+
+    async def _request_permit(self, needed: PermitNeeded) -> PermitDecided:
+        number = self.node.request_permit(read_time(), needed)
+        return await self._wait_for_decision(self._pending_permits, number)
+
+    async def _wait_for_decision(
+        self, pending: dict[int, asyncio.Future], number: int
+    ) -> bool | PermitDecided:
+        pending[number] = future = asyncio.get_running_loop().create_future()
         self._flush()
         # The node always decides, after a time-out if the hub does not reply, and then sets this
         # future's result. So the future must not be cancelled if the caller's request ends first.
--- a/tarragonshelf/site/_forwarder.py
+++ b/tarragonshelf/site/_forwarder.py
@@ -14,8 +14,11 @@
     Cancel,
     ForwardingContext,
     ForwardRequest,
+    PermitDecided,
+    PermitNeeded,
     Refuse,
     RequestMachine,
+    RequestPermit,
     RequestRetryGrant,
     RespondWith,
     RetryGrantAnswered,
@@ -59,6 +62,8 @@
         Logs an event, given by its name and fields.
     request_retry : callable
         Requests a retry from the budget of a service and returns whether it was granted.
+    request_permit : callable
+        Requests a permit for a target with a limit and returns the decision.
     """
 
     def __init__(
@@ -70,6 +75,7 @@
         flush: Callable[[], None],
         report: Callable[..., None],
         request_retry: Callable[[str], Awaitable[bool]],
+        request_permit: Callable[[PermitNeeded], Awaitable[PermitDecided]],
     ):
         self.context = context
         self.pool = pool
@@ -77,6 +83,7 @@
         self.flush = flush
         self.report = report
         self.request_retry = request_retry
+        self.request_permit = request_permit
 
     async def forward(
         self, request: ForwardRequest, content: RequestContent
@@ -191,6 +198,7 @@
         self._tasks: dict[int, asyncio.Task] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._retry_task: asyncio.Task | None = None
+        self._permit_task: asyncio.Task | None = None
 
     async def run(self) -> RespondWith | Refuse:
         """Start the request and return its result."""
@@ -220,6 +228,8 @@
                 self._start(effect)
             elif isinstance(effect, RequestRetryGrant):
                 self._retry_task = self._loop.create_task(self._request_retry(effect.service))
+            elif isinstance(effect, RequestPermit):
+                self._permit_task = self._loop.create_task(self._request_permit(effect.needed))
             elif isinstance(effect, Cancel):
                 self._tasks.pop(effect.number).cancel()
             elif isinstance(effect, SetTimer):
@@ -232,6 +242,9 @@
     async def _request_retry(self, service: str) -> None:
         self._handle(RetryGrantAnswered(await self.forwarder.request_retry(service)))
 
+    async def _request_permit(self, needed: PermitNeeded) -> None:
+        self._handle(await self.forwarder.request_permit(needed))
+
     def _start(self, attempt: Attempt) -> None:
         task = self._loop.create_task(self.forwarder.send_attempt(self, attempt))
         self._tasks[attempt.number] = task
--- a/tarragonshelf/site/_hub.py
+++ b/tarragonshelf/site/_hub.py
@@ -39,6 +39,7 @@
 )
 from ..storage import CorruptionError, RestoredState
 from ..telemetry import AdministrationServer, LogRateLimiter, Metrics, create_clock, create_logger
+from ..throttling import PermitRequest
 from ..transport import (
     SITE_PACKAGES,
     CallTimeoutError,
@@ -295,9 +296,9 @@
             self._handle_peer_call(connection, frame)
             return
         message = frame.message
-        is_from_entry = isinstance(message, Subscribe | LoadReport | RepeatAsk) or (
-            isinstance(message, EvidenceNews) and not message.is_relayed
-        )
+        is_from_entry = isinstance(
+            message, Subscribe | LoadReport | RepeatAsk | PermitRequest
+        ) or (isinstance(message, EvidenceNews) and not message.is_relayed)
         if is_from_entry:
             self._inbox.append(
                 SubscriberReceived(self._get_subscriber_number(connection), message)
--- a/tarragonshelf/site/tests/test_caller_server.py
+++ b/tarragonshelf/site/tests/test_caller_server.py
@@ -9,7 +9,7 @@
 
 from ...catalogue import CatalogueCopy, compress_content
 from ...edge import EdgeNode, EdgeSettings, HubReceived
-from ...forwarding import RetryBudgetSettings
+from ...forwarding import PermitDecided, PermitNeeded, RetryBudgetSettings
 from ...hub.tests.fakes import FakeReader
 from ...platform._entry_http import PlatformDialect
 from ...registry import TargetEntry, TargetNews, TargetState
@@ -22,8 +22,9 @@
 class Fixture:
     """An entry's caller server in front of one target, both on loopback."""
 
-    def __init__(self, *, work_seconds: float = 0.0):
+    def __init__(self, *, work_seconds: float = 0.0, target_headers: bytes = b""):
         self.work_seconds = work_seconds
+        self.target_headers = target_headers
         self.received: list[bytes] = []
         self.interrupted = 0
         self.reports: list[str] = []
@@ -54,6 +55,7 @@
             flush=self.node.pop_pending_effects,
             report=lambda event, **fields: self.reports.append(event),
             request_retry=self.request_retry,
+            request_permit=self.request_permit,
         )
         self.server = CallerServer(
             node=self.node,
@@ -72,6 +74,10 @@
         """Grant every retry, as a hub with a full retry budget does."""
         return True
 
+    async def request_permit(self, needed: PermitNeeded) -> PermitDecided:
+        """Deny every permit, as a hub does whose permits are used up."""
+        return PermitDecided("", 1.25)
+
     async def __aexit__(self, *error):
         await self.server.stop(0.5)
         self.pool.close()
@@ -97,7 +103,8 @@
                     wait.cancel()
                 writer.write(
                     b"HTTP/1.1 200 OK\r\nResponse-Stamp: s\r\nRequest-Id: %s\r\n"
-                    b"Content-Length: %d\r\n\r\n%s" % (request_id, len(request_id), request_id)
+                    b"%sContent-Length: %d\r\n\r\n%s"
+                    % (request_id, self.target_headers, len(request_id), request_id)
                 )
         except (asyncio.IncompleteReadError, ConnectionError):
             return
@@ -262,3 +269,36 @@
                 return await asyncio.wait_for(reader.read(), 1.0)
 
         assert run(test()) == b""
+
+
+class TestLimitedTarget:
+    def test_request_beyond_the_limit_is_refused_at_once_and_does_not_reach_the_target(self):
+        async def test():
+            async with Fixture(target_headers=b"Server-Limit: 1.5\r\n") as fixture:
+                reader, writer = await fixture.connect()
+                writer.write(create_request("q1"))
+                first = await read_response(reader)
+                writer.write(create_request("q2"))
+                second = await read_response(reader)
+                return first, second, len(fixture.received), fixture.node.limits.list_rates()
+
+        first, second, received, rates = run(test())
+        assert first[0] == 200
+        assert first[2][b"server-limit"] == b"1.5"
+        assert (second[0], second[1], second[2][b"retry-after"]) == (503, b"limited", b"1.25")
+        assert received == 1
+        assert rates == {"i-1": 1.5}
+
+    def test_malformed_limit_is_reported_and_limits_nothing(self):
+        async def test():
+            async with Fixture(target_headers=b"Server-Limit: many\r\n") as fixture:
+                reader, writer = await fixture.connect()
+                statuses = []
+                for number in range(2):
+                    writer.write(create_request(f"q{number}"))
+                    statuses.append((await read_response(reader))[0])
+                return statuses, fixture.reports
+
+        statuses, reports = run(test())
+        assert statuses == [200, 200]
+        assert "limit_malformed" in reports
--- a/tarragonshelf/throttling/_limits.py
+++ b/tarragonshelf/throttling/_limits.py
@@ -7,7 +7,7 @@
 
 
 class LimitChange(StrEnum):
-    """How a response changed the known limit of its target."""
+    """How the known limit of a target changed."""
 
     DECLARED = "declared"
     CHANGED = "changed"
@@ -16,10 +16,14 @@
 
 @dataclass(slots=True)
 class _Limit:
-    """Limit of one target; ``since`` is when this process learned of it."""
+    """Limit of one target; ``since`` is when this process learned of it.
+
+    No permit for a request to the target is free before ``closed_until``.
+    """
 
     rate: float
     since: float
+    closed_until: float = float("-inf")
 
 
 class DeclaredLimits:
@@ -46,14 +50,23 @@
         limit = self._limits.get(target)
         return 0.0 if limit is None else now - limit.since
 
+    def is_closed(self, now: float, target: str) -> bool:
+        """Return whether no request to a target is permitted at the moment."""
+        limit = self._limits.get(target)
+        return limit is not None and now < limit.closed_until
+
+    def close(self, target: str, until: float) -> None:
+        """Record that no request to a target is permitted before a time."""
+        limit = self._limits.get(target)
+        if limit is not None:
+            limit.closed_until = max(limit.closed_until, until)
+
     def list_rates(self) -> dict[str, float]:
         """Return the limits of all targets that declare one."""
         return {target: limit.rate for target, limit in self._limits.items()}
 
-    def find_change(
-        self, target: str, statement: LimitStatement, *, sent_at: float
-    ) -> LimitChange | None:
-        """Return how a response changes the limit of its target, or None if it does not.
+    def is_changed_by(self, target: str, statement: LimitStatement, *, sent_at: float) -> bool:
+        """Return whether a response changes the limit of its target.
 
         Parameters
         ----------
@@ -66,21 +79,24 @@
         """
         limit = self._limits.get(target)
         if statement.rate is None:
-            is_newer = limit is not None and sent_at >= limit.since
-            return LimitChange.LIFTED if is_newer else None
-        if limit is None:
-            return LimitChange.DECLARED
-        return LimitChange.CHANGED if statement.rate != limit.rate else None
+            return limit is not None and sent_at >= limit.since
+        return limit is None or statement.rate != limit.rate
 
-    def record(self, now: float, target: str, rate: float | None) -> None:
-        """Set the limit of a target, or remove it if ``rate`` is None."""
+    def record(self, now: float, target: str, rate: float | None) -> LimitChange | None:
+        """Set the limit of a target, or remove it if ``rate`` is None; return the change."""
         limit = self._limits.get(target)
-        if rate is None:
-            self._limits.pop(target, None)
-        elif limit is None:
+        if limit is None:
+            if rate is None:
+                return None
             self._limits[target] = _Limit(rate, now)
-        else:
-            limit.rate = rate
+            return LimitChange.DECLARED
+        if rate is None:
+            del self._limits[target]
+            return LimitChange.LIFTED
+        if rate == limit.rate:
+            return None
+        limit.rate = rate
+        return LimitChange.CHANGED
 
     def forget(self, target: str) -> None:
         """Remove the limit of a target that no longer exists."""
--- a/tarragonshelf/transport/tarragonshelf.thrift
+++ b/tarragonshelf/transport/tarragonshelf.thrift
@@ -548,6 +548,7 @@
   2: optional string kind
   3: optional i64 request_digest
   4: optional string source
+  5: optional double rate
 }
 
 // Field 3 is no longer used and must not be reused: it held the source of all items.
@@ -632,6 +633,37 @@
   2: optional list<LoadItem> items
 }
 
+struct RateLimit {
+  1: optional string target
+  2: optional double rate
+}
+
+struct PermitRequest {
+  1: optional i64 number
+  2: optional string service_name
+  3: optional list<RateLimit> limits
+  4: optional double service_rate
+  5: optional bool has_alternative
+}
+
+struct PermitReply {
+  1: optional i64 number
+  2: optional string target
+  3: optional double wait
+  4: optional double retry_after
+}
+
+struct RelayedPermitRequest {
+  1: optional string address
+  2: optional i64 subscriber
+  3: optional PermitRequest request
+}
+
+struct RelayedPermitReply {
+  1: optional i64 subscriber
+  2: optional PermitReply reply
+}
+
 // Exactly one field is set: the message.
 struct Body {
   1: optional Member member
@@ -730,6 +762,11 @@
   94: optional RepeatReply repeatReply
   95: optional KeepAlive keepAlive
   96: optional KeepAliveReply keepAliveReply
+  97: optional RateLimit rateLimit
+  98: optional PermitRequest permitRequest
+  99: optional PermitReply permitReply
+  100: optional RelayedPermitRequest relayedPermitRequest
+  101: optional RelayedPermitReply relayedPermitReply
 }
 
 // One frame. `call` numbers a call and its reply and is 0 for a one-way message; `is_reply` is
--- a/tarragonshelf/utils/_buckets.py
+++ b/tarragonshelf/utils/_buckets.py
@@ -59,6 +59,13 @@
         """Return the number of tokens in each bucket after its last use."""
         return dict(self._tokens)
 
+    def remove_idle(self, now: float, seconds: float) -> None:
+        """Remove the buckets that were not refilled within the last ``seconds``."""
+        idle = [name for name, at in self._refilled_at.items() if now - at > seconds]
+        for name in idle:
+            del self._refilled_at[name]
+            self._tokens.pop(name, None)
+
     def reset(self) -> None:
         """Discard all buckets, so that each starts again with its initial tokens."""
         self._tokens.clear()
--- a/tarragonshelf/utils/tests/test_buckets.py
+++ b/tarragonshelf/utils/tests/test_buckets.py
@@ -27,3 +27,11 @@
         buckets.refill(0.0, "a", rate=1.0, capacity=5.0)
         buckets.reset()
         assert buckets.refill(0.0, "a", rate=1.0, capacity=5.0, initial=0.4) == 0.4
+
+    def test_idle_buckets_are_removed(self):
+        buckets = TokenBuckets()
+        buckets.refill(0.0, "idle", rate=1.0, capacity=5.0)
+        buckets.refill(50.0, "used", rate=1.0, capacity=5.0)
+        buckets.remove_idle(61.0, 60.0)
+        assert set(buckets.list_tokens()) == {"used"}
+        assert buckets.refill(61.0, "idle", rate=1.0, capacity=5.0, initial=0.0) == 0.0
