soak: targets name, change and drop limits, and the rule is checked

Cause: no test of ours let a target name a limit, and no check counted what such a target gets, so neither tests nor soak could show the incident. Change: a fault "target-limit", drawn after all others so that earlier seeds keep their faults: a target names a limit between 0.4 and 2 requests/s, another one after half of the time, then none. The history counts, as the users' specification does, the requests of undisturbed entries that had passed on such a response.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -15,6 +15,14 @@
 FAULT_INTERVAL_SECONDS = (0.2, 1.8)
 # The same for additional target faults: at any time some targets fail part of their requests.
 TARGET_FAULT_INTERVAL_SECONDS = (0.3, 1.2)
+# The same for targets that name a request rate limit.
+LIMIT_INTERVAL_SECONDS = (1.0, 4.0)
+# Lowest limit in requests per second, and number of steps of 0.1 above it; without a limit a
+# target receives about 4 requests per second.
+MINIMUM_LIMIT = 0.4
+LIMIT_STEPS = 17
+# A limit is named for this long, and for some seconds more that the fault determines.
+MINIMUM_LIMIT_SECONDS = 7.0
 # The platform kills a process this time after it sent SIGTERM.
 STOP_GRACE_SECONDS = 6.0
 # Time that a control without its disk gets to catch up, and for which no disk is wiped afterwards:
@@ -34,7 +42,9 @@
 
 # VMs are killed (also with a torn write, or all controls at once), wiped, stopped (entries one by
 # one for "roll"), suspended or reloaded. Their connections are delayed, silenced or reset.
-# Targets fail ("target-bad"), get faults of their connections ("target-cut") or drain.
+# Targets fail ("target-bad"), get faults of their connections ("target-cut") or drain. LIMIT_KIND,
+# which is drawn separately: targets name a request rate limit, change it and drop it.
+LIMIT_KIND = "target-limit"
 KINDS = (
     "kill",
     "kill-torn",
@@ -59,6 +69,7 @@
     """Return the faults that start within ``seconds``, ordered by start."""
     faults = _draw(random, seconds, KINDS, FAULT_INTERVAL_SECONDS)
     faults += _draw(random, seconds, ("target-bad",), TARGET_FAULT_INTERVAL_SECONDS)
+    faults += _draw(random, seconds, (LIMIT_KIND,), LIMIT_INTERVAL_SECONDS)
     return sorted(faults, key=lambda fault: fault.start_seconds)
 
 
@@ -186,6 +197,8 @@
             target.failure_mode = FAILURE_MODES[fault.victim % len(FAILURE_MODES)]
             await asyncio.sleep(fault.duration_seconds)
             target.failure_mode = ""
+        elif fault.kind == LIMIT_KIND:
+            await _limit_target(fault, target)
         elif fault.kind == "target-cut":
             proxy_faults = ("silence", "lose-there", "lose-back", "reset", "delay")
             kind = proxy_faults[fault.victim % len(proxy_faults)]
@@ -198,6 +211,18 @@
             await asyncio.sleep(DRAIN_OBSERVATION_SECONDS)
 
 
+async def _limit_target(fault: Fault, target: Target) -> None:
+    """Let a target that names no limit name one, then another one, then none."""
+    if target.limit is not None:
+        return
+    steps = divmod(fault.victim, LIMIT_STEPS)
+    seconds = MINIMUM_LIMIT_SECONDS + fault.duration_seconds
+    for step in steps:
+        target.name_limit(round(MINIMUM_LIMIT + step % LIMIT_STEPS / 10, 1))
+        await asyncio.sleep(seconds / len(steps))
+    target.name_limit(None)
+
+
 async def _disturb_proxies(proxies: list[Proxy], fault: Fault) -> None:
     if fault.kind == "reset":
         for proxy in proxies:
--- a/soak/_history.py
+++ b/soak/_history.py
@@ -6,6 +6,15 @@
 # not reach the target, and a read this time after a version was acknowledged returns no older one.
 DRAIN_SECONDS = 2.5
 APPLY_SECONDS = 2.5
+# From LIMIT_SETTLE_SECONDS after a target first named a limit, it receives in LIMIT_WINDOW_SECONDS
+# at most LIMIT_FACTOR times what the limit allows, and LIMIT_SLACK requests more, from the entries
+# that passed on such a response at least TOLD_SECONDS before. A disturbed entry does not count
+# until it was undisturbed for LIMIT_SETTLE_SECONDS.
+LIMIT_SETTLE_SECONDS = 3.0
+LIMIT_WINDOW_SECONDS = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
+TOLD_SECONDS = 0.5
 # Statuses that guarantee that a request was not run and never will be.
 NOT_RUN = frozenset({408, 421, 429, 503})
 
@@ -32,6 +41,26 @@
     stamp: str
 
 
+@dataclass(slots=True)
+class LimitPeriod:
+    """The time in which a target names limits.
+
+    ``changes`` holds each limit with the time since which it is named, ``told_at`` when each entry
+    first passed on a response that names one, and ``arrivals`` the times of the requests that
+    count.
+    """
+
+    changes: list[tuple[float, float]]
+    told_at: dict[str, float] = field(default_factory=dict)
+    arrivals: list[float] = field(default_factory=list)
+
+    def get_highest_limit(self, since: float) -> float:
+        """Return the highest limit that was named at or after a time."""
+        ends = [*(at for at, _ in self.changes[1:]), float("inf")]
+        named = zip(self.changes, ends, strict=True)
+        return max(limit for (_, limit), end in named if end >= since)
+
+
 @dataclass(slots=True)
 class History:
     """All observations of a run, and the violations of guarantees found so far."""
@@ -43,6 +72,8 @@
     # Acknowledged versions with the time, and the content of all versions that were sent.
     acknowledged_versions: list[tuple[float, int]] = field(default_factory=list)
     documents: dict[int, bytes] = field(default_factory=dict)
+    # By target, the limits that it names at the moment.
+    limits: dict[str, LimitPeriod] = field(default_factory=dict)
     # By VM, when a fault last began or ended.
     disturbed_at: dict[str, float] = field(default_factory=dict)
     violations: list[str] = field(default_factory=list)
@@ -55,6 +86,43 @@
         """Return whether no fault of a VM began or ended at or after a time."""
         return self.disturbed_at.get(vm, float("-inf")) < since
 
+    def record_limit(self, now: float, target: str, limit: float | None) -> None:
+        """Record that a target begins to name a limit, changes it, or names none any more."""
+        if limit is None:
+            self.limits.pop(target, None)
+        elif target in self.limits:
+            self.limits[target].changes.append((now, limit))
+        else:
+            self.limits[target] = LimitPeriod([(now, limit)])
+
+    def record_told(self, now: float, target: str, entry: str) -> None:
+        """Record that an entry passed on a response that names a target's limit."""
+        if target in self.limits:
+            self.limits[target].told_at.setdefault(entry, now)
+
+    def record_arrival(self, now: float, target: str, request_id: str) -> None:
+        """Record that a request reached a target, and check the limit that the target names."""
+        period, sent = self.limits.get(target), self.sent.get(request_id)
+        if period is None or sent is None:
+            return
+        was_told = now - period.told_at.get(sent.entry, float("inf")) >= TOLD_SECONDS
+        is_settled = now - period.changes[0][0] >= LIMIT_SETTLE_SECONDS
+        if not (
+            was_told and is_settled and self.is_undisturbed(sent.entry, now - LIMIT_SETTLE_SECONDS)
+        ):
+            return
+        period.arrivals.append(now)
+        got = sum(now - at < LIMIT_WINDOW_SECONDS for at in period.arrivals)
+        # A limit that changed counts on for the time that entries have to learn of a new one.
+        limit = period.get_highest_limit(now - LIMIT_WINDOW_SECONDS - LIMIT_SETTLE_SECONDS)
+        allowed = LIMIT_FACTOR * limit * LIMIT_WINDOW_SECONDS + LIMIT_SLACK
+        if got > allowed:
+            self.report_violation(
+                "limit",
+                f"{target}, which names {limit:g} requests/s, got {got} in "
+                f"{LIMIT_WINDOW_SECONDS:g} s from entries that it had told; allowed {allowed:g}",
+            )
+
     def record_execution(
         self, now: float, request_id: str, execution: Execution, body: bytes
     ) -> None:
--- a/soak/_targets.py
+++ b/soak/_targets.py
@@ -40,6 +40,8 @@
         self.history = history
         self.random = random
         self.failure_mode = ""
+        # Requests per second that the target names as its limit, if any.
+        self.limit: float | None = None
         self.response_seconds = 0.08
         self.proxy: Proxy | None = None
         self.is_draining = False
@@ -60,6 +62,11 @@
         self._server.close()
         self.proxy.stop()
 
+    def name_limit(self, limit: float | None) -> None:
+        """Name a limit in all responses from now on, or none."""
+        self.limit = limit
+        self.history.record_limit(asyncio.get_running_loop().time(), self.name, limit)
+
     async def announce(self, session: ClientSession, controls: list[str]) -> bool:
         """Announce the target to the first control that accepts it; return whether one did."""
         self._sequence += 1
@@ -86,15 +93,17 @@
             return web.Response(
                 status=421, headers={"Request-Id": request_id, "Not-Executed": "1"}
             )
+        now = asyncio.get_running_loop().time()
+        self.history.record_arrival(now, self.name, request_id)
+        limit = {} if self.limit is None else {"Server-Limit": f"{self.limit:g}"}
         body = await request.read()
         if self.failure_mode == "full" and self.random.random() < FAILURE_SHARE:
             return web.Response(
-                status=503, headers={"Request-Id": request_id, "Not-Executed": "1"}
+                status=503, headers={"Request-Id": request_id, "Not-Executed": "1", **limit}
             )
-        now = asyncio.get_running_loop().time()
         stamp = f"{self.name}.{request_id}.{self.random.getrandbits(32):08x}"
         self.history.record_execution(now, request_id, Execution(self.name, now, stamp), body)
-        headers = {"Request-Id": request_id, "Response-Stamp": stamp}
+        headers = {"Request-Id": request_id, "Response-Stamp": stamp, **limit}
         if self.failure_mode and self.random.random() < FAILURE_SHARE:
             return await self._inject_failure(request, request_id, headers)
         await asyncio.sleep(self.response_seconds)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,7 +7,7 @@
 import pytest
 
 from soak.__main__ import run_seed
-from soak._faults import KINDS, draw_faults
+from soak._faults import KINDS, LIMIT_KIND, draw_faults
 from soak._history import Execution, History, SentRequest
 from soak._proxy import Proxy, ProxyMode
 
@@ -102,13 +102,74 @@
         assert list_violated_guarantees(history) == ["config"]
 
 
+def create_limited_history(limit: float) -> History:
+    """Return a history of a target that names a limit from 0 s on, which an entry passed on."""
+    history = create_history()
+    history.record_limit(0.0, "t", limit)
+    history.record_told(0.1, "t", "e")
+    return history
+
+
+def record_arrivals(history: History, start: float, number: int) -> None:
+    for index in range(number):
+        history.record_arrival(start + index / 100, "t", "q")
+
+
+class TestLimits:
+    """The check of targets' limits detects an excess, and nothing that is allowed."""
+
+    def test_requests_above_the_limit(self):
+        history = create_limited_history(1.0)
+        record_arrivals(history, 5.0, 11)
+        assert not history.violations
+        record_arrivals(history, 8.9, 1)
+        assert list_violated_guarantees(history) == ["limit"]
+
+    def test_requests_in_another_window(self):
+        history = create_limited_history(1.0)
+        record_arrivals(history, 5.0, 11)
+        record_arrivals(history, 9.2, 11)
+        assert not history.violations
+
+    def test_requests_before_the_limit_is_settled(self):
+        history = create_limited_history(1.0)
+        record_arrivals(history, 1.0, 90)
+        assert not history.violations
+
+    def test_requests_of_an_entry_that_was_not_told(self):
+        history = create_limited_history(1.0)
+        history.limits["t"].told_at.clear()
+        record_arrivals(history, 5.0, 90)
+        assert not history.violations
+
+    def test_requests_of_a_disturbed_entry(self):
+        history = create_limited_history(1.0)
+        history.disturbed_at["e"] = 4.0
+        record_arrivals(history, 5.0, 90)
+        assert not history.violations
+
+    def test_lower_limit_counts_once_entries_can_know_it(self):
+        history = create_limited_history(2.0)
+        history.record_limit(5.0, "t", 0.5)
+        record_arrivals(history, 11.0, 17)
+        assert not history.violations
+        record_arrivals(history, 16.0, 9)
+        assert list_violated_guarantees(history) == ["limit"]
+
+    def test_requests_after_the_limit_ended(self):
+        history = create_limited_history(1.0)
+        history.record_limit(5.0, "t", None)
+        record_arrivals(history, 5.5, 90)
+        assert not history.violations
+
+
 class TestFaults:
     def test_seed_determines_the_faults(self):
         assert draw_faults(Random(5), 20.0) == draw_faults(Random(5), 20.0)
 
     def test_every_kind_is_drawn(self):
         drawn = {fault.kind for seed in range(50) for fault in draw_faults(Random(seed), 20.0)}
-        assert drawn == set(KINDS)
+        assert drawn == {*KINDS, LIMIT_KIND}
 
 
 class TestProxy:
