Keep idle connections within what a target accepts from all entries

Cause: the same class as the incident, found by looking for other limits that all entries share. The document states how many connections a target accepts from all callers; it was decoded and used nowhere. Each entry kept up to four idle ones whatever their number, so 420 entries could keep 1,680 to a target that accepts 390, and the target resets those beyond. Change: an entry keeps at most min(4, accepted / 2 / entries) idle connections to a target. A service without a stated number is unknown, not 1.

--- a/tarragonshelf/catalogue/_messages.py
+++ b/tarragonshelf/catalogue/_messages.py
@@ -36,10 +36,13 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceSpec:
-    """A service; one target accepts ``maximum_connections`` from all entries together."""
+    """A service.
+
+    One target accepts ``maximum_connections`` from all entries together; None if it is not stated.
+    """
 
     name: str
-    maximum_connections: int
+    maximum_connections: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/tarragonshelf/edge/_node.py
+++ b/tarragonshelf/edge/_node.py
@@ -50,7 +50,7 @@
 )
 from ..registry import TargetEntry, TargetNews, TargetRegistry
 from ..replication import EmitEvent
-from ..throttling import DeclaredLimits, LimitStatement, PermitReply
+from ..throttling import DeclaredLimits, LimitStatement, PermitReply, compute_idle_limit
 from ._evidence import EvidenceProcessor
 from ._hub_selector import HubSelector
 from ._messages import (
@@ -129,6 +129,7 @@
         self.is_stopping = False
         self._has_targets = False
         self._table: RouteTable | None = None
+        self._maximum_connections: dict[str, int | None] = {}
         self._profiles: dict[str, ServiceProfile] = {}
         self._response_times: dict[str, ResponseTimeModel] = {}
         self._slow_outcomes = SlowAttemptOutcomes()
@@ -153,6 +154,11 @@
         """Return the route of a request; only call this with a catalogue in force."""
         return self._table.match(host, path)
 
+    def get_idle_limit(self, target: TargetEntry) -> int:
+        """Return how many idle connections this entry may keep to a target."""
+        maximum_connections = self._maximum_connections.get(target.service)
+        return compute_idle_limit(maximum_connections, entries=self.budgets.entries)
+
     def list_addresses(self, data_centre: str, region: str) -> tuple[str, ...]:
         """Return the addresses of entries near a caller."""
         own = EdgeRecord(self.settings.address, self.settings.data_centre)
@@ -264,6 +270,9 @@
             return
         self.catalogue = self.reader.read(decompress_content(copy.content))
         self._table = RouteTable(self.catalogue, self.random)
+        self._maximum_connections = {
+            spec.name: spec.maximum_connections for spec in self.catalogue.services
+        }
         self._pending_effects.append(EmitEvent("catalogue_in_force", {"version": copy.version}))
 
     def _merge_targets(self, now: float, news: TargetNews) -> None:
--- a/tarragonshelf/edge/tests/test_edge.py
+++ b/tarragonshelf/edge/tests/test_edge.py
@@ -325,3 +325,15 @@
         fixture.node.record_limit(fixture.now, TARGET, LimitStatement(2.0), sent_at=9.0)
         fixture.receive(TargetNews((replace(TARGET, started=2000),)))
         assert fixture.node.limits.list_rates() == {}
+
+
+class TestIdleConnections:
+    """The share of one entry follows the number of entries and the catalogue in force."""
+
+    def test_share_of_the_connections_that_a_target_accepts(self):
+        fixture = Fixture().serve()
+        assert fixture.node.get_idle_limit(TARGET) == 4
+        fixture.receive(EdgeNews((EdgeRecord("e0:80", "z0"),), 5))
+        assert fixture.node.get_idle_limit(TARGET) == 1
+        fixture.receive(EdgeNews((EdgeRecord("e0:80", "z0"),), 6))
+        assert fixture.node.get_idle_limit(TARGET) == 0
--- a/tarragonshelf/platform/_documents.py
+++ b/tarragonshelf/platform/_documents.py
@@ -108,10 +108,10 @@
 
 
 def _read_service(row: dict[str, Any], field_path: str) -> ServiceSpec:
-    return ServiceSpec(
-        read_text(row.get("name"), f"{field_path}.name"),
-        read_integer(row.get("max_conns", 1), f"{field_path}.max_conns"),
-    )
+    maximum_connections = None
+    if "max_conns" in row:
+        maximum_connections = read_integer(row["max_conns"], f"{field_path}.max_conns")
+    return ServiceSpec(read_text(row.get("name"), f"{field_path}.name"), maximum_connections)
 
 
 def _read_limits(table: dict[str, Any]) -> CallerLimits:
--- a/tarragonshelf/site/_edge.py
+++ b/tarragonshelf/site/_edge.py
@@ -93,7 +93,7 @@
             clock=self.clock,
             codec=create_codec(EDGE_PACKAGES),
         )
-        self.pool = ConnectionPool(dialect)
+        self.pool = ConnectionPool(dialect, self.node.get_idle_limit)
         forwarder = Forwarder(
             context=self.node,
             pool=self.pool,
--- a/tarragonshelf/site/_pool.py
+++ b/tarragonshelf/site/_pool.py
@@ -1,6 +1,7 @@
 """Pool of keep-alive connections to targets."""
 
 import asyncio
+from collections.abc import Callable
 
 from ..registry import TargetEntry
 from ._exchange import ResponseBufferQuota, TargetConnection
@@ -9,8 +10,6 @@
 # Connecting to a target in another region takes up to 40 ms. The kernel retransmits a lost SYN
 # only after 1 s; connecting to another target is faster than to wait for that.
 CONNECT_TIMEOUT_SECONDS = 0.35
-# Idle connections kept per target. A target's connection limit is shared by all entries.
-MAXIMUM_IDLE_CONNECTIONS = 4
 # A request that is not repeatable reuses a connection only after a short idle time: a target that
 # closes an idle connection just as the request arrives leaves it unknown whether it ran.
 UNREPEATABLE_IDLE_SECONDS = 2.0
@@ -26,10 +25,13 @@
     ----------
     dialect : HttpDialect
         Interprets the responses on each connection.
+    get_idle_limit : callable
+        Returns how many idle connections are kept to a target.
     """
 
-    def __init__(self, dialect: HttpDialect):
+    def __init__(self, dialect: HttpDialect, get_idle_limit: Callable[[TargetEntry], int]):
         self.dialect = dialect
+        self.get_idle_limit = get_idle_limit
         self.buffer_quota = ResponseBufferQuota()
         self.connections_made = 0
         self._idle: dict[str, list[TargetConnection]] = {}
@@ -71,7 +73,8 @@
         idle = self._idle.setdefault(_create_pool_key(target), [])
         connection.idle_since = asyncio.get_running_loop().time()
         idle.append(connection)
-        if len(idle) > MAXIMUM_IDLE_CONNECTIONS:
+        # The limit may have fallen since, as entries were added.
+        while len(idle) > self.get_idle_limit(target):
             idle.pop(0).close()
 
     def close_expired(self, now: float) -> None:
--- a/tarragonshelf/site/tests/test_caller_server.py
+++ b/tarragonshelf/site/tests/test_caller_server.py
@@ -47,7 +47,7 @@
         for message in (CatalogueCopy(3, compress_content(b"3")), TargetNews((target,))):
             self.node.handle(0.0, HubReceived("", message))
         dialect = PlatformDialect()
-        self.pool = ConnectionPool(dialect)
+        self.pool = ConnectionPool(dialect, self.node.get_idle_limit)
         forwarder = Forwarder(
             context=self.node,
             pool=self.pool,
--- a/tarragonshelf/site/tests/test_endless_responses.py
+++ b/tarragonshelf/site/tests/test_endless_responses.py
@@ -74,7 +74,7 @@
 
         async def test():
             async with EndlessTarget(head, part) as target:
-                pool = ConnectionPool(PlatformDialect())
+                pool = ConnectionPool(PlatformDialect(), lambda target: 4)
                 connection = await pool.get(target.target, is_repeatable=True)
                 with pytest.raises(ExchangeFailedError) as failure:
                     await exchange(target, connection)
@@ -90,7 +90,7 @@
 
         async def test():
             async with EndlessTarget(RESPONSE_HEAD + b"\r\n", b"x" * 65536) as target:
-                pool = ConnectionPool(PlatformDialect())
+                pool = ConnectionPool(PlatformDialect(), lambda target: 4)
                 connections = [await pool.get(target.target, is_repeatable=True) for _ in range(4)]
                 exchanges = [exchange(target, connection) for connection in connections]
                 results = await asyncio.gather(*exchanges, return_exceptions=True)
--- a/tarragonshelf/site/tests/test_exchange.py
+++ b/tarragonshelf/site/tests/test_exchange.py
@@ -61,7 +61,7 @@
 
 
 async def exchange(target: ScriptedTarget, connection: TargetConnection | None = None):
-    pool = ConnectionPool(PlatformDialect())
+    pool = ConnectionPool(PlatformDialect(), lambda target: 4)
     if connection is None:
         connection = await pool.get(target.target, is_repeatable=True)
     request = h11.Request(method="GET", target="/x", headers=[("Host", "h"), ("Request-Id", "q1")])
@@ -175,7 +175,7 @@
     def test_idle_limit_for_reuse_depends_on_repeatability(self):
         async def test():
             async with ScriptedTarget(COMPLETE_RESPONSE, COMPLETE_RESPONSE) as target:
-                pool = ConnectionPool(PlatformDialect())
+                pool = ConnectionPool(PlatformDialect(), lambda target: 4)
                 connection, _ = await exchange(target)
                 pool.put(target.target, connection)
                 same = await pool.get(target.target, is_repeatable=False)
@@ -188,3 +188,19 @@
                 assert again is connection
 
         run(test())
+
+    def test_connections_above_the_idle_limit_are_closed(self):
+        """A target that is reused by many entries accepts only so many connections of all."""
+
+        async def test():
+            async with ScriptedTarget(*3 * [COMPLETE_RESPONSE]) as target:
+                limits = [4]
+                pool = ConnectionPool(PlatformDialect(), lambda target: limits[0])
+                connections = [(await exchange(target))[0] for _ in range(3)]
+                for connection in connections[:2]:
+                    pool.put(target.target, connection)
+                limits[0] = 1
+                pool.put(target.target, connections[2])
+                return [connection.is_open for connection in connections]
+
+        assert run(test()) == [False, False, True]
--- a/tarragonshelf/throttling/__init__.py
+++ b/tarragonshelf/throttling/__init__.py
@@ -1,5 +1,6 @@
-"""Request rate limits that targets declare, shared by all entries."""
+"""Limits of targets that all entries share: declared request rates, and connections."""
 
+from ._connections import compute_idle_limit
 from ._limits import DeclaredLimits, LimitChange
 from ._messages import (
     LimitStatement,
@@ -22,4 +23,5 @@
     "RateLimit",
     "RelayedPermitReply",
     "RelayedPermitRequest",
+    "compute_idle_limit",
 ]
