Explain refusals for limits; test a suspended leader

Cause: explain had no sentence for reason "limited" and left out the limits of the targets that a request went to; a suspended leader was not tested.

--- a/tarragonshelf/edge/tests/test_limits.py
+++ b/tarragonshelf/edge/tests/test_limits.py
@@ -153,6 +153,18 @@
         fleet.advance(10.0)
         assert fleet.find_excess(target, named_at, is_strict=True) == []
 
+    # Guards against a leader that wakes up and answers old requests for permits.
+    def test_leader_is_suspended(self, entries):
+        fleet = create_fleet(entries)
+        target, named_at = name_limit(fleet, 3.2)
+        fleet.advance(6.0)
+        leader = fleet.site.leader
+        fleet.site.suspend(leader)
+        fleet.advance(5.0)
+        fleet.site.resume(leader)
+        fleet.advance(8.0)
+        assert fleet.find_excess(target, named_at, is_strict=True) == []
+
     # Guards against entries that, without any hub, each use a whole limit or none of it.
     def test_all_hubs_are_killed(self, entries):
         fleet = create_fleet(entries)
--- a/tarragonshelf/hub/tests/fakes.py
+++ b/tarragonshelf/hub/tests/fakes.py
@@ -64,6 +64,10 @@
         self.store: ReplicaStore | None = None
         self.message_files: dict[str, MessageFile] = {}
         self.is_refusing = False
+        # While the VM is suspended, messages wait and its monotonic clock stands still.
+        self.suspended_at: float | None = None
+        self.suspended_seconds = 0.0
+        self.waiting_messages: list = []
 
 
 class FakeSite:
@@ -133,6 +137,19 @@
         if loses_disk:
             hub.files = FakeFileSystem()
 
+    def suspend(self, vm: str) -> None:
+        """Suspend the VM of a hub."""
+        self.hubs[vm].suspended_at = self.now
+
+    def resume(self, vm: str) -> None:
+        """Resume the VM of a hub, which then handles the messages that waited."""
+        hub = self.hubs[vm]
+        hub.suspended_seconds += self.now - hub.suspended_at
+        hub.suspended_at = None
+        messages, hub.waiting_messages = hub.waiting_messages, []
+        for message in messages:
+            self._run(hub, message)
+
     def advance(self, seconds: float) -> None:
         """Advance the clock; deliver messages and run ticks."""
         end = self.now + seconds
@@ -192,7 +209,7 @@
         for vm, hub in self.hubs.items():
             node = hub.node
             leads = node is not None and node.replica.has_committed_in_term
-            if leads and node.is_current(self.now):
+            if leads and hub.suspended_at is None and node.is_current(self.now):
                 return vm
         return None
 
@@ -224,8 +241,13 @@
     def _run(self, hub: FakeHub, message) -> None:
         if hub.node is None:
             return
-        effects = hub.node.handle(self.now, message) if message else hub.node.tick(self.now)
-        effects += hub.node.flush(self.now)
+        if hub.suspended_at is not None:
+            if message:
+                hub.waiting_messages.append(message)
+            return
+        now = self.now - hub.suspended_seconds
+        effects = hub.node.handle(now, message) if message else hub.node.tick(now)
+        effects += hub.node.flush(now)
         self._execute(hub, effects)
 
     def _execute(self, hub: FakeHub, effects) -> None:
--- a/tarragonshelf/queries/_explain.py
+++ b/tarragonshelf/queries/_explain.py
@@ -7,7 +7,16 @@
 
 # State changes of the request's targets are included from this time before its first event on.
 STATE_WINDOW_MILLISECONDS = 15000
-STATE_EVENTS = frozenset({"target_avoided", "target_recovered", "target_changed"})
+STATE_EVENTS = frozenset(
+    {
+        "target_avoided",
+        "target_recovered",
+        "target_changed",
+        "limit_declared",
+        "limit_changed",
+        "limit_lifted",
+    }
+)
 REFUSAL_CAUSES = {
     "may-have-run": "the connection to target {target} broke after the request was sent, so it "
     "may have run and was not sent again",
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from tarragonshelf.forwarding import RefusalReason
 from tarragonshelf.queries import explain_request, format_explanation, merge_logs
 
 
@@ -40,6 +41,7 @@
             ({"reason": "all-full", "service": "s"}, "held more than it could finish"),
             ({"reason": "no-budget"}, "the budget for repeats was used up"),
             ({"reason": "no-target", "service": "s"}, "no target of service s was known"),
+            ({"reason": "limited", "service": "s"}, "names a request rate limit"),
             ({"reason": "deadline", "has_run": True}, "its time was up"),
         ],
     )
@@ -47,6 +49,25 @@
         lines = [format_log_line(1.0, "e1", "request_refused", request="q2", **fields)]
         assert cause in explain_request(merge_logs([lines]), "q2").cause
 
+    @pytest.mark.parametrize("reason", RefusalReason)
+    def test_every_reason_has_a_cause(self, reason):
+        fields = {"reason": reason, "service": "s"}
+        lines = [format_log_line(1.0, "e1", "request_refused", request="q2", **fields)]
+        assert not explain_request(merge_logs([lines]), "q2").cause.startswith(reason)
+
+    def test_limit_of_the_target_is_shown(self):
+        lines = [
+            format_log_line(1.0, "e1", "limit_declared", target="t1", rate=2.0, source="own"),
+            format_log_line(2.0, "e1", "limited_attempt", request="q4", target="t1", rate=2.0),
+            format_log_line(2.3, "e1", "request_answered", request="q4", target="t1", status=200),
+        ]
+        explanation = explain_request(merge_logs([lines]), "q4")
+        assert [event.fields["event"] for event in explanation.events] == [
+            "limit_declared",
+            "limited_attempt",
+            "request_answered",
+        ]
+
     def test_answer_after_a_failed_attempt_names_that_target(self):
         lines = [
             format_log_line(
