Ask for all targets with a limit before a request is refused

Cause: found by reading. A request for a permit named at most 16 targets, but its denial refused the request as if every target with a limit had been asked; at a service of 126 targets that would not be true. Change: the balancer names at most 64, and those that are left are asked for next; only the denial of the last ones refuses the request. The selection of the preferred targets is one step; the denial without a leader is a method of the allocator.

--- a/tarragonshelf/edge/_permits.py
+++ b/tarragonshelf/edge/_permits.py
@@ -8,8 +8,6 @@
 
 # The hub asks the leader, which may be in another region. A reply takes up to 90 ms.
 REPLY_TIMEOUT_SECONDS = 0.2
-# Number of targets that one request may name, so that a message stays small at a large service.
-MAXIMUM_TARGETS = 16
 # Range of the time after which callers that are refused without a leader should return. It takes
 # one or two seconds to elect a leader.
 MINIMUM_RETURN_SECONDS = 0.5
@@ -50,11 +48,11 @@
         """Create and record the request to the hub for a permit."""
         self._number += 1
         rates = ((item.identity, self.limits.get_rate(item.identity)) for item in needed.targets)
-        limits = [RateLimit(target, rate) for target, rate in rates if rate is not None]
+        limits = tuple(RateLimit(target, rate) for target, rate in rates if rate is not None)
         request = PermitRequest(
             self._number,
             needed.service,
-            tuple(limits[:MAXIMUM_TARGETS]),
+            limits,
             needed.service_rate,
             needed.has_alternative,
         )
--- a/tarragonshelf/forwarding/_balancer.py
+++ b/tarragonshelf/forwarding/_balancer.py
@@ -1,6 +1,7 @@
 """Selection of the target with the lowest expected cost."""
 
 from dataclasses import dataclass
+from itertools import takewhile
 from math import ceil
 from random import Random
 
@@ -41,6 +42,9 @@
 # network path is the more likely cause, and avoiding more would overload the rest. Orders avoid
 # more targets on strong evidence while the rest has a free slot, since each failed order is lost.
 MAXIMUM_AVOIDED_SHARE = 0.4
+# Targets with a limit that one request for a permit names, so that messages stay small at services
+# with many targets. If it is denied, the others are asked for next.
+MAXIMUM_PERMIT_TARGETS = 64
 # Capacity of a target that is still warming up, as a share of its slots.
 WARMING_SLOT_FACTOR = 0.5
 
@@ -152,30 +156,31 @@
         if not free:
             return RefusalReason.ALL_FULL
         rates = {item.identity: self.limits.get_rate(item.identity) for item in free}
-        unlimited = [item for item in free if rates[item.identity] is None]
-        service_rate = sum(rate for rate in rates.values() if rate is not None)
+        limited = {name: rate for name, rate in rates.items() if rate is not None}
         open_targets = [item for item in free if not self.limits.is_closed(now, item.identity)]
         trial_target = self.floor.choose_trial_target(now, request, usable, open_targets)
         if trial_target is not None:
-            if rates[trial_target.identity] is None:
-                return trial_target
-            return PermitNeeded(request.service, (trial_target,), service_rate, True)
-        avoided = self._list_avoided(now, usable, request.route.is_repeatable)
-        # Without an unlimited target, closed ones are asked for, too: the leader then tells when
-        # the caller should return.
-        costs = {
-            item.identity: self._estimate_cost(now, request, profile, item, avoided)
-            for item in (open_targets if unlimited else free)
-        }
-        if not unlimited:
-            ranked = sorted(free, key=lambda item: costs[item.identity])
-            return PermitNeeded(request.service, tuple(ranked), service_rate, False)
-        best = min(unlimited, key=lambda item: costs[item.identity])
-        cheaper = [item for item in open_targets if costs[item.identity] < costs[best.identity]]
-        if not cheaper:
-            return best
-        cheaper.sort(key=lambda item: costs[item.identity])
-        return PermitNeeded(request.service, tuple(cheaper), service_rate, True)
+            ranked = [trial_target]
+        else:
+            # If all targets have a limit, closed ones are asked for, too: the leader then decides
+            # when the caller should return.
+            considered = open_targets if len(limited) < len(free) else free
+            avoided = self._list_avoided(now, usable, request.route.is_repeatable)
+            costs = {
+                item.identity: self._estimate_cost(now, request, profile, item, avoided)
+                for item in considered
+            }
+            ranked = sorted(considered, key=lambda item: costs[item.identity])
+        preferred = tuple(takewhile(lambda item: item.identity in limited, ranked))
+        if not preferred:
+            return ranked[0]
+        asked = preferred[:MAXIMUM_PERMIT_TARGETS]
+        return PermitNeeded(
+            request.service,
+            asked,
+            service_rate=sum(limited.values()),
+            has_alternative=len(asked) < len(free),
+        )
 
     def is_overloaded(self, target: TargetEntry) -> bool:
         """Return whether a target's queue is so long that it may refuse requests."""
--- a/tarragonshelf/forwarding/_messages.py
+++ b/tarragonshelf/forwarding/_messages.py
@@ -118,8 +118,8 @@
     """Targets that are the best choice for a request, but declare a limit.
 
     ``targets`` are ordered by preference, ``service_rate`` is the sum of their limits and of those
-    of less preferred ones, in requests per second. With ``has_alternative`` another target can
-    take the request without a permit.
+    of all others with a limit, in requests per second. With ``has_alternative`` there are other
+    targets that could take the request if no permit is granted.
     """
 
     service: str
--- a/tarragonshelf/forwarding/tests/test_balancer.py
+++ b/tarragonshelf/forwarding/tests/test_balancer.py
@@ -14,6 +14,7 @@
 )
 from ...registry import TargetRegistry
 from ...throttling import DeclaredLimits
+from .._balancer import MAXIMUM_PERMIT_TARGETS
 from .fakes import create_route, create_target
 
 TOPOLOGY = Topology("z", {"z": "r1", "y": "r1", "x": "r2"})
@@ -213,3 +214,16 @@
         trials = [item for item in chosen if isinstance(item, PermitNeeded)]
         assert trials
         assert {item.targets[0].identity for item in trials} == {"a"}
+
+    def test_targets_that_one_request_may_not_name_are_asked_for_next(self):
+        """A refusal is true only if every target was asked for."""
+        names = [f"t{number}" for number in range(MAXIMUM_PERMIT_TARGETS + 5)]
+        fixture = Fixture(*(create_target(name) for name in names))
+        for name in names:
+            fixture.limits.record(0.0, name, 2.0)
+        first = fixture.choose()
+        assert (len(first.targets), first.has_alternative) == (MAXIMUM_PERMIT_TARGETS, True)
+        asked = frozenset(item.identity for item in first.targets)
+        second = fixture.choose(tried=asked)
+        assert {item.identity for item in second.targets} == set(names) - asked
+        assert not second.has_alternative
--- a/tarragonshelf/hub/_entries.py
+++ b/tarragonshelf/hub/_entries.py
@@ -21,9 +21,6 @@
 )
 from ._state import HubState
 
-# A request that needs a permit is denied while no leader is known. Electing one takes about this
-# time.
-LEADERLESS_WAIT_SECONDS = 1.0
 # Changes of the serving entries are batched, as many happen when the fleet starts.
 EDGE_NEWS_INTERVAL_SECONDS = 0.2
 
@@ -72,9 +69,7 @@
     def _allocate_permit(self, now: float, request: PermitRequest) -> PermitReply:
         """Grant or deny a permit; only a leader that has contact with a quorum grants any."""
         if not self.replica.has_committed_in_term or not self.is_current(now):
-            wait = LEADERLESS_WAIT_SECONDS
-            retry_after = self.permits.random.uniform(wait, 2 * wait)
-            return PermitReply(request.number, "", wait, retry_after)
+            return self.permits.deny(request)
         reply = self.permits.allocate(now, request)
         event = "permit_granted" if reply.target else "permit_denied"
         fields = {
--- a/tarragonshelf/throttling/_messages.py
+++ b/tarragonshelf/throttling/_messages.py
@@ -30,7 +30,7 @@
 
     ``limits`` are ordered by preference. ``service_rate`` is the sum of the limits of all targets
     of the service that could take the request. With ``has_alternative`` a request without a
-    permit goes to a target without a limit; otherwise it is refused.
+    permit is tried at other targets; otherwise it is refused.
     """
 
     number: int
--- a/tarragonshelf/throttling/_permits.py
+++ b/tarragonshelf/throttling/_permits.py
@@ -13,6 +13,9 @@
 BURST_SECONDS = 0.5
 # Callers that no target may take are asked to return within this time.
 MAXIMUM_RETURN_SECONDS = 10.0
+# While there is no leader, targets with a limit get no requests for this long, and refused callers
+# return up to twice as late. Electing a leader takes one or two seconds.
+LEADERLESS_WAIT_SECONDS = 1.0
 # Entries without a leader share out this part of a limit among them. Their number may be out of
 # date by a factor of two after a partition.
 LOCAL_SHARE = 0.5
@@ -64,6 +67,11 @@
         retry_after = wait if request.has_alternative else self._schedule(now, request, wait)
         return PermitReply(request.number, "", wait, retry_after)
 
+    def deny(self, request: PermitRequest) -> PermitReply:
+        """Deny a request that reached a control which does not lead."""
+        wait = LEADERLESS_WAIT_SECONDS
+        return PermitReply(request.number, "", wait, self.random.uniform(wait, 2 * wait))
+
     def _schedule(self, now: float, request: PermitRequest, wait: float) -> float:
         """Return after how many seconds a refused caller should return.
 
