An entry has a current hub only once the hub has answered

What callers saw: while the hubs lose power or are silent, an entry grants no retry of its own, and a request that needs a permit waits for a time-out.

Cause: found while testing limits without hubs. An entry counted the hub that it connects to as current for 1.2 s from the choice on, before any message. If connecting hangs, the next hub is chosen after that time, so the entry always had a current hub: its own retry budget was emptied at each tick. Change: HubSelector.has_current_hub needs a message of the followed hub. Both tests of TestSilentHubs fail on the code before. Conclusion: mended; the budget itself is unchanged, so its bounds hold as they do for refused connections.

--- a/tarragonshelf/edge/_hub_selector.py
+++ b/tarragonshelf/edge/_hub_selector.py
@@ -44,7 +44,9 @@
         self._tie_breakers: dict[str, float] = {}
         self._failed_at: dict[str, float] = {}
         self._followed_at = float("-inf")
+        # The time of the last message of the followed hub or, before the first one, of the choice.
         self._last_contact_at = float("-inf")
+        self._has_contact = False
         self._stale_since: float | None = None
         self._lookup_started_at: float | None = None
         # At first the entry only looks up the nearest hub, as a subscription to a remote one
@@ -53,8 +55,10 @@
 
     def has_current_hub(self, now: float) -> bool:
         """Return whether the followed hub responds and is current."""
+        if not self.address or not self._has_contact:
+            return False
         is_timed_out = now - self._last_contact_at >= HEARTBEAT_TIMEOUT_SECONDS
-        return bool(self.address) and not is_timed_out and self._stale_since is None
+        return not is_timed_out and self._stale_since is None
 
     def is_near(self) -> bool:
         """Return whether the followed hub is in the same data centre."""
@@ -85,6 +89,7 @@
         if address != self.address:
             return
         self._last_contact_at = now
+        self._has_contact = True
         if is_current is None:
             return
         if is_current:
@@ -113,6 +118,7 @@
             return None
         self.address = nearest
         self._followed_at = self._last_contact_at = now
+        self._has_contact = False
         self._stale_since = None
         return nearest
 
--- a/tarragonshelf/edge/tests/test_edge.py
+++ b/tarragonshelf/edge/tests/test_edge.py
@@ -11,10 +11,11 @@
     FollowHub,
     HubLost,
     HubReceived,
+    PermitAnswered,
     RetryDecided,
     SendToHub,
 )
-from ...forwarding import AttemptKind, ForwardRequest, RetryBudgetSettings
+from ...forwarding import AttemptKind, ForwardRequest, PermitNeeded, RetryBudgetSettings
 from ...forwarding.tests.fakes import create_route
 from ...hub import (
     EdgeNews,
@@ -337,3 +338,36 @@
         assert fixture.node.get_idle_limit(TARGET) == 1
         fixture.receive(EdgeNews((EdgeRecord("e0:80", "z0"),), 6))
         assert fixture.node.get_idle_limit(TARGET) == 0
+
+
+class TestSilentHubs:
+    # Guards against an entry that takes a hub for current before the hub has ever answered.
+    def test_entry_spends_its_own_retries_while_no_hub_answers(self):
+        fixture = Fixture().serve()
+        fixture.receive(EdgeNews((EdgeRecord("e0:80", "z0"),), 6))
+        node, granted = fixture.node, 0
+        for step in range(1200):
+            fixture.tick()
+            if step % 4 == 0:
+                node.record_request(fixture.now, "s")
+            if step % 20 == 0:
+                is_granted = node.spend_retry(fixture.now, "s")
+                if is_granted is None:
+                    node.request_retry(fixture.now, "s")
+                granted += bool(is_granted)
+            granted += sum(item.is_granted for item in fixture.find(RetryDecided))
+        # A fifth of 300 requests, of which a part is left unused.
+        assert granted >= 0.5 * 0.2 * 300
+        assert not node.hubs.has_current_hub(fixture.now)
+
+    def test_permits_are_decided_at_once_while_no_hub_answers(self):
+        fixture = Fixture().serve()
+        fixture.tick(1.3).tick(1.3)
+        fixture.node.limits.record(fixture.now, "i-1", 0.1)
+        needed = PermitNeeded("s", (TARGET,), 0.1, has_alternative=False)
+        number = fixture.node.request_permit(fixture.now, needed)
+        answered = [
+            item for item in fixture.node.pop_pending_effects() if isinstance(item, PermitAnswered)
+        ]
+        assert [(item.number, item.decided.target) for item in answered] == [(number, "")]
+        assert answered[0].decided.retry_after > 0.0
