Ask for a target again as soon as its limit changed

Cause: found by reading. A denied target stays closed at an entry until the next permit at its present rate, 10 s at 0.1/s; that time outlasted a change of the limit to a higher one. Change: a changed limit opens the target.

--- a/tarragonshelf/edge/tests/test_limits.py
+++ b/tarragonshelf/edge/tests/test_limits.py
@@ -60,7 +60,7 @@
         assert all(item.node.limits.list_rates() == {} for item in fleet.entries.values())
 
     # Guards against entries that keep to the first limit of a target when it names another one.
-    @pytest.mark.parametrize(("before", "after"), [(1.0, 3.2), (3.2, 0.5)])
+    @pytest.mark.parametrize(("before", "after"), [(0.1, 3.2), (1.0, 3.2), (3.2, 0.5)])
     def test_target_changes_its_limit(self, before, after, entries):
         fleet = create_fleet(entries)
         target, _ = name_limit(fleet, before)
--- a/tarragonshelf/throttling/_limits.py
+++ b/tarragonshelf/throttling/_limits.py
@@ -95,7 +95,8 @@
             return LimitChange.LIFTED
         if rate == limit.rate:
             return None
-        limit.rate = rate
+        # The next permit was estimated at the previous rate.
+        limit.rate, limit.closed_until = rate, float("-inf")
         return LimitChange.CHANGED
 
     def forget(self, target: str) -> None:
--- a/tarragonshelf/throttling/tests/test_limits.py
+++ b/tarragonshelf/throttling/tests/test_limits.py
@@ -46,6 +46,13 @@
         assert not limits.is_changed_by("t", NO_LIMIT, sent_at=1.0)
         assert limits.record(1.0, "t", None) is None
 
+    def test_target_is_asked_for_again_once_its_limit_changed(self):
+        """A raised limit must not wait for the next permit of the low one."""
+        limits = create_limits(0.1)
+        limits.close("t", 20.0)
+        limits.record(11.0, "t", 5.0)
+        assert not limits.is_closed(11.0, "t")
+
     def test_target_without_a_free_permit_is_closed_until_the_next_one(self):
         limits = create_limits(2.0)
         limits.close("t", 10.4)
