Count opened connections by outcome and log when none was established

Ruled out: nothing yet.

Change: once a second an entry logs connections_failed, if a connection was not established: connections by outcome, and how many targets were tried and reached. The metric target_connections by outcome replaces connections_made.

No decision has changed.

--- a/tarragonshelf/site/_edge.py
+++ b/tarragonshelf/site/_edge.py
@@ -185,6 +185,7 @@
                 self.pool.close_expired(now)
                 self.caller_server.close_idle(now)
                 self.log_budget.report_dropped()
+                self._report_failed_connections()
             await asyncio.sleep(TICK_SECONDS)
 
     # Connection to the hub
@@ -269,6 +270,20 @@
         self.metrics.count("events_total", ("event", event))
         self.log_budget.write(event, **fields)
 
+    def _report_failed_connections(self) -> None:
+        """Log how many targets accepted connections, if one did not.
+
+        If none did, the entry's own path is the likely cause.
+        """
+        summary = self.pool.pop_connect_summary()
+        if summary.has_failures:
+            self._report(
+                "connections_failed",
+                outcomes=dict(summary.outcomes),
+                targets_tried=len(summary.tried),
+                targets_reached=len(summary.reached),
+            )
+
     def _refresh(self) -> None:
         now = read_time()
         self.metrics.set("catalogue_version", self.node.version)
@@ -276,7 +291,8 @@
         self.metrics.set("requests_under_way", self.caller_server.in_flight)
         self.metrics.set("targets_avoided", self.node.avoidance.count_avoided(now))
         self.metrics.set("targets_limited", len(self.node.limits.list_rates()))
-        self.metrics.set("connections_made", self.pool.connections_made)
+        for outcome, count in self.pool.connect_counts.items():
+            self.metrics.set("target_connections", count, ("outcome", outcome))
         if self.node.catalogue is not None:
             for spec in self.node.catalogue.services:
                 service = ("service", spec.name)
--- a/tarragonshelf/site/_pool.py
+++ b/tarragonshelf/site/_pool.py
@@ -1,7 +1,9 @@
 """Pool of keep-alive connections to targets."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
+from dataclasses import dataclass, field
 
 from ..registry import TargetEntry
 from ._exchange import ResponseBufferQuota, TargetConnection
@@ -16,6 +18,38 @@
 # A connection is reused for this share of the idle time-out that the target states, so that the
 # entry closes it before the target does.
 USABLE_IDLE_SHARE = 0.6
+# Outcomes of opening a connection, in logs and metrics; others are named after the error.
+ESTABLISHED = "established"
+TIMED_OUT = "timeout"
+
+
+@dataclass(slots=True)
+class ConnectSummary:
+    """Connections that were opened to targets in a span of time.
+
+    Attributes
+    ----------
+    outcomes : Counter
+        Number of connections by outcome: ``established``, ``timeout`` or the name of the error.
+    tried, reached : set of str
+        Targets to which a connection was opened, and to which one was established.
+    """
+
+    outcomes: Counter = field(default_factory=Counter)
+    tried: set[str] = field(default_factory=set)
+    reached: set[str] = field(default_factory=set)
+
+    def record(self, target: str, outcome: str) -> None:
+        """Record how opening a connection to a target ended."""
+        self.outcomes[outcome] += 1
+        self.tried.add(target)
+        if outcome == ESTABLISHED:
+            self.reached.add(target)
+
+    @property
+    def has_failures(self) -> bool:
+        """Whether a connection was not established."""
+        return self.outcomes.total() > self.outcomes[ESTABLISHED]
 
 
 class ConnectionPool:
@@ -33,7 +67,8 @@
         self.dialect = dialect
         self.get_idle_limit = get_idle_limit
         self.buffer_quota = ResponseBufferQuota()
-        self.connections_made = 0
+        self.connect_counts: Counter = Counter()
+        self._connect_summary = ConnectSummary()
         self._idle: dict[str, list[TargetConnection]] = {}
 
     async def get(self, target: TargetEntry, *, is_repeatable: bool) -> TargetConnection:
@@ -98,11 +133,30 @@
                 connection.close()
         self._idle = {}
 
+    def pop_connect_summary(self) -> ConnectSummary:
+        """Return the connections that were opened since the previous call."""
+        summary, self._connect_summary = self._connect_summary, ConnectSummary()
+        return summary
+
     async def _connect(self, target: TargetEntry) -> TargetConnection:
+        outcome = "cancelled"
+        try:
+            connection = await self._open(target)
+            outcome = ESTABLISHED
+        except TimeoutError:
+            outcome = TIMED_OUT
+            raise
+        except OSError as error:
+            outcome = type(error).__name__
+            raise
+        finally:
+            self.connect_counts[outcome] += 1
+            self._connect_summary.record(target.identity, outcome)
+        return connection
+
+    async def _open(self, target: TargetEntry) -> TargetConnection:
         host, _, port = target.address.rpartition(":")
-        loop = asyncio.get_running_loop()
-        self.connections_made += 1
-        connecting = loop.create_connection(
+        connecting = asyncio.get_running_loop().create_connection(
             lambda: TargetConnection(self.dialect, self.buffer_quota), host, int(port)
         )
         _, connection = await asyncio.wait_for(connecting, CONNECT_TIMEOUT_SECONDS)
--- /dev/null
+++ b/tarragonshelf/site/tests/test_pool.py
@@ -0,0 +1,43 @@
+"""The pool counts how opening connections to targets ended."""
+
+import asyncio
+
+from ...platform._entry_http import PlatformDialect
+from ...registry import TargetEntry, TargetState
+from .._pool import ESTABLISHED, ConnectionPool
+
+REFUSED = "ConnectionRefusedError"
+
+
+def create_target(name: str, address: str) -> TargetEntry:
+    return TargetEntry(name, 1, 1, TargetState.READY, address, "s", "z", 3)
+
+
+async def connect(pool: ConnectionPool, target: TargetEntry) -> None:
+    try:
+        connection = await pool.get(target, is_repeatable=True)
+    except OSError:
+        return
+    connection.close()
+
+
+class TestConnectSummary:
+    # Guards against logs that cannot tell an entry without a path from a target that fails.
+    def test_summary_names_targets_that_were_reached_and_those_that_were_not(self):
+        async def run():
+            pool = ConnectionPool(PlatformDialect(), lambda target: 10)
+            server = await asyncio.start_server(lambda _, writer: writer.close(), "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            listening = create_target("i-1", f"127.0.0.1:{port}")
+            await connect(pool, listening)
+            assert not pool.pop_connect_summary().has_failures
+            server.close()
+            await connect(pool, listening)
+            await connect(pool, create_target("i-2", f"127.0.0.1:{port}"))
+            summary = pool.pop_connect_summary()
+            assert (summary.tried, summary.reached) == ({"i-1", "i-2"}, set())
+            assert summary.outcomes == {REFUSED: 2}
+            assert pool.connect_counts == {ESTABLISHED: 1, REFUSED: 2}
+            assert not pool.pop_connect_summary().has_failures
+
+        asyncio.run(run())
