Failing test: callers of entries that lost the path to all targets

An entry takes the loss of its own path for failures of the targets and has no other way to them; its evidence makes other entries avoid targets that work.

--- a/tarragonshelf/edge/tests/fakes.py
+++ b/tarragonshelf/edge/tests/fakes.py
@@ -3,6 +3,7 @@
 import heapq
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
+from enum import StrEnum
 from itertools import count
 from random import Random
 
@@ -51,6 +52,25 @@
 LIMIT_SLACK = 5
 LIMIT_SETTLE_SECONDS = 3.0
 TOLD_SECONDS = 0.5
+# Time after which an entry gives up opening a connection, and after which the kernel gives up one
+# whose bytes are not acknowledged.
+CONNECT_TIMEOUT_SECONDS = 0.35
+USER_TIMEOUT_SECONDS = 1.5
+# An idle connection is used again within this time.
+IDLE_SECONDS = 2.0
+# Time in which a network answers that a connection is refused or reset.
+REFUSE_SECONDS = 0.01
+
+
+class PathFault(StrEnum):
+    """What happens to an entry's connections to all targets.
+
+    Connections hang, are reset, or go on while new ones are refused.
+    """
+
+    HANG = "hang"
+    RESET = "reset"
+    REFUSE = "refuse"
 
 
 @dataclass(slots=True)
@@ -68,6 +88,8 @@
 
     entry: TargetEntry
     limit: float | None = None
+    # Whether the target answers nothing, so that connections to it hang.
+    is_dead: bool = False
     arrivals: list[Arrival] = field(default_factory=list)
     # When each entry first passed on a response that names the limit.
     told_at: dict[str, float] = field(default_factory=dict)
@@ -82,6 +104,7 @@
     """How a request ended; ``refusal`` is None if a target responded."""
 
     request: ForwardRequest
+    entry: str
     ended_at: float
     refusal: Refuse | None
 
@@ -96,6 +119,10 @@
     number: int = 0
     is_cut: bool = False
     is_frozen: bool = False
+    path_fault: PathFault | None = None
+    # When the idle connection to a target was last used.
+    idle_connections: dict[str, float] = field(default_factory=dict)
+    open_attempts: dict[tuple[RequestMachine, int], FakeTarget] = field(default_factory=dict)
     inbox: list[Callable[[], None]] = field(default_factory=list)
 
 
@@ -175,6 +202,21 @@
         self.disturbed.add(name)
         self.entries[name].is_cut = is_cut
 
+    def cut_paths(self, names: list[str], fault: PathFault) -> None:
+        """Cut entries off from all targets; hubs and callers still reach them."""
+        for name in names:
+            entry = self.entries[name]
+            entry.path_fault = fault
+            if fault == PathFault.RESET:
+                entry.idle_connections.clear()
+                for machine, number in list(entry.open_attempts):
+                    self._end_attempt(entry, machine, number, AttemptOutcome.BROKEN, 0.0)
+
+    def heal_paths(self, names: list[str]) -> None:
+        """Let entries reach the targets again."""
+        for name in names:
+            self.entries[name].path_fault = None
+
     def freeze_entry(self, name: str, *, is_frozen: bool) -> None:
         """Suspend an entry process, or let it go on with what arrived meanwhile."""
         self.disturbed.add(name)
@@ -352,9 +394,10 @@
                 number = entry.node.request_permit(self.now, effect.needed)
                 self._pending_permits[entry.name, number] = machine
             elif isinstance(effect, RespondWith | Refuse):
-                self._finish(machine, effect)
+                self._finish(entry, machine, effect)
             else:
                 assert isinstance(effect, Cancel)
+                entry.open_attempts.pop((machine, effect.number), None)
         self._execute(entry, entry.node.pop_pending_effects())
 
     def _set_timer(self, entry: FakeEntry, machine: RequestMachine, at: float) -> None:
@@ -364,13 +407,53 @@
         )
 
     def _send_attempt(self, entry: FakeEntry, machine: RequestMachine, attempt: Attempt) -> None:
+        """Send a request on an idle connection or a new one, unless the path is cut."""
         target = self.targets[int(attempt.target.identity[1:])]
+        number, fault = attempt.number, entry.path_fault
+        entry.open_attempts[machine, number] = target
+        used_at = entry.idle_connections.pop(target.entry.identity, float("-inf"))
+        is_reused = self.now - used_at < IDLE_SECONDS
+        if target.is_dead or fault == PathFault.HANG:
+            outcome = AttemptOutcome.BROKEN if is_reused else AttemptOutcome.UNHEARD
+            seconds = USER_TIMEOUT_SECONDS if is_reused else CONNECT_TIMEOUT_SECONDS
+            self._fail_later(entry, machine, number, outcome, seconds)
+        elif fault == PathFault.RESET or (fault == PathFault.REFUSE and not is_reused):
+            outcome = AttemptOutcome.NOT_SENT
+            self._fail_later(entry, machine, number, outcome, REFUSE_SECONDS)
+        else:
+            self._deliver_attempt(entry, machine, number, target)
+
+    def _fail_later(
+        self,
+        entry: FakeEntry,
+        machine: RequestMachine,
+        number: int,
+        outcome: AttemptOutcome,
+        seconds: float,
+    ) -> None:
+        self._after(seconds, lambda: self._end_attempt(entry, machine, number, outcome, seconds))
+
+    def _end_attempt(
+        self,
+        entry: FakeEntry,
+        machine: RequestMachine,
+        number: int,
+        outcome: AttemptOutcome,
+        seconds: float,
+    ) -> None:
+        if entry.open_attempts.pop((machine, number), None) is not None:
+            ended = AttemptEnded(number, outcome, seconds)
+            self._run_at(entry, lambda: self._handle(entry, machine, ended))
+
+    def _deliver_attempt(
+        self, entry: FakeEntry, machine: RequestMachine, number: int, target: FakeTarget
+    ) -> None:
         told_at = target.told_at.get(entry.name, float("inf"))
         was_told = target.limit is not None and self.now - told_at >= TOLD_SECONDS
         target.arrivals.append(Arrival(self.now, entry.name, was_told))
         self.ran.add(machine.request.identity)
         seconds = self.random.expovariate(1 / MEAN_WORK_SECONDS)
-        self._after(seconds, lambda: self._answer(entry, machine, attempt.number, target, seconds))
+        self._after(seconds, lambda: self._answer(entry, machine, number, target, seconds))
 
     def _answer(
         self,
@@ -380,6 +463,10 @@
         target: FakeTarget,
         seconds: float,
     ) -> None:
+        is_cut = entry.path_fault not in (None, PathFault.REFUSE)
+        if is_cut or entry.open_attempts.pop((machine, number), None) is None:
+            return
+        entry.idle_connections[target.entry.identity] = self.now
         limit = LimitStatement(target.limit)
         answer = TargetAnswer(200, (), b"")
         ended = AttemptEnded(number, AttemptOutcome.ANSWERED, seconds, answer, limit)
@@ -391,6 +478,6 @@
 
         self._run_at(entry, handle)
 
-    def _finish(self, machine: RequestMachine, effect: Effect) -> None:
+    def _finish(self, entry: FakeEntry, machine: RequestMachine, effect: Effect) -> None:
         refusal = effect if isinstance(effect, Refuse) else None
-        self.outcomes.append(Outcome(machine.request, self.now, refusal))
+        self.outcomes.append(Outcome(machine.request, entry.name, self.now, refusal))
