--- a/tarragonshelf/edge/_messages.py
+++ b/tarragonshelf/edge/_messages.py
@@ -30,6 +30,8 @@
         Maximum duration of a graceful shutdown.
     floor_share : float
         Minimum share of a service's working targets that receive requests, from 0 to 1.
+    relay_address : str
+        Peer address at which this entry relays requests of other entries; empty if it does not.
     """
 
     vm: str
@@ -41,6 +43,7 @@
     address_lifetime_seconds: float
     grace_seconds: float = 6.0
     floor_share: float = 0.0
+    relay_address: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tarragonshelf/edge/_node.py
+++ b/tarragonshelf/edge/_node.py
@@ -29,6 +29,7 @@
     LatencyThresholds,
     PermitNeeded,
     RefusalReason,
+    RelayOutcome,
     ResponseTimeModel,
     RetryBudgets,
     ServiceProfile,
@@ -49,6 +50,14 @@
     Subscribe,
 )
 from ..registry import TargetEntry, TargetNews, TargetRegistry
+from ..relaying import (
+    DeclineReason,
+    PathDoubted,
+    RelayNews,
+    RelayRecord,
+    TargetChecked,
+    TargetConnected,
+)
 from ..replication import EmitEvent
 from ..throttling import DeclaredLimits, LimitStatement, PermitReply, compute_idle_limit
 from ._evidence import EvidenceProcessor
@@ -62,6 +71,7 @@
     RetryDecided,
     SendToHub,
 )
+from ._path import AMBIGUOUS_EVIDENCE, TargetPath
 from ._permits import PendingPermitRequests
 from ._retries import PendingRetryRequests
 
@@ -117,6 +127,15 @@
             failures=self.balancer.floor.failures,
             emit=lambda effect: self._pending_effects.append(effect),
         )
+        self.path = TargetPath(
+            topology=self.topology,
+            targets=self.targets,
+            avoidance=self.avoidance,
+            random=random,
+            report=self.evidence.report,
+            emit=lambda effect: self._pending_effects.append(effect),
+            announce=self._announce_state,
+        )
         self.budgets = RetryBudgets(
             ratio=settings.budget.ratio,
             slack=settings.budget.slack,
@@ -163,7 +182,8 @@
         """Return the addresses of entries near a caller."""
         own = EdgeRecord(self.settings.address, self.settings.data_centre)
         others = tuple(item for item in self._edges if item != own)
-        edges = (own, *others) if self.is_ready else others
+        is_listed = self.is_ready and (not self.path.is_lost or own in self._edges)
+        edges = (own, *others) if is_listed else others
         near = [item for item in edges if item.data_centre == data_centre]
         if not near:
             near = [
@@ -182,6 +202,8 @@
             self.version,
             self.is_ready,
             self.hubs.is_looking_up,
+            settings.relay_address,
+            self.path.is_lost,
         )
 
     # Commands
@@ -203,7 +225,9 @@
             was_ready = self.is_ready
             self._handle_hub_message(now, message.message)
             if self.is_ready != was_ready:
-                self._pending_effects.append(SendToHub(self.create_subscription()))
+                self._announce_state()
+        elif isinstance(message, PathDoubted | TargetConnected | TargetChecked):
+            self.path.handle(now, message)
         return self.pop_pending_effects()
 
     def tick(self, now: float) -> list[Effect]:
@@ -215,6 +239,7 @@
             self.budgets.clear_tokens()
         self.suspects.remove_expired(now)
         self.targets.remove_departed(now)
+        self.path.tick(now)
         return [*self._choose_hub(now), *self.pop_pending_effects()]
 
     def pop_pending_effects(self) -> list[Effect]:
@@ -227,6 +252,9 @@
         self.is_stopping = True
         return [SendToHub(self.create_subscription())]
 
+    def _announce_state(self) -> None:
+        self._pending_effects.append(SendToHub(self.create_subscription()))
+
     # Messages of hubs
 
     def _choose_hub(self, now: float) -> list[Effect]:
@@ -251,6 +279,8 @@
             self.budgets.entries = max(message.total, len(message.edges), 1)
             self.permit_requests.entries = self.budgets.entries
             self.balancer.floor.failures.entries = self.budgets.entries
+        elif isinstance(message, RelayNews):
+            self.path.relays.update(message.relays)
         elif isinstance(message, HubNews):
             self.hubs.add(message.hubs)
         elif isinstance(message, RepeatReply):
@@ -316,8 +346,11 @@
 
     def choose_target(
         self, now: float, request: ForwardRequest, tried: frozenset[str]
-    ) -> TargetEntry | PermitNeeded | RefusalReason:
-        """Return the target for the next attempt, or the reason why there is none."""
+    ) -> TargetEntry | RelayRecord | PermitNeeded | RefusalReason:
+        """Return the target or the relay for the next attempt, or why there is none."""
+        if self.path.is_lost:
+            relay = None if request.is_relayed else self.path.choose_relay(now, tried)
+            return relay or RefusalReason.NO_PATH
         return self.balancer.choose(now, request, self._get_profile(request.service), tried)
 
     def spend_retry(self, now: float, service: str) -> bool | None:
@@ -390,11 +423,15 @@
     def record_attempt_start(
         self, now: float, request: ForwardRequest, target: TargetEntry, kind: AttemptKind
     ) -> None:
-        """Count an attempt at its target, and report a trial of a target that is not trusted."""
+        """Count an attempt at its target, and report a trial of a target that is not trusted.
+
+        A trial on a path in doubt is not reported: its result may say nothing about the target.
+        """
         name = target.identity
         self._emit_limited_attempt(now, request, name, kind)
         standing = self.avoidance.get_standing(now, name)
-        if standing != Standing.TRUSTED and not self.avoidance.is_on_trial(now, name):
+        is_untried = standing != Standing.TRUSTED and not self.avoidance.is_on_trial(now, name)
+        if is_untried and self.path.is_open:
             self.evidence.report(now, EvidenceItem(name, EvidenceKind.TRIAL))
         self.balancer.acquire(name)
 
@@ -402,6 +439,38 @@
         """Record that an attempt no longer occupies its target."""
         self.balancer.release(target.identity)
 
+    def is_path_in_doubt(self) -> bool:
+        """Return whether this entry is finding out if its path to the targets is lost."""
+        return self.path.is_in_doubt
+
+    def record_relay_start(self, now: float, relay: RelayRecord) -> None:
+        """Count a request that is sent to a relay."""
+        self.path.relays.acquire(relay)
+
+    def record_relay_end(
+        self, now: float, relay: RelayRecord, outcome: RelayOutcome | None
+    ) -> None:
+        """Record how an attempt at a relay ended; None if this entry cancelled it."""
+        self.path.record_relay_end(now, relay, outcome)
+
+    def record_relay_version(self, version: int) -> None:
+        """Record that a relay had a version of the catalogue in force.
+
+        Callers of this entry may have seen its effect, so later relays need this version, too.
+        """
+        self.path.relay_version = max(self.path.relay_version, version)
+
+    def find_decline_reason(self, minimum_version: int) -> DeclineReason | None:
+        """Return why a request of another entry is not taken, or None if it is."""
+        return self.path.find_decline_reason(
+            is_stopping=not self.is_ready, version=self.version, minimum_version=minimum_version
+        )
+
+    @property
+    def minimum_relay_version(self) -> int:
+        """The version of the catalogue that a relay needs."""
+        return max(self.version, self.path.relay_version)
+
     def record_evidence(
         self, now: float, request: ForwardRequest, target: TargetEntry, kind: EvidenceKind
     ) -> None:
@@ -415,7 +484,11 @@
             # Targets reset connections while their queue is long, so load explains the reset.
             kind = EvidenceKind.FULL
         digest = request.digest if kind == EvidenceKind.BROKEN else 0
-        self.evidence.report(now, EvidenceItem(target.identity, kind, digest))
+        item = EvidenceItem(target.identity, kind, digest)
+        if kind in AMBIGUOUS_EVIDENCE:
+            self.path.record_failure(now, item)
+        else:
+            self.evidence.report(now, item)
 
     def record_limit(
         self, now: float, target: TargetEntry, statement: LimitStatement, *, sent_at: float
--- a/tarragonshelf/edge/tests/fakes.py
+++ b/tarragonshelf/edge/tests/fakes.py
@@ -1,13 +1,14 @@
 """Entries, hubs and targets that declare limits, on a simulated network and clock."""
 
 import heapq
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from enum import StrEnum
 from itertools import count
 from random import Random
 
-from ...base import Effect
+from ...base import Effect, Message
 from ...edge import (
     EdgeNode,
     EdgeSettings,
@@ -25,6 +26,9 @@
     Cancel,
     ForwardRequest,
     Refuse,
+    RelayAttempt,
+    RelayEnded,
+    RelayOutcome,
     RequestMachine,
     RequestPermit,
     RequestRetryGrant,
@@ -40,6 +44,13 @@
 from ...hub import AnnounceTarget, SubscriberLost, SubscriberReceived
 from ...hub.tests.fakes import PORT, REGIONS, FakeReader, FakeSite
 from ...registry import TargetEntry, TargetState
+from ...relaying import (
+    CheckTargets,
+    CloseIdleConnections,
+    PathDoubted,
+    TargetChecked,
+    TargetConnected,
+)
 from ...throttling import LimitStatement
 
 STEP = 0.01
@@ -56,6 +67,12 @@
 # whose bytes are not acknowledged.
 CONNECT_TIMEOUT_SECONDS = 0.35
 USER_TIMEOUT_SECONDS = 1.5
+# Time after which a connection that is being opened is reported as slow, and after which a check
+# of a target is given up.
+SLOW_CONNECT_SECONDS = 0.1
+CHECK_SECONDS = 0.25
+# Time that a message takes between two entries.
+RELAY_SECONDS = 0.01
 # An idle connection is used again within this time.
 IDLE_SECONDS = 2.0
 # Time in which a network answers that a connection is refused or reset.
@@ -109,6 +126,14 @@
     refusal: Refuse | None
 
 
+@dataclass(slots=True)
+class Relayed:
+    """A request that an entry forwards for another one."""
+
+    relay: "FakeEntry"
+    machine: RequestMachine
+
+
 @dataclass(slots=True)
 class FakeEntry:
     """An entry process and its connection to a hub."""
@@ -123,6 +148,9 @@
     # When the idle connection to a target was last used.
     idle_connections: dict[str, float] = field(default_factory=dict)
     open_attempts: dict[tuple[RequestMachine, int], FakeTarget] = field(default_factory=dict)
+    # Requests that other entries forward, by state machine and number of the attempt.
+    relayed: dict[tuple[RequestMachine, int], Relayed] = field(default_factory=dict)
+    most_relayed: int = 0
     inbox: list[Callable[[], None]] = field(default_factory=list)
 
 
@@ -156,6 +184,9 @@
         self.outcomes: list[Outcome] = []
         # Ids of the requests that reached a target.
         self.ran: set[str] = set()
+        # How often each request was delivered to a target, and those that may run once only.
+        self.deliveries: Counter = Counter()
+        self.orders: set[str] = set()
         self.entries: dict[str, FakeEntry] = {}
         self.disturbed: set[str] = set()
         self.site.put(1)
@@ -164,6 +195,8 @@
         self._steps = 0
         self._pending_retries: dict[tuple[str, int], RequestMachine] = {}
         self._pending_permits: dict[tuple[str, int], RequestMachine] = {}
+        # How a relayed request ends: called with its result.
+        self._relay_results: dict[RequestMachine, Callable[[Effect], None]] = {}
         for number in range(entries):
             self.start_entry(f"e{number}")
         for target in self.targets:
@@ -190,10 +223,12 @@
             hubs=tuple(f"{vm}:{PORT}" for vm in self.site.seeds),
             budget=RetryBudgetSettings(ratio=0.2, slack=40.0, window=10.0),
             address_lifetime_seconds=1.5,
+            relay_address=f"{name}:90",
         )
         if name in self.entries:
             self.disturbed.add(name)
             self._disconnect(self.entries[name])
+            self._break_relayed(self.entries[name])
         node = EdgeNode(settings=settings, reader=FakeReader(), random=Random(name))
         self.entries[name] = FakeEntry(name, node)
 
@@ -217,6 +252,11 @@
         for name in names:
             self.entries[name].path_fault = None
 
+    def stop_entry(self, name: str) -> None:
+        """Begin a graceful stop of an entry, which finishes the requests in flight."""
+        entry = self.entries[name]
+        self._execute(entry, entry.node.stop())
+
     def freeze_entry(self, name: str, *, is_frozen: bool) -> None:
         """Suspend an entry process, or let it go on with what arrived meanwhile."""
         self.disturbed.add(name)
@@ -343,10 +383,21 @@
             elif isinstance(effect, RetryDecided):
                 machine = self._pending_retries.pop((entry.name, effect.number))
                 self._handle(entry, machine, RetryGrantAnswered(effect.is_granted))
+            elif isinstance(effect, CheckTargets):
+                for target in effect.targets:
+                    self._check_target(entry, self.targets[int(target.identity[1:])])
+            elif isinstance(effect, CloseIdleConnections):
+                entry.idle_connections.clear()
             elif isinstance(effect, PermitAnswered):
                 machine = self._pending_permits.pop((entry.name, effect.number))
                 self._handle(entry, machine, effect.decided)
 
+    def _check_target(self, entry: FakeEntry, target: FakeTarget) -> None:
+        is_connected = entry.path_fault is None and not target.is_dead
+        is_silent = target.is_dead or entry.path_fault == PathFault.HANG
+        checked = TargetChecked(target.entry.identity, is_connected)
+        self._notify_later(entry, checked, CHECK_SECONDS if is_silent else REFUSE_SECONDS)
+
     def _follow(self, entry: FakeEntry, vm: str) -> None:
         self._disconnect(entry)
         hub = self.site.hubs.get(vm)
@@ -377,6 +428,8 @@
             return
         route = create_route(is_repeatable=self.random.random() < 0.4)
         identity = f"q{next(self.numbers)}"
+        if not route.is_repeatable:
+            self.orders.add(identity)
         request = ForwardRequest(identity, route, "s", self.now, self.now + route.timeout)
         entry.node.record_request(self.now, "s")
         self._handle(entry, RequestMachine(request, entry.node), Started())
@@ -385,6 +438,8 @@
         for effect in machine.handle(self.now, message):
             if isinstance(effect, Attempt):
                 self._send_attempt(entry, machine, effect)
+            elif isinstance(effect, RelayAttempt):
+                self._relay(entry, machine, effect)
             elif isinstance(effect, SetTimer):
                 self._set_timer(entry, machine, effect.at)
             elif isinstance(effect, RequestRetryGrant):
@@ -398,6 +453,7 @@
             else:
                 assert isinstance(effect, Cancel)
                 entry.open_attempts.pop((machine, effect.number), None)
+                self._cancel_relayed(entry, machine, effect.number)
         self._execute(entry, entry.node.pop_pending_effects())
 
     def _set_timer(self, entry: FakeEntry, machine: RequestMachine, at: float) -> None:
@@ -416,13 +472,26 @@
         if target.is_dead or fault == PathFault.HANG:
             outcome = AttemptOutcome.BROKEN if is_reused else AttemptOutcome.UNHEARD
             seconds = USER_TIMEOUT_SECONDS if is_reused else CONNECT_TIMEOUT_SECONDS
+            if not is_reused:
+                doubted = PathDoubted(target.entry.identity)
+                self._notify_later(entry, doubted, SLOW_CONNECT_SECONDS)
             self._fail_later(entry, machine, number, outcome, seconds)
         elif fault == PathFault.RESET or (fault == PathFault.REFUSE and not is_reused):
             outcome = AttemptOutcome.NOT_SENT
             self._fail_later(entry, machine, number, outcome, REFUSE_SECONDS)
         else:
+            if not is_reused:
+                self._notify_later(entry, TargetConnected(target.entry.identity), 0.0)
             self._deliver_attempt(entry, machine, number, target)
 
+    def _notify_later(self, entry: FakeEntry, message: Message, seconds: float) -> None:
+        self._after(
+            seconds,
+            lambda: self._run_at(
+                entry, lambda: self._execute(entry, entry.node.handle(self.now, message))
+            ),
+        )
+
     def _fail_later(
         self,
         entry: FakeEntry,
@@ -452,6 +521,7 @@
         was_told = target.limit is not None and self.now - told_at >= TOLD_SECONDS
         target.arrivals.append(Arrival(self.now, entry.name, was_told))
         self.ran.add(machine.request.identity)
+        self.deliveries[machine.request.identity] += 1
         seconds = self.random.expovariate(1 / MEAN_WORK_SECONDS)
         self._after(seconds, lambda: self._answer(entry, machine, number, target, seconds))
 
@@ -478,6 +548,88 @@
 
         self._run_at(entry, handle)
 
+    # Relayed requests
+
+    def _relay(self, entry: FakeEntry, machine: RequestMachine, attempt: RelayAttempt) -> None:
+        assert not machine.request.is_relayed, "a relayed request is relayed again"
+        relay = self.entries[attempt.relay.address.partition(":")[0]]
+        minimum_version = entry.node.minimum_relay_version
+        self._after(
+            RELAY_SECONDS,
+            lambda: self._run_at(
+                relay,
+                lambda: self._receive_relayed(entry, machine, attempt, relay, minimum_version),
+            ),
+        )
+
+    def _receive_relayed(
+        self,
+        entry: FakeEntry,
+        machine: RequestMachine,
+        attempt: RelayAttempt,
+        relay: FakeEntry,
+        minimum_version: int,
+    ) -> None:
+        reason = relay.node.find_decline_reason(minimum_version)
+        if reason is not None:
+            ended = RelayEnded(attempt.number, RelayOutcome.DECLINED, decline_reason=reason)
+            self._reply_relayed(entry, machine, ended)
+            return
+        route = replace(machine.request.route, maximum_attempts=attempt.maximum_attempts)
+        request = replace(machine.request, route=route, arrived_at=self.now, is_relayed=True)
+        relayed = Relayed(relay, RequestMachine(request, relay.node))
+        entry.relayed[machine, attempt.number] = relayed
+        relay.node.path.relayed_requests += 1
+        relay.most_relayed = max(relay.most_relayed, relay.node.path.relayed_requests)
+
+        def finish(effect: Effect) -> None:
+            relay.node.path.relayed_requests -= 1
+            if entry.relayed.pop((machine, attempt.number), None) is None:
+                return
+            if isinstance(effect, Refuse):
+                ended = RelayEnded(
+                    attempt.number, RelayOutcome.REFUSED, refusal=effect, usage=effect.usage
+                )
+            else:
+                ended = RelayEnded(
+                    attempt.number,
+                    RelayOutcome.RESPONDED,
+                    effect.answer,
+                    effect.target,
+                    usage=effect.usage,
+                )
+            self._reply_relayed(entry, machine, ended)
+
+        self._relay_results[relayed.machine] = finish
+        self._handle(relay, relayed.machine, Started())
+
+    def _reply_relayed(self, entry: FakeEntry, machine: RequestMachine, ended: RelayEnded) -> None:
+        self._after(
+            RELAY_SECONDS,
+            lambda: self._run_at(entry, lambda: self._handle(entry, machine, ended)),
+        )
+
+    def _break_relayed(self, relay: FakeEntry) -> None:
+        """Break the connections of all entries to one that is killed."""
+        for entry in self.entries.values():
+            for (machine, number), item in list(entry.relayed.items()):
+                if item.relay is relay:
+                    del entry.relayed[machine, number]
+                    self._relay_results.pop(item.machine, None)
+                    ended = RelayEnded(number, RelayOutcome.BROKEN)
+                    self._reply_relayed(entry, machine, ended)
+
+    def _cancel_relayed(self, entry: FakeEntry, machine: RequestMachine, number: int) -> None:
+        relayed = entry.relayed.pop((machine, number), None)
+        if relayed is not None:
+            relayed.relay.node.path.relayed_requests -= 1
+            self._relay_results.pop(relayed.machine, None)
+            for effect in relayed.machine.abandon(self.now):
+                relayed.relay.open_attempts.pop((relayed.machine, effect.number), None)
+
     def _finish(self, entry: FakeEntry, machine: RequestMachine, effect: Effect) -> None:
+        if machine.request.is_relayed:
+            self._relay_results.pop(machine)(effect)
+            return
         refusal = effect if isinstance(effect, Refuse) else None
         self.outcomes.append(Outcome(machine.request, entry.name, self.now, refusal))
--- a/tarragonshelf/edge/tests/test_isolation.py
+++ b/tarragonshelf/edge/tests/test_isolation.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from ...forwarding import RefusalReason
+from .._path import MAXIMUM_RELAYED_REQUESTS
 from .fakes import FakeFleet, PathFault
 
 SIZES = [6, 100]
@@ -16,6 +18,8 @@
 ALLOWED_FAILURE_SHARE = 1 / 50
 # An entry has to notice its own cut within this time.
 NOTICE_SECONDS = 1.0
+# The timers of the simulation fire up to one step late.
+DEADLINE_TOLERANCE_SECONDS = 0.02
 # Targets that work may look slow by chance; the simulated response times vary that much.
 ALLOWED_AVOIDED_SHARE = 0.1
 
@@ -97,3 +101,143 @@
             counts.append(sum(node.avoidance.count_avoided(fleet.now) for node in others))
         share = sum(counts) / (len(counts) * len(others) * len(fleet.targets))
         assert share <= ALLOWED_AVOIDED_SHARE
+
+
+def list_lost(fleet: FakeFleet) -> list[str]:
+    """Return the entries that consider their path to the targets lost."""
+    return [name for name, item in fleet.entries.items() if item.node.path.is_lost]
+
+
+def find_broken_promises(fleet: FakeFleet) -> list[str]:
+    """Return requests that ran too often, or ran although they were refused as not run."""
+    found = [f"{name} ran twice" for name in fleet.orders if fleet.deliveries[name] > 1]
+    for item in fleet.outcomes:
+        name = item.request.identity
+        if item.refusal and not item.refusal.has_run and fleet.deliveries[name]:
+            found.append(f"{name} was refused as not run")
+        if fleet.deliveries[name] > item.request.route.maximum_attempts:
+            found.append(f"{name} ran {fleet.deliveries[name]} times")
+        if item.ended_at > item.request.deadline + DEADLINE_TOLERANCE_SECONDS:
+            found.append(f"{name} ended at {item.ended_at}, due {item.request.deadline}")
+    return found
+
+
+@pytest.mark.parametrize("entries", SIZES)
+class TestVerdict:
+    """An entry tells the loss of its own path from failed targets."""
+
+    @pytest.mark.parametrize("fault", list(PathFault))
+    def test_cut_is_noticed_within_a_second_of_the_first_request(self, fault, entries):
+        fleet = create_fleet(entries)
+        names = list_share(fleet, 1 / 2)
+        cut_at = fleet.now
+        fleet.cut_paths(names, fault)
+        fleet.advance(STABLE_SECONDS)
+        # Where old connections go on, the first new one shows the cut.
+        first = {}
+        for item in fleet.outcomes:
+            is_failed = item.request.arrived_at >= cut_at and item.refusal is not None
+            if item.entry in names and (is_failed or fault != PathFault.REFUSE):
+                first.setdefault(item.entry, item.request.arrived_at)
+        due = {name for name, at in first.items() if cut_at <= at < fleet.now - NOTICE_SECONDS}
+        assert due <= set(list_lost(fleet))
+        assert set(list_lost(fleet)) <= set(names)
+
+    def test_failed_targets_are_not_taken_for_a_cut(self, entries):
+        fleet = create_fleet(entries)
+        for target in fleet.targets[::4]:
+            target.is_dead = True
+        for _ in range(50):
+            fleet.advance(0.1)
+            assert list_lost(fleet) == []
+
+    def test_other_entries_learn_of_failed_targets(self, entries):
+        fleet = create_fleet(entries)
+        fleet.targets[0].is_dead = True
+        fleet.advance(4.0)
+        avoided = [item.node.avoidance.count_avoided(fleet.now) for item in fleet.entries.values()]
+        assert sum(count > 0 for count in avoided) >= 0.9 * entries
+
+    @pytest.mark.parametrize("fault", list(PathFault))
+    def test_requests_take_the_own_path_after_healing(self, fault, entries):
+        fleet = create_fleet(entries)
+        names = list_share(fleet, 2 / 3)
+        fleet.cut_paths(names, fault)
+        fleet.advance(5.0)
+        fleet.heal_paths(names)
+        fleet.advance(NOTICE_SECONDS)
+        assert list_lost(fleet) == []
+        since = fleet.now
+        fleet.advance(5.0)
+        tries = count_tries(fleet, names, since, fleet.now - 2.0)
+        assert tries.cut_served >= 0.98 * tries.cut
+
+
+@pytest.mark.parametrize("entries", SIZES)
+class TestPromises:
+    """At most once, attempts and deadlines hold for requests that are relayed."""
+
+    @pytest.mark.parametrize("fault", list(PathFault))
+    def test_cut_that_heals(self, fault, entries):
+        fleet = create_fleet(entries)
+        play_cut(fleet, list_share(fleet, 2 / 3), fault)
+        assert find_broken_promises(fleet) == []
+
+    def test_relays_are_killed(self, entries):
+        fleet = create_fleet(entries)
+        names = list_share(fleet, 1 / 2)
+        fleet.cut_paths(names, PathFault.RESET)
+        fleet.advance(3.0)
+        for name in list(fleet.entries)[-entries // 6 :]:
+            fleet.start_entry(name)
+        fleet.advance(5.0)
+        assert find_broken_promises(fleet) == []
+
+    # Guards against requests that a stop cuts off at the entry that relays them.
+    def test_relays_stop(self, entries):
+        fleet = create_fleet(entries)
+        names = list_share(fleet, 1 / 2)
+        fleet.cut_paths(names, PathFault.RESET)
+        fleet.advance(3.0)
+        stopped_at = fleet.now
+        for name in list(fleet.entries)[-entries // 6 :]:
+            fleet.stop_entry(name)
+        fleet.advance(4.0)
+        tries = count_tries(fleet, names, stopped_at, fleet.now - 2.0)
+        assert tries.cut_served >= 0.98 * tries.cut
+        assert find_broken_promises(fleet) == []
+
+
+@pytest.mark.parametrize("entries", SIZES)
+class TestMostEntriesCut:
+    def test_the_rest_is_not_overrun(self, entries):
+        fleet = create_fleet(entries)
+        names = list(fleet.entries)[1 + entries // 50 :]
+        tries = play_cut(fleet, names, PathFault.HANG)
+        assert not tries.is_rule_broken, tries
+        assert tries.other_served >= 0.98 * tries.other
+        most = [item.most_relayed for item in fleet.entries.values()]
+        assert max(most) <= MAXIMUM_RELAYED_REQUESTS
+        assert find_broken_promises(fleet) == []
+
+    # Guards against callers that wait although no entry reaches a target.
+    @pytest.mark.parametrize("fault", list(PathFault))
+    def test_all_cut_requests_are_refused_at_once_and_served_after_healing(self, fault, entries):
+        fleet = create_fleet(entries)
+        names = list(fleet.entries)
+        fleet.cut_paths(names, fault)
+        # By then each entry had a request that met the cut.
+        fleet.advance(10.0)
+        since = fleet.now
+        fleet.advance(2.0)
+        refused = [item for item in fleet.outcomes if item.request.arrived_at >= since]
+        assert {item.refusal.reason for item in refused} == {RefusalReason.NO_PATH}
+        assert not any(item.refusal.has_run for item in refused)
+        # A relay that has just lost its own path may still have to decline.
+        assert max(item.ended_at - item.request.arrived_at for item in refused) <= 0.1
+        fleet.heal_paths(names)
+        fleet.advance(NOTICE_SECONDS)
+        healed_at = fleet.now
+        fleet.advance(5.0)
+        tries = count_tries(fleet, names, healed_at, fleet.now - 2.0)
+        assert tries.cut_served >= 0.98 * tries.cut
--- a/tarragonshelf/forwarding/_attempts.py
+++ b/tarragonshelf/forwarding/_attempts.py
@@ -1,9 +1,10 @@
-"""Attempts that wait for a response."""
+"""Attempts that wait for a response, at targets and at other entries."""
 
 from dataclasses import dataclass
 
 from ..avoidance import EvidenceKind
 from ..registry import TargetEntry
+from ..relaying import RelayRecord
 from ._profile import LatencyThresholds
 
 
@@ -46,3 +47,16 @@
         if self.is_hung:
             evidence.append(EvidenceKind.NOT_HUNG)
         return evidence
+
+
+@dataclass(frozen=True, slots=True)
+class OpenRelay:
+    """A request that another entry forwards, with the attempts that are reserved for it there."""
+
+    relay: RelayRecord
+    reserved_executions: int
+    is_slow: bool = False
+
+    def get_next_threshold_time(self) -> float:
+        """Return infinity: the other entry judges its targets itself."""
+        return float("inf")
--- a/tarragonshelf/forwarding/_messages.py
+++ b/tarragonshelf/forwarding/_messages.py
@@ -8,6 +8,7 @@
 from ..base import Effect, Message
 from ..catalogue import Route
 from ..registry import TargetEntry
+from ..relaying import DeclineReason, RelayRecord
 from ..throttling import LimitStatement
 from ._profile import LatencyThresholds
 
@@ -20,7 +21,8 @@
     """One request of a caller; times in seconds of the monotonic clock, sizes in bytes.
 
     ``deadline`` is the earlier of the caller's deadline and the route's time-out. ``digest``
-    identifies the request by its content; 0 if there is none.
+    identifies the request by its content; 0 if there is none. ``is_relayed`` is whether another
+    entry received the request; it is not relayed again.
     """
 
     identity: str
@@ -30,6 +32,15 @@
     deadline: float
     digest: int = 0
     size: int = 0
+    is_relayed: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptUsage:
+    """What a request has used: targets that may have run it, and deliveries to targets."""
+
+    executions: int = 0
+    deliveries: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,6 +74,20 @@
     UNUSABLE = "unusable"
 
 
+class RelayOutcome(StrEnum):
+    """How an attempt to relay a request ended.
+
+    ``RESPONDED`` is a target's response, ``REFUSED`` the relay's own. ``DECLINED`` and
+    ``NOT_SENT`` prove that no target got the request; after ``BROKEN`` some may have run it.
+    """
+
+    RESPONDED = "responded"
+    REFUSED = "refused"
+    DECLINED = "declined"
+    NOT_SENT = "not-sent"
+    BROKEN = "broken"
+
+
 class AttemptKind(StrEnum):
     """Why a request is sent to a target.
 
@@ -83,6 +108,7 @@
     NO_ATTEMPT_LEFT = "no-attempt-left"
     HELD_BACK = "held-back"
     LIMITED = "limited"
+    NO_PATH = "no-path"
     MAY_HAVE_RUN = "may-have-run"
     DEADLINE = "deadline"
 
@@ -157,6 +183,16 @@
     is_trial: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class RelayAttempt(Effect):
+    """Send the request to another entry, which may use ``maximum_attempts`` targets."""
+
+    number: int
+    relay: RelayRecord
+    deadline: float
+    maximum_attempts: int
+
+
 @dataclass(frozen=True, slots=True)
 class Cancel(Effect):
     """Close the connection of an attempt."""
@@ -191,6 +227,7 @@
 
     answer: TargetAnswer
     target: str
+    usage: AttemptUsage = AttemptUsage()
 
 
 @dataclass(frozen=True, slots=True)
@@ -217,6 +254,38 @@
     has_run: bool
     retry_after: float = 0.0
     waited_for: tuple[UnansweredAttempt, ...] = ()
+    usage: AttemptUsage = AttemptUsage()
+
+
+@dataclass(frozen=True, slots=True)
+class RelayEnded(Message):
+    """An attempt to relay the request ended.
+
+    Attributes
+    ----------
+    number : int
+        Number of the attempt.
+    outcome : RelayOutcome
+        How it ended.
+    answer : TargetAnswer or None
+        The response of ``RESPONDED``.
+    target : str
+        The target that gave it.
+    refusal : Refuse or None
+        The refusal of ``REFUSED``.
+    decline_reason : DeclineReason or None
+        The reason of ``DECLINED``.
+    usage : AttemptUsage
+        What the relay used.
+    """
+
+    number: int
+    outcome: RelayOutcome
+    answer: TargetAnswer | None = None
+    target: str = ""
+    refusal: Refuse | None = None
+    decline_reason: DeclineReason | None = None
+    usage: AttemptUsage = AttemptUsage()
 
 
 class ForwardingContext(ABC):
@@ -225,10 +294,10 @@
     @abstractmethod
     def choose_target(
         self, now: float, request: ForwardRequest, tried: frozenset[str]
-    ) -> TargetEntry | PermitNeeded | RefusalReason:
-        """Return the target for the next attempt, or why there is none.
+    ) -> TargetEntry | RelayRecord | PermitNeeded | RefusalReason:
+        """Return the target or the relay for the next attempt, or why there is none.
 
-        ``tried`` are targets that must not be chosen.
+        ``tried`` are targets, and addresses of relays, that must not be chosen.
         """
 
     @abstractmethod
@@ -274,6 +343,20 @@
     def record_attempt_end(self, now: float, target: TargetEntry) -> None:
         """Record that an attempt no longer occupies its target."""
 
+    @abstractmethod
+    def is_path_in_doubt(self) -> bool:
+        """Return whether this entry is finding out if its path to the targets is lost."""
+
+    @abstractmethod
+    def record_relay_start(self, now: float, relay: RelayRecord) -> None:
+        """Record that a request is sent to a relay."""
+
+    @abstractmethod
+    def record_relay_end(
+        self, now: float, relay: RelayRecord, outcome: RelayOutcome | None
+    ) -> None:
+        """Record how an attempt at a relay ended; None if this entry cancelled it."""
+
     @abstractmethod
     def record_evidence(
         self, now: float, request: ForwardRequest, target: TargetEntry, kind: EvidenceKind
--- a/tarragonshelf/forwarding/_request.py
+++ b/tarragonshelf/forwarding/_request.py
@@ -3,12 +3,14 @@
 from ..avoidance import EvidenceKind
 from ..base import Effect, Message, StateMachine
 from ..registry import TargetEntry
-from ._attempts import OpenAttempt
+from ..relaying import RelayRecord
+from ._attempts import OpenAttempt, OpenRelay
 from ._messages import (
     Attempt,
     AttemptEnded,
     AttemptKind,
     AttemptOutcome,
+    AttemptUsage,
     Cancel,
     ForwardingContext,
     ForwardRequest,
@@ -16,6 +18,9 @@
     PermitNeeded,
     RefusalReason,
     Refuse,
+    RelayAttempt,
+    RelayEnded,
+    RelayOutcome,
     RequestPermit,
     RequestRetryGrant,
     RespondWith,
@@ -33,6 +38,9 @@
 # Attempts at targets that provably did not run the request do not count towards the route's
 # maximum, but there are at most this many of them.
 MAXIMUM_REFUSALS = 4
+# The same for entries that do not take a request. Each costs one round trip, and while most
+# entries have no path some of them may not know it yet.
+MAXIMUM_DECLINES = 8
 
 # A repeatable request is hedged with a second target after this share of the time left to its
 # deadline, so that the second target has time to respond; earlier if the latency thresholds of
@@ -41,6 +49,9 @@
 # Delay before hedging a request is tried again, after the hub denied the retry or no target was
 # available.
 GRANT_RETRY_SECONDS = 0.5
+# Interval at which a request that waits asks whether the path of this entry is lost. The verdict
+# takes a few round trips, or some tenths of a second if connections hang.
+VERDICT_INTERVAL_SECONDS = 0.02
 # A timer that fires this late shows that the entry itself was stalled, for example because its VM
 # was paused: responses may have arrived meanwhile and not been read yet.
 STALL_SECONDS = 0.15
@@ -80,10 +91,11 @@
         self.request = request
         self.context = context
         self.is_done = False
-        self._open: dict[int, OpenAttempt] = {}
+        self._open: dict[int, OpenAttempt | OpenRelay] = {}
         self._tried: set[str] = set()
         self._number = 0
         self._refusals = 0
+        self._declines = 0
         # Attempts except those that provably did not run the request.
         self._executions = 0
         # How often the request was delivered to a target; each further delivery is a retry.
@@ -94,6 +106,8 @@
         # After a stall of this entry, missing responses are no evidence before this time.
         self._ignore_silence_until = 0.0
         self._is_grant_pending = False
+        # Whether the next attempt waits for the verdict on the path of this entry.
+        self._is_waiting = False
         self._pending_permit: PermitNeeded | None = None
         # Targets with a limit that were not permitted.
         self._denied: set[str] = set()
@@ -106,6 +120,8 @@
             return self._start(now)
         if isinstance(message, AttemptEnded):
             return self._end_attempt(now, message)
+        if isinstance(message, RelayEnded):
+            return self._end_relay(now, message)
         if isinstance(message, TimerFired):
             return self._handle_timer(now)
         if isinstance(message, RetryGrantAnswered):
@@ -144,6 +160,7 @@
         if (
             self._executions >= request.route.maximum_attempts
             or self._refusals >= MAXIMUM_REFUSALS
+            or self._declines >= MAXIMUM_DECLINES
         ):
             return self._fail(now, RefusalReason.NO_ATTEMPT_LEFT)
         chosen = self.context.choose_target(now, request, frozenset(self._tried | self._denied))
@@ -158,7 +175,7 @@
         if isinstance(chosen, PermitNeeded):
             self._pending_permit = chosen
             return [RequestPermit(chosen), SetTimer(request.deadline)]
-        return self._start_attempt(now, chosen)
+        return self._start_any_attempt(now, chosen)
 
     def _handle_permit(self, now: float, decided: PermitDecided) -> list[Effect]:
         needed, self._pending_permit = self._pending_permit, None
@@ -186,6 +203,64 @@
             return self._fail(now, RefusalReason.NO_BUDGET)
         return self._try_next(now, is_granted=True)
 
+    def _start_any_attempt(self, now: float, chosen: TargetEntry | RelayRecord) -> list[Effect]:
+        if isinstance(chosen, RelayRecord):
+            return self._start_relay(now, chosen)
+        return self._start_attempt(now, chosen)
+
+    def _start_relay(self, now: float, relay: RelayRecord) -> list[Effect]:
+        """Send the request to another entry, with all attempts that are left."""
+        request = self.request
+        reserved = request.route.maximum_attempts - self._executions
+        self._number += 1
+        self._executions += reserved
+        self._tried.add(relay.address)
+        self._open[self._number] = OpenRelay(relay, reserved)
+        self._hedge_at = request.deadline
+        self.context.record_relay_start(now, relay)
+        return [
+            RelayAttempt(self._number, relay, request.deadline, reserved),
+            self._set_timer(),
+        ]
+
+    def _end_relay(self, now: float, ended: RelayEnded) -> list[Effect]:
+        opened = self._open.pop(ended.number, None)
+        if opened is None:
+            return []
+        self.context.record_relay_end(now, opened.relay, ended.outcome)
+        if ended.outcome == RelayOutcome.BROKEN:
+            # It is unknown what the relay has used, so all of it counts.
+            self._deliveries += 1
+            self._may_have_run = True
+        else:
+            self._executions += ended.usage.executions - opened.reserved_executions
+            self._deliveries += ended.usage.deliveries
+        if ended.outcome == RelayOutcome.RESPONDED:
+            if not ended.answer.is_error:
+                return self._respond(now, ended.answer, ended.target)
+            self._may_have_run = True
+            self._last_error = (ended.answer, ended.target)
+        elif ended.outcome == RelayOutcome.REFUSED:
+            self._may_have_run = self._may_have_run or ended.refusal.has_run
+            self._declines += not ended.refusal.has_run
+        elif ended.outcome != RelayOutcome.BROKEN:
+            self._declines += 1
+        if self._open:
+            return []
+        if self._is_final(ended):
+            return self._fail(now, ended.refusal.reason, retry_after=ended.refusal.retry_after)
+        if self._may_have_run and not self.request.route.is_repeatable:
+            return self._fail(now, RefusalReason.MAY_HAVE_RUN)
+        return self._try_next(now)
+
+    def _is_final(self, ended: RelayEnded) -> bool:
+        """Return whether a relay refused the request for a reason that holds everywhere."""
+        if ended.outcome != RelayOutcome.REFUSED:
+            return False
+        if not self.request.route.is_repeatable:
+            return self._may_have_run or ended.refusal.reason != RefusalReason.NO_PATH
+        return ended.refusal.reason not in (RefusalReason.NO_PATH, RefusalReason.MAY_HAVE_RUN)
+
     def _start_attempt(self, now: float, target: TargetEntry) -> list[Effect]:
         kind = AttemptKind.RETRY if self._number else AttemptKind.FIRST
         if self._open:
@@ -234,8 +309,19 @@
             return []
         if self._may_have_run and not self.request.route.is_repeatable:
             return self._fail(now, RefusalReason.MAY_HAVE_RUN)
+        is_connected = ended.outcome not in NOT_CONNECTED_OUTCOMES
+        if not is_connected and self.context.is_path_in_doubt():
+            return self._wait_for_verdict(now)
         return self._try_next(now)
 
+    def _wait_for_verdict(self, now: float) -> list[Effect]:
+        """Wait until it is known whether the path of this entry is lost or a target failed.
+
+        Trying more targets meanwhile would use up the attempts at targets that cannot be reached.
+        """
+        self._is_waiting = True
+        return [SetTimer(min(self.request.deadline, now + VERDICT_INTERVAL_SECONDS))]
+
     def _handle_response(
         self, now: float, attempt: OpenAttempt, ended: AttemptEnded
     ) -> list[Effect]:
@@ -283,6 +369,11 @@
     def _handle_timer(self, now: float) -> list[Effect]:
         if now >= self.request.deadline:
             return self._handle_deadline(now)
+        if self._is_waiting:
+            if self.context.is_path_in_doubt():
+                return self._wait_for_verdict(now)
+            self._is_waiting = False
+            return self._try_next(now)
         if now - max(self._get_next_event_time(), self._ignore_silence_until) > STALL_SECONDS:
             self._ignore_silence_until = now + STALL_SECONDS
             return [self._set_timer()]
@@ -315,10 +406,10 @@
         if granted is None:
             return self._request_grant()
         # SetTimer is dropped: the calling method sets one timer for both attempts.
-        return self._start_attempt(now, chosen)[:1] if granted else []
+        return self._start_any_attempt(now, chosen)[:1] if granted else []
 
-    def _choose_unlimited(self, now: float) -> TargetEntry | None:
-        """Return the best target without a limit, or None."""
+    def _choose_unlimited(self, now: float) -> TargetEntry | RelayRecord | None:
+        """Return the best target without a limit, or a relay, or None."""
         excluded = self._tried | self._denied
         chosen = self.context.choose_target(now, self.request, frozenset(excluded))
         while isinstance(chosen, PermitNeeded):
@@ -345,7 +436,7 @@
 
     def _respond(self, now: float, answer: TargetAnswer, target: str) -> list[Effect]:
         self.is_done = True
-        return [*self._cancel_open(now), RespondWith(answer, target)]
+        return [*self._cancel_open(now), RespondWith(answer, target, self._usage)]
 
     def _refuse(
         self, now: float, reason: RefusalReason, *, retry_after: float | None = None
@@ -356,14 +447,23 @@
         waited_for = tuple(
             UnansweredAttempt(item.target, now - item.started_at, not item.is_trial)
             for item in self._open.values()
+            if isinstance(item, OpenAttempt)
         )
         effects = self._cancel_open(now)
-        return [*effects, Refuse(reason, self._may_have_run, retry_after, waited_for)]
+        refuse = Refuse(reason, self._may_have_run, retry_after, waited_for, self._usage)
+        return [*effects, refuse]
+
+    @property
+    def _usage(self) -> AttemptUsage:
+        return AttemptUsage(self._executions, self._deliveries)
 
     def _cancel_open(self, now: float) -> list[Effect]:
         effects: list[Effect] = []
         for number, attempt in self._open.items():
-            self.context.record_attempt_end(now, attempt.target)
+            if isinstance(attempt, OpenRelay):
+                self.context.record_relay_end(now, attempt.relay, None)
+            else:
+                self.context.record_attempt_end(now, attempt.target)
             effects.append(Cancel(number))
         self._open = {}
         return effects
--- a/tarragonshelf/forwarding/tests/fakes.py
+++ b/tarragonshelf/forwarding/tests/fakes.py
@@ -17,6 +17,7 @@
     TargetAnswer,
 )
 from ...registry import TargetEntry, TargetState
+from ...relaying import RelayRecord
 
 RANDOM = Random(1)
 
@@ -39,6 +40,9 @@
     ):
         self.limited = limited
         self.targets = [create_target(name) for name in targets]
+        # While there are relays, this entry has no path to the targets itself.
+        self.relays: list[RelayRecord] = []
+        self.is_doubted = False
         self.retries = retries
         self.occupied: list[str] = []
         self.evidence: list[tuple[str, EvidenceKind]] = []
@@ -51,6 +55,9 @@
         self.avoidance = GrayFailureDetector()
 
     def choose_target(self, now, request, tried):
+        if self.relays and not request.is_relayed:
+            relays = [item for item in self.relays if item.address not in tried]
+            return relays[0] if relays else RefusalReason.NO_PATH
         remaining = [item for item in self.targets if item.identity not in tried]
         if not remaining:
             return RefusalReason.NO_TARGET
@@ -87,6 +94,15 @@
     def record_attempt_end(self, now, target):
         self.occupied.remove(target.identity)
 
+    def is_path_in_doubt(self):
+        return self.is_doubted
+
+    def record_relay_start(self, now, relay):
+        self.occupied.append(relay.address)
+
+    def record_relay_end(self, now, relay, outcome):
+        self.occupied.remove(relay.address)
+
     def record_evidence(self, now, request, target, kind):
         self.evidence.append((target.identity, kind))
 
--- a/tarragonshelf/hub/_entries.py
+++ b/tarragonshelf/hub/_entries.py
@@ -3,6 +3,7 @@
 from ..avoidance import EvidenceItem, EvidenceKind, EvidenceNews
 from ..base import Message
 from ..registry import TargetNews
+from ..relaying import RelayList, RelayQuery
 from ..replication import EmitEvent
 from ..throttling import (
     PermitReply,
@@ -19,6 +20,7 @@
     SendToPeer,
     Subscribe,
 )
+from ._relays import MAXIMUM_NAMED_RELAYS
 from ._state import HubState
 
 # Changes of the serving entries are batched, as many happen when the fleet starts.
@@ -98,6 +100,7 @@
             return
         if self.subscribers.put(number, message):
             self._edges_changed = True
+        self._exchange_relays(now)
         if is_known:
             return
         messages: list[Message] = [self._create_heartbeat(now), self.registrar.create_hub_news()]
@@ -113,6 +116,23 @@
         self._effects += (PushToSubscriber(number, item) for item in messages)
         self._edges_changed = True
 
+    def _exchange_relays(self, now: float) -> None:
+        """Tell entries without a path to the targets which entries relay requests."""
+        if not self.subscribers.has_isolated:
+            self.relay_directory.clear()
+            self._effects += self.subscribers.push_relays(())
+            return
+        if self.relay_directory.is_query_due(now):
+            query = RelayQuery(self.record.address)
+            self._effects += (SendToPeer(address, query) for address in self.list_peers())
+        relays = self.relay_directory.list_relays(now, self.subscribers.relays)
+        self._effects += self.subscribers.push_relays(relays)
+
+    def _answer_relay_query(self, query: RelayQuery) -> None:
+        relays = sorted(self.subscribers.relays, key=lambda item: item.address)
+        reply = RelayList(self.record.vm, tuple(relays[:MAXIMUM_NAMED_RELAYS]))
+        self._effects.append(SendToPeer(query.address, reply))
+
     def _create_full_target_news(self) -> TargetNews:
         """Return all targets, cached until one changes.
 
--- a/tarragonshelf/hub/_messages.py
+++ b/tarragonshelf/hub/_messages.py
@@ -47,7 +47,9 @@
     """Subscribes an entry to updates, or reports that it no longer serves.
 
     ``version`` is the version of the catalogue that the entry has in force. With ``is_lookup``
-    the entry receives heartbeats and the list of hubs only, to find the nearest hub.
+    the entry receives heartbeats and the list of hubs only, to find the nearest hub. Other
+    entries send requests to relay to ``relay_address``. With ``is_isolated`` the entry has no path
+    to the targets and receives the list of the entries that relay requests.
     """
 
     vm: str
@@ -56,6 +58,8 @@
     version: int
     is_serving: bool
     is_lookup: bool = False
+    relay_address: str = ""
+    is_isolated: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tarragonshelf/hub/_node.py
+++ b/tarragonshelf/hub/_node.py
@@ -23,6 +23,7 @@
     TargetNews,
     TargetNewsReceived,
 )
+from ..relaying import RelayList, RelayQuery
 from ..replication import (
     CallReceived,
     EmitEvent,
@@ -162,6 +163,7 @@
             self._save_targets(now)
         self._exchange_loads(now)
         self._push_edges(now)
+        self._exchange_relays(now)
         self._send_heartbeats(now)
         return self._take_effects()
 
@@ -200,6 +202,11 @@
             self._answer_relayed_permit(now, message)
         elif isinstance(message, RelayedPermitReply):
             self._effects.append(PushToSubscriber(message.subscriber, message.reply))
+        elif isinstance(message, RelayQuery):
+            self._answer_relay_query(message)
+        elif isinstance(message, RelayList):
+            self.relay_directory.record(now, message)
+            self._exchange_relays(now)
         elif isinstance(message, HubLoad):
             self.loads.record_remote(message)
         elif isinstance(message, HubBusy):
--- a/tarragonshelf/hub/_state.py
+++ b/tarragonshelf/hub/_state.py
@@ -20,6 +20,7 @@
     HubRecord,
 )
 from ._registrar import Registrar
+from ._relays import RelayDirectory
 from ._retries import RetryPool
 from ._subscribers import Subscribers
 
@@ -70,6 +71,7 @@
         self.registrar = Registrar(record, regions)
         self.subscribers = Subscribers(record.data_centre)
         self.loads = LoadAggregator(record.vm)
+        self.relay_directory = RelayDirectory()
         self.retry_pool = RetryPool(budget)
         # The limits are sent to entries that subscribe; the leader grants permits under them.
         self.limits = DeclaredLimits()
--- a/tarragonshelf/hub/_subscribers.py
+++ b/tarragonshelf/hub/_subscribers.py
@@ -4,6 +4,7 @@
 
 from ..avoidance import EvidenceItem, EvidenceNews
 from ..base import Effect, Message
+from ..relaying import RelayNews, RelayRecord
 from ._messages import (
     EdgeNews,
     EdgeRecord,
@@ -18,6 +19,10 @@
 # expensive.
 LOAD_INTERVAL_SECONDS = 0.05
 REMOTE_LOAD_INTERVAL_SECONDS = 0.4
+# Entries without a path to the targets are left out of the addresses of a data centre while at
+# least this share of its entries has one. If fewer have, leaving out the others would send all
+# callers to these few; the others relay instead, within what the few accept.
+MINIMUM_CONNECTED_SHARE = 0.5
 
 
 @dataclass(slots=True)
@@ -31,6 +36,7 @@
     changed_targets: set[str] = field(default_factory=set)
     load_sent_at: float | None = None
     sent_edges: EdgeNews | None = None
+    sent_relays: RelayNews | None = None
 
 
 class Subscribers:
@@ -54,6 +60,21 @@
         records = (item.record for item in self._items.values())
         return tuple(EdgeRecord(r.address, r.data_centre) for r in records if r.is_serving)
 
+    @property
+    def relays(self) -> tuple[RelayRecord, ...]:
+        """Entries that serve callers, have a path to the targets, and relay requests."""
+        records = (item.record for item in self._items.values())
+        return tuple(
+            RelayRecord(r.relay_address, r.data_centre)
+            for r in records
+            if r.is_serving and r.relay_address and not r.is_isolated
+        )
+
+    @property
+    def has_isolated(self) -> bool:
+        """Whether an entry has no path to the targets."""
+        return any(item.record.is_isolated for item in self._items.values())
+
     @property
     def numbers(self) -> tuple[int, ...]:
         """Numbers of the connections of all subscribed entries."""
@@ -69,8 +90,8 @@
         self._lookups.add(number)
 
     def put(self, number: int, record: Subscribe) -> bool:
-        """Add or update an entry and return whether the serving entries changed."""
-        before = self.serving
+        """Add or update an entry and return whether the addresses for callers changed."""
+        before = self._list_addresses_for_callers()
         self._lookups.discard(number)
         stale = [key for key, item in self._items.items() if item.record.vm == record.vm]
         for key in stale:
@@ -80,14 +101,14 @@
             self._items[number].record = record
         else:
             self._items[number] = Subscriber(record, changed_targets=set(self._totals))
-        return self.serving != before
+        return self._list_addresses_for_callers() != before
 
     def remove(self, number: int) -> bool:
-        """Remove an entry and return whether the serving entries changed."""
-        before = self.serving
+        """Remove an entry and return whether the addresses for callers changed."""
+        before = self._list_addresses_for_callers()
         self._items.pop(number, None)
         self._lookups.discard(number)
-        return self.serving != before
+        return self._list_addresses_for_callers() != before
 
     def push_all(
         self, message: Message, *, excluded: int = 0, lookups: bool = False
@@ -121,10 +142,10 @@
 
     def push_edges(self, total: int) -> list[Effect]:
         """Return the effects that send entries a changed list of entries in their data centre."""
-        by_data_centre: dict[str, EdgeNews] = {}
-        for item in self.serving:
-            news = by_data_centre.get(item.data_centre, EdgeNews((), total))
-            by_data_centre[item.data_centre] = EdgeNews((*news.edges, item), total)
+        by_data_centre = {
+            data_centre: EdgeNews(edges, total)
+            for data_centre, edges in self._list_addresses_for_callers().items()
+        }
         effects: list[Effect] = []
         for number, item in self._items.items():
             news = by_data_centre.get(item.record.data_centre, EdgeNews((), total))
@@ -133,6 +154,37 @@
                 effects.append(PushToSubscriber(number, news))
         return effects
 
+    def push_relays(self, relays: tuple[RelayRecord, ...]) -> list[Effect]:
+        """Return the effects that send a changed list of relays to entries without a path."""
+        news = RelayNews(relays)
+        effects: list[Effect] = []
+        for number, item in self._items.items():
+            if not item.record.is_isolated:
+                item.sent_relays = None
+            elif news != item.sent_relays:
+                item.sent_relays = news
+                effects.append(PushToSubscriber(number, news))
+        return effects
+
+    def _list_addresses_for_callers(self) -> dict[str, tuple[EdgeRecord, ...]]:
+        """Return the entries that callers should use, by data centre."""
+        serving: dict[str, list[EdgeRecord]] = {}
+        connected: dict[str, list[EdgeRecord]] = {}
+        for record in (item.record for item in self._items.values()):
+            if record.is_serving:
+                edge = EdgeRecord(record.address, record.data_centre)
+                serving.setdefault(record.data_centre, []).append(edge)
+                if not record.is_isolated:
+                    connected.setdefault(record.data_centre, []).append(edge)
+        return {
+            name: tuple(
+                connected[name]
+                if len(connected.get(name, ())) >= MINIMUM_CONNECTED_SHARE * len(edges)
+                else edges
+            )
+            for name, edges in serving.items()
+        }
+
     def record_load(self, number: int, report: LoadReport) -> None:
         """Record the outstanding requests of an entry at targets."""
         subscriber = self._items.get(number)
--- a/tarragonshelf/platform/_entry.py
+++ b/tarragonshelf/platform/_entry.py
@@ -11,6 +11,7 @@
     get_own_address,
     read_bound,
     read_bounds,
+    read_relay_port,
     read_retry_budget,
     read_seed_hubs,
 )
@@ -57,6 +58,7 @@
         data_centre=read_text(fields.get("zone"), "zone"),
         regions=dict(read_table(fields.get("zones"), "zones")),
         hubs=read_seed_hubs(fields),
+        relay_address=get_own_address(fields, read_relay_port(fields)),
         budget=read_retry_budget(bounds),
         floor_share=float(bounds.get("floor_share", DEFAULT_FLOOR_SHARE)),
         grace_seconds=read_bound(bounds, "grace", DEFAULT_GRACE_SECONDS),
--- a/tarragonshelf/platform/_settings.py
+++ b/tarragonshelf/platform/_settings.py
@@ -72,6 +72,11 @@
     return _read_ports(fields)[0]
 
 
+def read_relay_port(fields: dict[str, Any]) -> int:
+    """Return the peer port of entries: the last internal port, the same on all VMs."""
+    return _read_ports(fields)[-1]
+
+
 def get_own_address(fields: dict[str, Any], port: int) -> str:
     """Return the address of a port on this VM."""
     own_ip = read_text(fields.get("ip"), "ip")
--- a/tarragonshelf/site/_caller_server.py
+++ b/tarragonshelf/site/_caller_server.py
@@ -11,8 +11,8 @@
 from ..forwarding import ForwardRequest, Refuse, RespondWith, UnansweredAttempt
 from ..telemetry import Metrics
 from ..utils import compute_short_digest
-from ._forwarder import Forwarder, RequestContent
-from ._interfaces import CallerFields, HttpDialect
+from ._forwarder import Forwarder
+from ._interfaces import CallerFields, HttpDialect, RequestContent
 
 # Used for a caller that states no deadline, so that the route's time-out applies.
 NO_DEADLINE = float("inf")
@@ -252,6 +252,7 @@
         method=request.method.encode(),
         # aiohttp decodes bytes that are not UTF-8 as surrogates; this restores the original bytes.
         path=request.raw_path.encode("utf-8", "surrogateescape"),
+        host=request.headers.get("Host", ""),
         headers=request.raw_headers,
         body=body,
         request_id=request_id,
--- a/tarragonshelf/site/_edge.py
+++ b/tarragonshelf/site/_edge.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 from mode import Service
 
-from ..base import Effect, FrameError
+from ..base import Effect, FrameError, Message
 from ..catalogue import CatalogueReader
 from ..edge import (
     EdgeNode,
@@ -20,16 +20,28 @@
     SendToHub,
     plan_stop,
 )
-from ..forwarding import PermitDecided, PermitNeeded
+from ..forwarding import PermitDecided, PermitNeeded, RelayAttempt, RelayEnded
+from ..registry import TargetEntry
+from ..relaying import CheckTargets, CloseIdleConnections
 from ..replication import EmitEvent
 from ..telemetry import AdministrationServer, LogRateLimiter, Metrics, create_clock, create_logger
-from ..transport import EDGE_PACKAGES, Connection, Frame, PeerLinks, UnreachableError, create_codec
+from ..transport import (
+    EDGE_PACKAGES,
+    Connection,
+    Frame,
+    PeerLinks,
+    PeerServer,
+    UnreachableError,
+    create_codec,
+)
 from ._caller_server import CallerServer
 from ._forwarder import Forwarder
 from ._http_server import HttpServer
-from ._interfaces import DiscoveryHandler, EdgeQueries, HttpDialect
+from ._interfaces import DiscoveryHandler, EdgeQueries, HttpDialect, RequestContent
 from ._pool import ConnectionPool
 from ._process import read_time
+from ._relay_client import RelayClient
+from ._relay_server import RelayServer
 
 TICK_SECONDS = 0.05
 MAINTENANCE_SECONDS = 1.0
@@ -93,7 +105,8 @@
             clock=self.clock,
             codec=create_codec(EDGE_PACKAGES),
         )
-        self.pool = ConnectionPool(dialect, self.node.get_idle_limit)
+        self.pool = ConnectionPool(dialect, self.node.get_idle_limit, self._handle_path_message)
+        self.relay_client = RelayClient(self.links)
         forwarder = Forwarder(
             context=self.node,
             pool=self.pool,
@@ -102,6 +115,20 @@
             report=self._report,
             request_retry=self._request_retry,
             request_permit=self._request_permit,
+            relay=self._relay,
+        )
+        self.relay_server = RelayServer(
+            node=self.node,
+            forwarder=forwarder,
+            report=self._report,
+            create_server=lambda **handlers: PeerServer(
+                vm=settings.vm,
+                secret=secret,
+                frames=self.links.frames,
+                clock=self.clock,
+                report=self._report,
+                **handlers,
+            ),
         )
         self.caller_server = CallerServer(
             node=self.node,
@@ -118,6 +145,7 @@
         )
         self._hub_connection: Connection | None = None
         self._hub_task: asyncio.Task | None = None
+        self._checks: set[asyncio.Task] = set()
         self._pending_retries: dict[int, asyncio.Future] = {}
         self._pending_permits: dict[int, asyncio.Future] = {}
 
@@ -143,6 +171,8 @@
             await server.start(address)
         if self.addresses.metrics:
             await self.administration.start(self.addresses.metrics)
+        if self.settings.relay_address:
+            await self.relay_server.start(self.settings.relay_address)
         self.logger.msg("entry_started", address=self.addresses.callers)
 
     async def stop(self) -> None:
@@ -156,7 +186,10 @@
         self.caller_server.is_closing = True
         plan = plan_stop(self.settings.address_lifetime_seconds, self.settings.grace_seconds)
         await asyncio.sleep(plan.accept_seconds)
-        await self.caller_server.stop(plan.finish_seconds)
+        await asyncio.gather(
+            self.caller_server.stop(plan.finish_seconds),
+            self.relay_server.stop(plan.finish_seconds),
+        )
         await super().stop()
 
     async def on_stop(self) -> None:
@@ -165,7 +198,10 @@
             await server.stop()
         if self.addresses.metrics:
             await self.administration.stop()
+        for check in self._checks:
+            check.cancel()
         self.pool.close()
+        self.relay_client.close()
         self.links.close()
         self.logger.msg("entry_stopped", under_way=self.caller_server.in_flight)
 
@@ -184,11 +220,12 @@
                 maintained_at = now
                 self.pool.close_expired(now)
                 self.caller_server.close_idle(now)
+                self.relay_client.close_idle(now)
                 self.log_budget.report_dropped()
                 self._report_failed_connections()
             await asyncio.sleep(TICK_SECONDS)
 
-    # Connection to the hub
+    # Effects of the node
 
     def _execute_effects(self, effects: list[Effect]) -> None:
         for effect in effects:
@@ -201,9 +238,35 @@
                 self._pending_retries.pop(effect.number).set_result(effect.is_granted)
             elif isinstance(effect, PermitAnswered):
                 self._pending_permits.pop(effect.number).set_result(effect.decided)
+            elif isinstance(effect, CheckTargets):
+                for target in effect.targets:
+                    self._start_check(target)
+            elif isinstance(effect, CloseIdleConnections):
+                self.pool.close()
             elif isinstance(effect, EmitEvent):
                 self._report(effect.event, **effect.fields)
 
+    # Path to the targets
+
+    def _handle_path_message(self, message: Message) -> None:
+        self._execute_effects(self.node.handle(read_time(), message))
+
+    def _start_check(self, target: TargetEntry) -> None:
+        task = asyncio.get_running_loop().create_task(self._check(target))
+        self._checks.add(task)
+        task.add_done_callback(self._checks.discard)
+
+    async def _check(self, target: TargetEntry) -> None:
+        self._handle_path_message(await self.pool.check(target))
+
+    async def _relay(self, attempt: RelayAttempt, content: RequestContent) -> RelayEnded:
+        minimum_version = self.node.minimum_relay_version
+        ended = await self.relay_client.send(attempt, content, minimum_version)
+        self.node.record_relay_version(self.relay_client.latest_version)
+        return ended
+
+    # Connection to the hub
+
     def _follow(self, address: str) -> None:
         if self._hub_task is not None:
             self._hub_task.cancel()
@@ -289,6 +352,8 @@
         self.metrics.set("catalogue_version", self.node.version)
         self.metrics.set("hub_is_heard", int(self.node.hubs.has_current_hub(now)))
         self.metrics.set("requests_under_way", self.caller_server.in_flight)
+        self.metrics.set("path_is_lost", int(self.node.path.is_lost))
+        self.metrics.set("relayed_under_way", self.relay_server.in_flight)
         self.metrics.set("targets_avoided", self.node.avoidance.count_avoided(now))
         self.metrics.set("targets_limited", len(self.node.limits.list_rates()))
         for outcome, count in self.pool.connect_counts.items():
--- a/tarragonshelf/site/_exchange.py
+++ b/tarragonshelf/site/_exchange.py
@@ -104,6 +104,10 @@
             self._pending_response = None
             self._release_body()
 
+    def allow_reuse(self, idle_seconds: float) -> None:
+        """Allow a first request on a connection that has carried none."""
+        self.is_reusable, self.idle_seconds = True, idle_seconds
+
     def close(self) -> None:
         """Close the connection at once."""
         if self._transport is not None:
--- a/tarragonshelf/site/_forwarder.py
+++ b/tarragonshelf/site/_forwarder.py
@@ -1,8 +1,7 @@
 """Executes the effects of the state machine of each request."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from collections.abc import Awaitable, Callable, Coroutine
 
 import h11
 
@@ -17,6 +16,9 @@
     PermitDecided,
     PermitNeeded,
     Refuse,
+    RelayAttempt,
+    RelayEnded,
+    RelayOutcome,
     RequestMachine,
     RequestPermit,
     RequestRetryGrant,
@@ -29,22 +31,10 @@
 )
 from ..throttling import LimitStatement
 from ._exchange import ExchangeFailedError
-from ._interfaces import HttpDialect, RawHeaders
+from ._interfaces import HttpDialect, RequestContent
 from ._pool import ConnectionPool
 
 
-@dataclass(frozen=True, slots=True)
-class RequestContent:
-    """Parts of a caller's request that each attempt sends to a target."""
-
-    method: bytes
-    path: bytes
-    headers: RawHeaders
-    body: bytes
-    request_id: bytes
-    has_body: bool
-
-
 class Forwarder:
     """Forwards the requests of one entry to targets.
 
@@ -64,6 +54,8 @@
         Requests a retry from the budget of a service and returns whether it was granted.
     request_permit : callable
         Requests a permit for a target with a limit and returns the decision.
+    relay : callable
+        Sends a request to another entry and returns how that ended.
     """
 
     def __init__(
@@ -76,6 +68,7 @@
         report: Callable[..., None],
         request_retry: Callable[[str], Awaitable[bool]],
         request_permit: Callable[[PermitNeeded], Awaitable[PermitDecided]],
+        relay: Callable[[RelayAttempt, RequestContent], Awaitable[RelayEnded]],
     ):
         self.context = context
         self.pool = pool
@@ -84,6 +77,7 @@
         self.report = report
         self.request_retry = request_retry
         self.request_permit = request_permit
+        self.relay = relay
 
     async def forward(
         self, request: ForwardRequest, content: RequestContent
@@ -148,6 +142,24 @@
         limit = self._read_limit(execution, attempt, response)
         return AttemptEnded(attempt.number, outcome, loop.time() - started_at, response, limit)
 
+    async def send_to_relay(
+        self, execution: "_RequestExecution", attempt: RelayAttempt
+    ) -> RelayEnded:
+        """Send a request to another entry and return how the attempt ended."""
+        started_at = asyncio.get_running_loop().time()
+        ended = await self.relay(attempt, execution.content)
+        self.report(
+            "relay_ended",
+            request=execution.request_id,
+            relay=attempt.relay.address,
+            attempt=attempt.number,
+            outcome=ended.outcome,
+            decline_reason=ended.decline_reason,
+            target=ended.target,
+            seconds=round(asyncio.get_running_loop().time() - started_at, 4),
+        )
+        return ended
+
     def _read_limit(
         self, execution: "_RequestExecution", attempt: Attempt, response: TargetAnswer
     ) -> LimitStatement | None:
@@ -225,7 +237,11 @@
     def _execute_effects(self, effects: list[Effect]) -> None:
         for effect in effects:
             if isinstance(effect, Attempt):
-                self._start(effect)
+                crashed = AttemptEnded(effect.number, AttemptOutcome.BROKEN)
+                self._start(effect.number, self.forwarder.send_attempt(self, effect), crashed)
+            elif isinstance(effect, RelayAttempt):
+                crashed = RelayEnded(effect.number, RelayOutcome.BROKEN)
+                self._start(effect.number, self.forwarder.send_to_relay(self, effect), crashed)
             elif isinstance(effect, RequestRetryGrant):
                 self._retry_task = self._loop.create_task(self._request_retry(effect.service))
             elif isinstance(effect, RequestPermit):
@@ -245,18 +261,19 @@
     async def _request_permit(self, needed: PermitNeeded) -> None:
         self._handle(await self.forwarder.request_permit(needed))
 
-    def _start(self, attempt: Attempt) -> None:
-        task = self._loop.create_task(self.forwarder.send_attempt(self, attempt))
-        self._tasks[attempt.number] = task
-        task.add_done_callback(lambda done: self._handle_attempt_done(attempt.number, done))
+    def _start(self, number: int, attempt: Coroutine, crashed: Message) -> None:
+        """Run an attempt as a task; ``crashed`` is how it ended if the task raises an error."""
+        task = self._loop.create_task(attempt)
+        self._tasks[number] = task
+        task.add_done_callback(lambda done: self._handle_attempt_done(number, done, crashed))
 
-    def _handle_attempt_done(self, number: int, task: asyncio.Task) -> None:
+    def _handle_attempt_done(self, number: int, task: asyncio.Task, crashed: Message) -> None:
         self._tasks.pop(number, None)
         if task.cancelled():
             return
         error = task.exception()
         if error is not None:
             self.forwarder.report("attempt_crashed", request=self.request_id, problem=repr(error))
-            self._handle(AttemptEnded(number, AttemptOutcome.BROKEN))
+            self._handle(crashed)
             return
         self._handle(task.result())
--- a/tarragonshelf/site/_interfaces.py
+++ b/tarragonshelf/site/_interfaces.py
@@ -26,6 +26,19 @@
     remaining_seconds: float | None
 
 
+@dataclass(frozen=True, slots=True)
+class RequestContent:
+    """Parts of a caller's request that each attempt sends to a target or to another entry."""
+
+    method: bytes
+    path: bytes
+    host: str
+    headers: RawHeaders
+    body: bytes
+    request_id: bytes
+    has_body: bool
+
+
 class HttpDialect(ABC):
     """Headers and status codes that entries exchange with callers and targets."""
 
--- a/tarragonshelf/site/_pool.py
+++ b/tarragonshelf/site/_pool.py
@@ -5,13 +5,19 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from ..base import Message
 from ..registry import TargetEntry
+from ..relaying import PathDoubted, TargetChecked, TargetConnected
 from ._exchange import ResponseBufferQuota, TargetConnection
 from ._interfaces import HttpDialect
 
 # Connecting to a target in another region takes up to 40 ms. The kernel retransmits a lost SYN
 # only after 1 s; connecting to another target is faster than to wait for that.
 CONNECT_TIMEOUT_SECONDS = 0.35
+# Connecting takes one round trip, 40 ms between regions. The path to a target is in doubt if it
+# takes twice as long and some more.
+SLOW_CONNECT_SECONDS = 0.1
+CHECK_TIMEOUT_SECONDS = 0.25
 # A request that is not repeatable reuses a connection only after a short idle time: a target that
 # closes an idle connection just as the request arrives leaves it unknown whether it ran.
 UNREPEATABLE_IDLE_SECONDS = 2.0
@@ -61,11 +67,19 @@
         Interprets the responses on each connection.
     get_idle_limit : callable
         Returns how many idle connections are kept to a target.
+    notify : callable, optional
+        Receives ``TargetConnected`` and ``PathDoubted``.
     """
 
-    def __init__(self, dialect: HttpDialect, get_idle_limit: Callable[[TargetEntry], int]):
+    def __init__(
+        self,
+        dialect: HttpDialect,
+        get_idle_limit: Callable[[TargetEntry], int],
+        notify: Callable[[Message], None] = lambda message: None,
+    ):
         self.dialect = dialect
         self.get_idle_limit = get_idle_limit
+        self.notify = notify
         self.buffer_quota = ResponseBufferQuota()
         self.connect_counts: Counter = Counter()
         self._connect_summary = ConnectSummary()
@@ -98,7 +112,15 @@
             # connections have been idle for longer.
             idle.append(connection)
             break
-        return await self._connect(target)
+        loop = asyncio.get_running_loop()
+        doubted = PathDoubted(target.identity)
+        timer = loop.call_later(SLOW_CONNECT_SECONDS, self.notify, doubted)
+        try:
+            connection = await self._connect(target, CONNECT_TIMEOUT_SECONDS)
+        finally:
+            timer.cancel()
+        self.notify(TargetConnected(target.identity))
+        return connection
 
     def put(self, target: TargetEntry, connection: TargetConnection) -> None:
         """Return a connection to the pool after a response."""
@@ -126,6 +148,16 @@
             else:
                 del self._idle[name]
 
+    async def check(self, target: TargetEntry) -> TargetChecked:
+        """Open a connection to a target, keep it for a later request, and return the result."""
+        try:
+            connection = await self._connect(target, CHECK_TIMEOUT_SECONDS)
+        except OSError:
+            return TargetChecked(target.identity, is_connected=False)
+        connection.allow_reuse(self.dialect.get_idle_seconds(()))
+        self.put(target, connection)
+        return TargetChecked(target.identity, is_connected=True)
+
     def close(self) -> None:
         """Close all idle connections."""
         for idle in self._idle.values():
@@ -138,10 +170,10 @@
         summary, self._connect_summary = self._connect_summary, ConnectSummary()
         return summary
 
-    async def _connect(self, target: TargetEntry) -> TargetConnection:
+    async def _connect(self, target: TargetEntry, timeout: float) -> TargetConnection:
         outcome = "cancelled"
         try:
-            connection = await self._open(target)
+            connection = await asyncio.wait_for(self._open(target), timeout)
             outcome = ESTABLISHED
         except TimeoutError:
             outcome = TIMED_OUT
@@ -156,10 +188,9 @@
 
     async def _open(self, target: TargetEntry) -> TargetConnection:
         host, _, port = target.address.rpartition(":")
-        connecting = asyncio.get_running_loop().create_connection(
+        _, connection = await asyncio.get_running_loop().create_connection(
             lambda: TargetConnection(self.dialect, self.buffer_quota), host, int(port)
         )
-        _, connection = await asyncio.wait_for(connecting, CONNECT_TIMEOUT_SECONDS)
         return connection
 
 
--- a/tarragonshelf/site/tests/test_caller_server.py
+++ b/tarragonshelf/site/tests/test_caller_server.py
@@ -9,13 +9,21 @@
 
 from ...catalogue import CatalogueCopy, compress_content
 from ...edge import EdgeNode, EdgeSettings, HubReceived
-from ...forwarding import PermitDecided, PermitNeeded, RetryBudgetSettings
+from ...forwarding import (
+    PermitDecided,
+    PermitNeeded,
+    RelayAttempt,
+    RelayEnded,
+    RelayOutcome,
+    RetryBudgetSettings,
+)
 from ...hub.tests.fakes import FakeReader
 from ...platform._entry_http import PlatformDialect
 from ...registry import TargetEntry, TargetNews, TargetState
 from ...telemetry import Metrics
 from .._caller_server import CallerServer
 from .._forwarder import Forwarder
+from .._interfaces import RequestContent
 from .._pool import ConnectionPool
 
 
@@ -56,6 +64,7 @@
             report=lambda event, **fields: self.reports.append(event),
             request_retry=self.request_retry,
             request_permit=self.request_permit,
+            relay=self.relay,
         )
         self.server = CallerServer(
             node=self.node,
@@ -74,6 +83,10 @@
         """Grant every retry, as a hub with a full retry budget does."""
         return True
 
+    async def relay(self, attempt: RelayAttempt, content: RequestContent) -> RelayEnded:
+        """Fail every attempt, as without another entry."""
+        return RelayEnded(attempt.number, RelayOutcome.NOT_SENT)
+
     async def request_permit(self, needed: PermitNeeded) -> PermitDecided:
         """Deny every permit, as a hub does whose permits are used up."""
         return PermitDecided("", 1.25)
--- a/tarragonshelf/transport/_connection.py
+++ b/tarragonshelf/transport/_connection.py
@@ -1,6 +1,7 @@
 """Connections between processes that carry calls and one-way messages."""
 
 import asyncio
+import contextlib
 import secrets
 import socket
 from asyncio import StreamReader, StreamWriter
@@ -110,6 +111,11 @@
         if self.writer.transport.get_write_buffer_size() > MAXIMUM_QUEUED_BYTES:
             self.close()
 
+    async def drain(self) -> None:
+        """Wait until the peer has read enough that more can be sent, or the connection broke."""
+        with contextlib.suppress(ConnectionError):
+            await self.writer.drain()
+
     async def call(self, message: Message, timeout: float) -> Message:
         """Send a call and return its reply.
 
--- a/tarragonshelf/transport/tarragonshelf.thrift
+++ b/tarragonshelf/transport/tarragonshelf.thrift
@@ -585,6 +585,8 @@
   4: optional i64 version
   5: optional bool is_serving
   6: optional bool is_lookup
+  7: optional string relay_address
+  8: optional bool is_isolated
 }
 
 struct HubBeat {
@@ -664,6 +666,80 @@
   2: optional PermitReply reply
 }
 
+struct RelayRecord {
+  1: optional string address
+  2: optional string data_centre
+}
+
+struct RelayQuery {
+  1: optional string address
+}
+
+struct RelayList {
+  1: optional string vm
+  2: optional list<RelayRecord> relays
+}
+
+struct RelayNews {
+  1: optional list<RelayRecord> relays
+}
+
+struct RelayHeader {
+  1: optional binary name
+  2: optional binary value
+}
+
+struct RelayRequest {
+  1: optional i64 number
+  2: optional binary method
+  3: optional binary path
+  4: optional string host
+  5: optional list<RelayHeader> headers
+  6: optional binary request_id
+  7: optional bool has_body
+  8: optional i64 size
+  9: optional binary body
+  10: optional double remaining_seconds
+  11: optional i64 maximum_attempts
+  12: optional i64 minimum_version
+}
+
+struct RelayChunk {
+  1: optional i64 number
+  2: optional binary data
+}
+
+struct RelayCancel {
+  1: optional i64 number
+}
+
+struct RelayResponse {
+  1: optional i64 number
+  2: optional i64 status
+  3: optional list<RelayHeader> headers
+  4: optional i64 size
+  5: optional binary body
+  6: optional string target
+  7: optional i64 executions
+  8: optional i64 deliveries
+  9: optional i64 version
+}
+
+struct RelayRefusal {
+  1: optional i64 number
+  2: optional string reason
+  3: optional bool has_run
+  4: optional double retry_after
+  5: optional i64 executions
+  6: optional i64 deliveries
+  7: optional i64 version
+}
+
+struct RelayDecline {
+  1: optional i64 number
+  2: optional string reason
+}
+
 // Exactly one field is set: the message.
 struct Body {
   1: optional Member member
@@ -767,6 +843,17 @@
   99: optional PermitReply permitReply
   100: optional RelayedPermitRequest relayedPermitRequest
   101: optional RelayedPermitReply relayedPermitReply
+  102: optional RelayRecord relayRecord
+  103: optional RelayQuery relayQuery
+  104: optional RelayList relayList
+  105: optional RelayNews relayNews
+  106: optional RelayHeader relayHeader
+  107: optional RelayRequest relayRequest
+  108: optional RelayChunk relayChunk
+  109: optional RelayCancel relayCancel
+  110: optional RelayResponse relayResponse
+  111: optional RelayRefusal relayRefusal
+  112: optional RelayDecline relayDecline
 }
 
 // One frame. `call` numbers a call and its reply and is 0 for a one-way message; `is_reply` is
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -24,6 +24,7 @@
     "limits",
     "membership",
     "registry",
+    "relaying",
     "replication",
     "routing",
     "throttling",
