Take an unidentified refusal as proof only on a new connection

What callers may see: 503 "not run" for a request that a target ran or was running, or an order that a second target runs as well.

Cause: a response of status 300 or more that names no request counted as the response to the present one. A faulty target that writes an earlier refusal once more on a kept connection thereby "proved" that the present request did not run.

Evidence: test_refusal_that_names_no_request_is_no_proof_on_a_reused_connection for 421, 429 and 503 failed before (the refusal was accepted) and passes now. A repeated refusal that names the earlier request was skipped already; a test holds it.

Ruled out: demanding the id always; a target may refuse a request before it has read the id, and on a new connection nothing earlier exists.

Change: on a connection with an earlier exchange a response has to name the request, otherwise the attempt ends as unusable: it may have run.

Also tested, found sound: a response cut within its head fails the attempt at every byte, closed or reset (test_response_that_is_cut_within_its_head).

--- a/tarragonshelf/platform/_entry_http.py
+++ b/tarragonshelf/platform/_entry_http.py
@@ -69,6 +69,10 @@
         response_id = _get_header(headers, REQUEST_ID_HEADER)
         return response_id == request_id or (not response_id and status >= 300)
 
+    def names_request(self, headers: RawHeaders, request_id: bytes) -> bool:
+        """Return whether a response names the request with this id."""
+        return bool(request_id) and _get_header(headers, REQUEST_ID_HEADER) == request_id
+
     def find_problem(self, status: int, headers: RawHeaders) -> str:
         """Return why a response must not be forwarded to the caller, or an empty string."""
         if _get_header(headers, b"content-encoding"):
--- a/tarragonshelf/site/_exchange.py
+++ b/tarragonshelf/site/_exchange.py
@@ -57,7 +57,9 @@
     -----
     Bytes that arrive while no request is outstanding close the connection. A response to another
     request is skipped as a late duplicate. A body without a declared length is complete only if
-    the target ends the stream with FIN; after a reset the exchange fails.
+    the target ends the stream with FIN; after a reset the exchange fails. On a connection that
+    carried an earlier request, a response counts only if it names the present one: a refusal that
+    is sent once more would otherwise prove that a request did not run which does.
     """
 
     def __init__(self, dialect: HttpDialect, buffer_quota: ResponseBufferQuota):
@@ -72,6 +74,7 @@
         self._request: h11.Request | None = None
         self._request_id = b""
         self._response_head: h11.Response | None = None
+        self._has_history = False
         self._body = bytearray()
         self._skipped_responses = 0
 
@@ -102,6 +105,7 @@
             return await self._pending_response
         finally:
             self._pending_response = None
+            self._has_history = True
             self._release_body()
 
     def allow_reuse(self, idle_seconds: float) -> None:
@@ -199,6 +203,8 @@
             self._skip_unrelated_response(trailing)
             return
         problem = self.dialect.find_problem(head.status_code, head.headers)
+        if self._has_history and not self.dialect.names_request(head.headers, self._request_id):
+            problem = "the response names no request and may belong to an earlier one"
         if problem:
             self._fail(AttemptOutcome.UNUSABLE, problem)
             self.close()
--- a/tarragonshelf/site/_interfaces.py
+++ b/tarragonshelf/site/_interfaces.py
@@ -59,6 +59,10 @@
     def is_response_to(self, headers: RawHeaders, status: int, request_id: bytes) -> bool:
         """Return whether a response belongs to the request with this id."""
 
+    @abstractmethod
+    def names_request(self, headers: RawHeaders, request_id: bytes) -> bool:
+        """Return whether a response names the request with this id."""
+
     @abstractmethod
     def find_problem(self, status: int, headers: RawHeaders) -> str:
         """Return why a response must not be forwarded to the caller, or an empty string."""
--- a/tarragonshelf/site/tests/test_exchange.py
+++ b/tarragonshelf/site/tests/test_exchange.py
@@ -158,6 +158,24 @@
             run(test())
         assert failure.value.outcome in (AttemptOutcome.BROKEN, AttemptOutcome.UNUSABLE)
 
+    # Guards against a response that is cut within its head and passed on as complete.
+    @pytest.mark.parametrize("ending", ["close", "reset"])
+    def test_response_that_is_cut_within_its_head_fails_the_attempt(self, ending):
+        head = COMPLETE_RESPONSE.partition(b"\r\n\r\n")[0] + b"\r\n\r"
+
+        async def test():
+            passed = []
+            for size in range(1, len(head) + 1):
+                async with ScriptedTarget(head[:size], ending=ending) as target:
+                    try:
+                        await exchange(target)
+                        passed.append(head[:size])
+                    except ExchangeFailedError as error:
+                        assert error.outcome in (AttemptOutcome.BROKEN, AttemptOutcome.UNUSABLE)
+            return passed
+
+        assert run(test()) == []
+
     def test_failed_request_is_not_sent_again_by_the_connection(self):
         async def test():
             async with ScriptedTarget(COMPLETE_RESPONSE, b"", ending="keep") as target:
@@ -171,6 +189,41 @@
         assert (target.connections, len(target.requests)) == (1, 2)
 
 
+class TestRepeatedRefusals:
+    """A target that writes an earlier refusal once more proves nothing about a later request."""
+
+    # Guards against a caller that is told "not run" for a request that runs.
+    @pytest.mark.parametrize("status", [421, 429, 503])
+    def test_refusal_that_names_no_request_is_no_proof_on_a_reused_connection(self, status):
+        async def test():
+            refusal = f"HTTP/1.1 {status} No\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            async with ScriptedTarget(COMPLETE_RESPONSE, refusal.encode()) as target:
+                connection, _ = await exchange(target)
+                await exchange(target, connection)
+
+        with pytest.raises(ExchangeFailedError) as failure:
+            run(test())
+        assert failure.value.outcome == AttemptOutcome.UNUSABLE
+
+    def test_refusal_that_names_the_earlier_request_is_skipped(self):
+        async def test():
+            refusal = b"HTTP/1.1 503 No\r\nRequest-Id: q0\r\nNot-Executed: 1\r\n"
+            refusal += b"Content-Length: 0\r\n\r\n"
+            async with ScriptedTarget(COMPLETE_RESPONSE, refusal + COMPLETE_RESPONSE) as target:
+                connection, _ = await exchange(target)
+                return await exchange(target, connection)
+
+        assert run(test())[1].status == 200
+
+    def test_refusal_on_a_new_connection_needs_no_id(self):
+        async def test():
+            refusal = b"HTTP/1.1 503 No\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            async with ScriptedTarget(refusal) as target:
+                return await exchange(target)
+
+        assert run(test())[1].status == 503
+
+
 class TestPool:
     def test_idle_limit_for_reuse_depends_on_repeatability(self):
         async def test():
