Refuse a request whose body is complete only after the accept period of a stop

What callers may see: an order that was sent slowly is taken late in a planned stop, passed on, and cut off without an answer when the process ends.

Cause: the stop closes the port and idle connections, but a request whose head had been read before kept its connection; its body could arrive, and the request be passed on, at any moment until the end of the grace period.

Change: CallerServer.stop sets a flag; a request that had to wait for its body is refused with the reason "stopping".

--- a/tarragonshelf/site/_caller_server.py
+++ b/tarragonshelf/site/_caller_server.py
@@ -8,7 +8,13 @@
 
 from ..catalogue import CallerLimits, RouteMatch
 from ..edge import EdgeNode
-from ..forwarding import ForwardRequest, Refuse, RespondWith, UnansweredAttempt
+from ..forwarding import (
+    ForwardRequest,
+    RefusalReason,
+    Refuse,
+    RespondWith,
+    UnansweredAttempt,
+)
 from ..telemetry import Metrics
 from ..utils import compute_short_digest
 from ._forwarder import Forwarder
@@ -68,6 +74,7 @@
         self.metrics = metrics
         self.in_flight = 0
         self.is_closing = False
+        self._is_refusing = False
         self._idle_since: dict = {}
         self._listener: asyncio.Server | None = None
         self._web_server: web.Server | None = None
@@ -96,7 +103,8 @@
         """Stop accepting connections, wait for requests in flight, and close.
 
         Idle connections are closed first. A request that a caller sends on one of them after that
-        was certainly not run, so the caller may send it to another entry.
+        was certainly not run, so the caller may send it to another entry. A request whose body is
+        complete only now is refused, since it might not finish in time.
 
         Parameters
         ----------
@@ -105,6 +113,7 @@
         """
         if self._listener is None:
             return
+        self._is_refusing = True
         self._listener.close()
         for connection in self._web_server.connections:
             if _is_idle(connection):
@@ -147,6 +156,8 @@
         limits = node.catalogue.limits
         if _measure_head(request) > limits.maximum_header:
             return self._reject(431, "head-too-large")
+        # A request that was read in full before the server stopped is still forwarded.
+        has_waited = not request.content.is_eof()
         try:
             body = await _read_body(request, limits)
         except BodyTooLargeError:
@@ -158,7 +169,11 @@
         content = _create_content(request, body, fields.request_id)
         forward_request = _create_forward_request(arrived_at, matched, fields, content)
         node.record_request(arrived_at, matched.service)
-        result = await self.forwarder.forward(forward_request, content)
+        if self._is_refusing and has_waited:
+            retry_after = node.compute_retry_after(arrived_at, matched.service)
+            result = Refuse(RefusalReason.STOPPING, has_run=False, retry_after=retry_after)
+        else:
+            result = await self.forwarder.forward(forward_request, content)
         return self._finish_request(forward_request, fields.request_id, result)
 
     def _finish_request(
--- a/tarragonshelf/site/tests/test_caller_server.py
+++ b/tarragonshelf/site/tests/test_caller_server.py
@@ -5,6 +5,7 @@
 from random import Random
 
 import h11
+import pytest
 from aiohttp import web_protocol
 
 from ...catalogue import CatalogueCopy, compress_content
@@ -246,7 +247,8 @@
 
         assert run(test()) == (200, b"q1", b"close", b"")
 
-    def test_request_that_arrives_as_the_server_stops_is_answered(self, monkeypatch):
+    @pytest.mark.parametrize("body", [b"", b"order"])
+    def test_request_that_arrives_as_the_server_stops_is_answered(self, monkeypatch, body):
         """Incident 793e: a planned stop gave up a request that was already sent to a target.
 
         The server stops here as soon as the head is read, before the handler starts.
@@ -263,13 +265,35 @@
 
                 monkeypatch.setattr(web_protocol.RequestHandler, "data_received", receive_and_stop)
                 reader, writer = await fixture.connect()
-                writer.write(create_request("q1"))
+                method, headers = ("POST", (f"Content-Length: {len(body)}",))
+                writer.write(create_request("q1", method=method, headers=headers, body=body))
                 response = await read_response(reader)
                 await asyncio.gather(*stops)
                 return response[:2], fixture.interrupted
 
         assert run(test()) == ((200, b"q1"), 0)
 
+    # Guards against a request that is passed on late in a stop and cut off at its end.
+    def test_request_that_is_complete_after_the_accept_period_is_refused_as_not_run(self):
+        async def test():
+            async with Fixture(work_seconds=0.5) as fixture:
+                reader, writer = await fixture.connect()
+                headers = ("Content-Length: 5",)
+                writer.write(create_request("q1", method="POST", headers=headers, body=b"or"))
+                await asyncio.sleep(0.1)
+                fixture.server.is_closing = True
+                stopping = asyncio.ensure_future(fixture.server.stop(2.0))
+                await asyncio.sleep(0.1)
+                writer.write(b"der")
+                status, _, received = await read_response(reader)
+                await stopping
+                return status, received, fixture.received
+
+        status, headers, received = run(test())
+        assert (status, received) == (503, [])
+        assert headers[b"connection"] == b"close"
+        assert float(headers[b"retry-after"]) >= 0
+
     def test_connections_are_closed_after_the_idle_timeout(self):
         async def test():
             async with Fixture() as fixture:
