--- a/tarragonshelf/queries/_explain.py
+++ b/tarragonshelf/queries/_explain.py
@@ -28,6 +28,8 @@
     "targets",
     "limited": "every target of service {service} that could take it names a request rate limit, "
     "and these limits were used up",
+    "no-path": "the entry could reach no target, and no other entry that could took the request",
+    "stopping": "it was complete only after the entry had begun to stop",
     "deadline": "its time was up: the deadline of the caller or of the route had passed",
 }
 
