soak: entries lose the path to all targets; count resets right after connecting

While building it a gap showed: a middlebox that accepts a connection and resets it at once made the path look open.

Ruled out: packet loss in the proxy alone, since connecting would succeed; the listening socket gets a packet filter that ignores SYNs of the cut entries. Telling entries apart by port; they bind their own address now.

Change: soak kinds path-hang, path-reset, path-refuse, drawn after all others so that earlier seeds keep their faults; History.check_path_cut; optional setting source_ip of entries. A new connection, or one of a check, confirms the path only if it is still open 20 ms after it was established.

Conclusion: the rule is checked under all other faults of the soak.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -7,7 +7,7 @@
 from random import Random
 
 from ._history import History
-from ._proxy import Proxy, ProxyMode
+from ._proxy import PathFault, Proxy, ProxyMode
 from ._site import Site
 from ._targets import DRAIN_OBSERVATION_SECONDS, FAILURE_MODES, Target
 
@@ -17,6 +17,10 @@
 TARGET_FAULT_INTERVAL_SECONDS = (0.3, 1.2)
 # The same for targets that name a request rate limit.
 LIMIT_INTERVAL_SECONDS = (1.0, 4.0)
+# The same for entries that lose the path to all targets, and the time for which they do, besides
+# some seconds that the fault determines.
+PATH_INTERVAL_SECONDS = (3.0, 9.0)
+MINIMUM_PATH_CUT_SECONDS = 6.0
 # Lowest limit in requests per second, and number of steps of 0.1 above it; without a limit a
 # target receives about 4 requests per second.
 MINIMUM_LIMIT = 0.4
@@ -64,6 +68,8 @@
 # Targets name a request rate limit, change it and drop it. This kind is drawn after all others, so
 # that earlier seeds keep their faults.
 LIMIT_KIND = "target-limit"
+# Some or all entries lose the path to all targets, drawn last for the same reason.
+PATH_KINDS = tuple(f"path-{fault}" for fault in PathFault)
 
 
 def draw_faults(random: Random, seconds: float) -> list[Fault]:
@@ -71,6 +77,7 @@
     faults = _draw(random, seconds, KINDS, FAULT_INTERVAL_SECONDS)
     faults += _draw(random, seconds, ("target-bad",), TARGET_FAULT_INTERVAL_SECONDS)
     faults += _draw(random, seconds, (LIMIT_KIND,), LIMIT_INTERVAL_SECONDS)
+    faults += _draw(random, seconds, PATH_KINDS, PATH_INTERVAL_SECONDS)
     return sorted(faults, key=lambda fault: fault.start_seconds)
 
 
@@ -104,6 +111,7 @@
         self.targets = targets
         self.history = history
         self._disturbed_vms: set[str] = set()
+        self._has_path_cut = False
         self._wiped_at = float("-inf")
 
     async def inject(self, faults: list[Fault]) -> None:
@@ -119,6 +127,8 @@
         vm = self.site.vms[fault.victim % len(self.site.vms)]
         if fault.kind.startswith("target"):
             await self._disturb_target(fault, target)
+        elif fault.kind in PATH_KINDS:
+            await self._cut_paths(fault)
         elif fault.kind == "kill-controls":
             await self._disturb_vms(self.site.controls, fault, self._kill)
         elif fault.kind == "roll":
@@ -149,7 +159,7 @@
 
     def _record_disturbance(self, vms: list[str]) -> None:
         for vm in vms:
-            self.history.disturbed_at[vm] = _get_time()
+            self.history.record_disturbance(_get_time(), vm)
 
     async def _kill(self, vm: str, fault: Fault) -> None:
         self.site.send_signal(vm, signal.SIGKILL)
@@ -187,6 +197,27 @@
     async def _reload(self, vm: str, fault: Fault) -> None:
         self.site.send_signal(vm, signal.SIGHUP)
 
+    async def _cut_paths(self, fault: Fault) -> None:
+        """Cut some entries off from all targets; callers and controls still reach them."""
+        if self._has_path_cut:
+            return
+        self._has_path_cut = True
+        entries = self.site.entries
+        # Each bit of the number selects an entry; at least one is selected.
+        mask = 1 + fault.victim % ((1 << len(entries)) - 1)
+        cut = [vm for number, vm in enumerate(entries) if mask >> number & 1]
+        started_at = _get_time()
+        self._set_path_fault(cut, PathFault(fault.kind.removeprefix("path-")))
+        await asyncio.sleep(MINIMUM_PATH_CUT_SECONDS + fault.duration_seconds)
+        self._set_path_fault(cut, None)
+        self.history.check_path_cut(cut, started_at, _get_time())
+        self._has_path_cut = False
+
+    def _set_path_fault(self, vms: list[str], path_fault: PathFault | None) -> None:
+        for target in self.targets:
+            for vm in vms:
+                target.proxy.set_path_fault(vm, path_fault)
+
     async def _disturb_links(self, vm: str, fault: Fault) -> None:
         proxies = list(self.site.proxies[vm].values())
         self._record_disturbance([vm])
--- a/soak/_history.py
+++ b/soak/_history.py
@@ -15,6 +15,14 @@
 LIMIT_FACTOR = 1.5
 LIMIT_SLACK = 5
 TOLD_SECONDS = 0.5
+# While some entries are cut off from all targets, from STABLE_SECONDS after it began, requests
+# to them are served at least PATH_SHARE times as often as those to the others, or at most
+# PATH_FAILURES and one in PATH_FAILURE_DIVISOR of all requests fail there. Disturbed entries do
+# not count.
+STABLE_SECONDS = 3.0
+PATH_SHARE = 2 / 3
+PATH_FAILURES = 10
+PATH_FAILURE_DIVISOR = 50
 # Statuses that guarantee that a request was not run and never will be.
 NOT_RUN = frozenset({408, 421, 429, 503})
 
@@ -76,6 +84,8 @@
     limits: dict[str, LimitPeriod] = field(default_factory=dict)
     # By VM, when a fault last began or ended.
     disturbed_at: dict[str, float] = field(default_factory=dict)
+    # By VM, when each fault began and ended.
+    disturbances: dict[str, list[float]] = field(default_factory=dict)
     violations: list[str] = field(default_factory=list)
 
     def report_violation(self, guarantee: str, description: str) -> None:
@@ -86,6 +96,20 @@
         """Return whether no fault of a VM began or ended at or after a time."""
         return self.disturbed_at.get(vm, float("-inf")) < since
 
+    def record_disturbance(self, now: float, vm: str) -> None:
+        """Record that a fault of a VM begins or ends."""
+        self.disturbed_at[vm] = now
+        self.disturbances.setdefault(vm, []).append(now)
+
+    def was_undisturbed(self, vm: str, since: float, until: float) -> bool:
+        """Return whether no fault of a VM was under way between two times.
+
+        Each fault is recorded at its begin and at its end.
+        """
+        times = self.disturbances.get(vm, [])
+        is_under_way = sum(at < since for at in times) % 2 == 1
+        return not is_under_way and not any(since <= at <= until for at in times)
+
     def record_limit(self, now: float, target: str, limit: float | None) -> None:
         """Record that a target begins to name a limit, changes it, or names none any more."""
         if limit is None:
@@ -188,6 +212,30 @@
                 "config", f"version {version} differs from the document that was sent"
             )
 
+    def check_path_cut(self, cut: list[str], started_at: float, ended_at: float) -> None:
+        """Check that callers of entries without a path to the targets were served all the same."""
+        counts = {True: [0, 0], False: [0, 0]}
+        for sent in self.sent.values():
+            is_counted = (
+                started_at + STABLE_SECONDS <= sent.sent_at < ended_at
+                and sent.ended_at is not None
+                and self.was_undisturbed(sent.entry, sent.sent_at - STABLE_SECONDS, sent.ended_at)
+            )
+            if is_counted:
+                served_and_all = counts[sent.entry in cut]
+                served_and_all[0] += 200 <= sent.status < 300
+                served_and_all[1] += 1
+        (cut_served, at_cut), (other_served, at_others) = counts[True], counts[False]
+        allowed = PATH_FAILURES + (at_cut + at_others) / PATH_FAILURE_DIVISOR
+        # The shares are compared as products, since there may be no request at either.
+        is_served_less = cut_served * at_others < PATH_SHARE * other_served * at_cut
+        if is_served_less and at_cut - cut_served > allowed:
+            self.report_violation(
+                "path",
+                f"entries without a path to the targets served {cut_served} of {at_cut} requests, "
+                f"the others {other_served} of {at_others}",
+            )
+
     def count_outcomes(self) -> dict[str, int]:
         """Return the number of requests by status; ``closed`` stands for no response."""
         counts: dict[str, int] = {}
--- a/soak/_site.py
+++ b/soak/_site.py
@@ -204,6 +204,8 @@
             "listen": listen,
             "internal_ports": [self.peer_port, self.peer_port],
             "peer_listen": f"{vm}:{self._real_peer_port}",
+            # Proxies tell the entries apart by their address.
+            "source_ip": vm,
             "seeds": [f"{item}:{self.call_port}" for item in self.controls[:3]],
             "bootstrap": self._is_bootstrap,
             "data_dir": str(self._get_disk_path(vm)),
--- a/tarragonshelf/platform/_entry.py
+++ b/tarragonshelf/platform/_entry.py
@@ -71,5 +71,7 @@
         callers=caller_address,
         discovery=tuple(dict.fromkeys(discovery)),
         metrics=get_own_address(fields, METRICS_PORT),
+        # Not a field of the platform; for VMs with several addresses.
+        source=read_text(fields.get("source_ip", ""), "source_ip"),
     )
     return settings, addresses
--- a/tarragonshelf/site/_edge.py
+++ b/tarragonshelf/site/_edge.py
@@ -52,12 +52,14 @@
     """Addresses on which an entry listens, as ``HOST:PORT``.
 
     Those in ``discovery`` serve the platform's requests. If ``metrics`` is empty, no metrics are
-    served.
+    served. ``source`` is the IP address from which targets are reached, if it is not left to the
+    kernel.
     """
 
     callers: str
     discovery: tuple[str, ...]
     metrics: str = ""
+    source: str = ""
 
 
 class EdgeService(Service, EdgeQueries):
@@ -105,7 +107,12 @@
             clock=self.clock,
             codec=create_codec(EDGE_PACKAGES),
         )
-        self.pool = ConnectionPool(dialect, self.node.get_idle_limit, self._handle_path_message)
+        self.pool = ConnectionPool(
+            dialect,
+            self.node.get_idle_limit,
+            self._handle_path_message,
+            source=addresses.source,
+        )
         self.relay_client = RelayClient(self.links)
         forwarder = Forwarder(
             context=self.node,
--- a/tarragonshelf/site/_pool.py
+++ b/tarragonshelf/site/_pool.py
@@ -18,6 +18,9 @@
 # takes twice as long and some more.
 SLOW_CONNECT_SECONDS = 0.1
 CHECK_TIMEOUT_SECONDS = 0.25
+# A connection that a middlebox accepts and resets at once leads nowhere. The reset follows within
+# a few milliseconds, whatever the distance of the target.
+CONFIRMATION_SECONDS = 0.02
 # A request that is not repeatable reuses a connection only after a short idle time: a target that
 # closes an idle connection just as the request arrives leaves it unknown whether it ran.
 UNREPEATABLE_IDLE_SECONDS = 2.0
@@ -69,6 +72,8 @@
         Returns how many idle connections are kept to a target.
     notify : callable, optional
         Receives ``TargetConnected`` and ``PathDoubted``.
+    source : str, optional
+        IP address from which connections are opened; by default the kernel chooses.
     """
 
     def __init__(
@@ -76,10 +81,13 @@
         dialect: HttpDialect,
         get_idle_limit: Callable[[TargetEntry], int],
         notify: Callable[[Message], None] = lambda message: None,
+        *,
+        source: str = "",
     ):
         self.dialect = dialect
         self.get_idle_limit = get_idle_limit
         self.notify = notify
+        self.source_address = (source, 0) if source else None
         self.buffer_quota = ResponseBufferQuota()
         self.connect_counts: Counter = Counter()
         self._connect_summary = ConnectSummary()
@@ -119,9 +127,13 @@
             connection = await self._connect(target, CONNECT_TIMEOUT_SECONDS)
         finally:
             timer.cancel()
-        self.notify(TargetConnected(target.identity))
+        loop.call_later(CONFIRMATION_SECONDS, self._confirm, target, connection)
         return connection
 
+    def _confirm(self, target: TargetEntry, connection: TargetConnection) -> None:
+        if connection.is_open:
+            self.notify(TargetConnected(target.identity))
+
     def put(self, target: TargetEntry, connection: TargetConnection) -> None:
         """Return a connection to the pool after a response."""
         if not connection.is_reusable or not connection.is_open:
@@ -154,6 +166,9 @@
             connection = await self._connect(target, CHECK_TIMEOUT_SECONDS)
         except OSError:
             return TargetChecked(target.identity, is_connected=False)
+        await asyncio.sleep(CONFIRMATION_SECONDS)
+        if not connection.is_open:
+            return TargetChecked(target.identity, is_connected=False)
         connection.allow_reuse(self.dialect.get_idle_seconds(()))
         self.put(target, connection)
         return TargetChecked(target.identity, is_connected=True)
@@ -189,7 +204,10 @@
     async def _open(self, target: TargetEntry) -> TargetConnection:
         host, _, port = target.address.rpartition(":")
         _, connection = await asyncio.get_running_loop().create_connection(
-            lambda: TargetConnection(self.dialect, self.buffer_quota), host, int(port)
+            lambda: TargetConnection(self.dialect, self.buffer_quota),
+            host,
+            int(port),
+            local_addr=self.source_address,
         )
         return connection
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,9 +7,9 @@
 import pytest
 
 from soak.__main__ import run_seed
-from soak._faults import KINDS, LIMIT_KIND, draw_faults
+from soak._faults import KINDS, LIMIT_KIND, PATH_KINDS, draw_faults
 from soak._history import Execution, History, SentRequest
-from soak._proxy import Proxy, ProxyMode
+from soak._proxy import PathFault, Proxy, ProxyMode
 
 SEEDS = Path(__file__).parents[1] / "soak" / "seeds.txt"
 CI_SEED, CI_SECONDS = 7, 6.0
@@ -163,13 +163,64 @@
         assert not history.violations
 
 
+def create_path_history(*, cut_served: int, at_cut: int, other_served: int = 100) -> History:
+    """Return requests to entry ``e``, and requests to another entry that were all served."""
+    history = History()
+    for entry, served, number in (("e", cut_served, at_cut), ("f", other_served, other_served)):
+        for index in range(number):
+            sent = SentRequest(f"{entry}{index}", True, entry, 5.0)
+            sent.status, sent.ended_at = (200 if index < served else 503), 5.1
+            history.sent[sent.request_id] = sent
+    return history
+
+
+class TestPathCuts:
+    """The check of entries without a path to the targets detects what the rule forbids."""
+
+    def test_requests_there_are_hardly_served(self):
+        history = create_path_history(cut_served=60, at_cut=100)
+        history.check_path_cut(["e"], 0.0, 10.0)
+        assert list_violated_guarantees(history) == ["path"]
+
+    @pytest.mark.parametrize(("cut_served", "at_cut"), [(67, 100), (0, 12), (0, 0)])
+    def test_allowed_losses(self, cut_served, at_cut):
+        history = create_path_history(cut_served=cut_served, at_cut=at_cut)
+        history.check_path_cut(["e"], 0.0, 10.0)
+        assert not history.violations
+
+    def test_requests_before_the_entry_can_know(self):
+        history = create_path_history(cut_served=0, at_cut=100)
+        history.check_path_cut(["e"], 2.5, 10.0)
+        assert not history.violations
+
+    @pytest.mark.parametrize("times", [[3.0, 4.0], [1.0, 9.0], [1.0, 2.5]])
+    def test_disturbed_entries_do_not_count(self, times):
+        history = create_path_history(cut_served=0, at_cut=100)
+        for at in times:
+            history.record_disturbance(at, "e")
+        history.check_path_cut(["e"], 0.0, 10.0)
+        assert not history.violations
+
+    def test_entries_that_were_disturbed_before_count(self):
+        history = create_path_history(cut_served=0, at_cut=100)
+        for at in (0.5, 1.5, 6.0, 7.0):
+            history.record_disturbance(at, "e")
+        history.check_path_cut(["e"], 0.0, 10.0)
+        assert list_violated_guarantees(history) == ["path"]
+
+    def test_cut_of_all_entries_compares_with_none(self):
+        history = create_path_history(cut_served=0, at_cut=100, other_served=0)
+        history.check_path_cut(["e"], 0.0, 10.0)
+        assert not history.violations
+
+
 class TestFaults:
     def test_seed_determines_the_faults(self):
         assert draw_faults(Random(5), 20.0) == draw_faults(Random(5), 20.0)
 
     def test_every_kind_is_drawn(self):
         drawn = {fault.kind for seed in range(50) for fault in draw_faults(Random(seed), 20.0)}
-        assert drawn == {*KINDS, LIMIT_KIND}
+        assert drawn == {*KINDS, LIMIT_KIND, *PATH_KINDS}
 
 
 class TestProxy:
@@ -186,6 +237,61 @@
     def test_each_mode(self, mode, expected):
         assert asyncio.run(exchange_bytes(mode)) == expected
 
+    @pytest.mark.parametrize(
+        ("fault", "old", "new"),
+        [
+            (None, "answer", "answer"),
+            (PathFault.HANG, "silence", "no connection"),
+            (PathFault.RESET, "reset", "reset"),
+            (PathFault.REFUSE, "answer", "reset"),
+        ],
+    )
+    def test_path_faults_concern_one_client_address(self, fault, old, new):
+        assert asyncio.run(exchange_with_path_fault(fault)) == (old, new, "answer")
+
+
+async def exchange_with_path_fault(fault: PathFault | None) -> tuple[str, str, str]:
+    """Return what an old and a new connection of the address, and one of another, experience."""
+
+    async def serve(reader, writer):
+        while await reader.read(100):
+            writer.write(b"answer")
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    proxy = Proxy("127.0.0.1:0", f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+    await proxy.start()
+
+    async def connect(source: str):
+        return await asyncio.wait_for(
+            asyncio.open_connection("127.0.0.1", proxy.port, local_addr=(source, 0)), 0.3
+        )
+
+    async def ask(reader, writer) -> str:
+        try:
+            writer.write(b"ask")
+            return (await asyncio.wait_for(reader.read(100), 0.3)).decode()
+        except TimeoutError:
+            return "silence"
+        except ConnectionError:
+            return "reset"
+        finally:
+            writer.transport.abort()
+
+    old = await connect("127.0.0.9")
+    await asyncio.sleep(0.05)
+    proxy.set_path_fault("127.0.0.9", fault)
+    results = [await ask(*old)]
+    for source in ("127.0.0.9", "127.0.0.8"):
+        try:
+            results.append(await ask(*await connect(source)))
+        except TimeoutError:
+            results.append("no connection")
+    proxy.stop()
+    server.close()
+    await asyncio.sleep(0.05)
+    return tuple(results)
+
 
 async def exchange_bytes(mode: ProxyMode) -> tuple[bytes, bytes]:
     """Return the bytes that the server and the client received through a proxy."""
