Bound the memory for relayed requests and responses

Cause: by reading. 128 relayed requests may have bodies of up to 64 MiB each, and the responses that an entry collects from relays did not count towards the memory for unfinished responses.

Change: a relay declines requests beyond 32 MiB of bodies; parts of a relayed response are reserved in the same quota as those of targets, and given up beyond it (the relay is told to cancel).

Tests: test_response_that_does_not_fit_into_the_memory and test_entry_whose_memory_for_relayed_requests_is_used_up.

Conclusion: bounded on both sides.

--- a/tarragonshelf/edge/_node.py
+++ b/tarragonshelf/edge/_node.py
@@ -460,10 +460,13 @@
         """
         self.path.relay_version = max(self.path.relay_version, version)
 
-    def find_decline_reason(self, minimum_version: int) -> DeclineReason | None:
-        """Return why a request of another entry is not taken, or None if it is."""
+    def find_decline_reason(self, minimum_version: int, size: int) -> DeclineReason | None:
+        """Return why a request with a body of some bytes is not taken, or None if it is."""
         return self.path.find_decline_reason(
-            is_stopping=not self.is_ready, version=self.version, minimum_version=minimum_version
+            is_stopping=not self.is_ready,
+            version=self.version,
+            minimum_version=minimum_version,
+            size=size,
         )
 
     @property
--- a/tarragonshelf/edge/_path.py
+++ b/tarragonshelf/edge/_path.py
@@ -28,9 +28,10 @@
         EvidenceKind.UNREACHABLE,
     }
 )
-# Requests of other entries in flight. It is about twice the number of own requests in flight at
-# the size that an entry is designed for, so that relaying cannot exhaust its memory.
+# Requests of other entries in flight, and the bytes of their bodies. The number is about twice
+# that of own requests in flight at the size that an entry is designed for.
 MAXIMUM_RELAYED_REQUESTS = 128
+MAXIMUM_RELAYED_BYTES = 32 << 20
 # Targets among which those to check are chosen, so that a choice takes as long in large sites.
 MAXIMUM_CANDIDATES = 64
 UNAVAILABLE_OUTCOMES = frozenset(
@@ -79,8 +80,9 @@
         self.announce = announce
         self.monitor = PathMonitor(self._choose_targets)
         self.relays = RelaySelector(topology.get_distance, random)
-        # Requests of other entries that this entry forwards at the moment.
+        # Requests of other entries that this entry forwards at the moment, and their bytes.
         self.relayed_requests = 0
+        self._relayed_bytes = 0
         # Highest version of the catalogue that a relay had in force.
         self.relay_version = 0
         self._withheld: list[EvidenceItem] = []
@@ -135,8 +137,18 @@
         if outcome in UNAVAILABLE_OUTCOMES:
             self.relays.avoid(now, relay)
 
+    def acquire_relayed(self, size: int) -> None:
+        """Count a request of another entry with a body of some bytes."""
+        self.relayed_requests += 1
+        self._relayed_bytes += size
+
+    def release_relayed(self, size: int) -> None:
+        """Count the end of a request of another entry."""
+        self.relayed_requests -= 1
+        self._relayed_bytes -= size
+
     def find_decline_reason(
-        self, *, is_stopping: bool, version: int, minimum_version: int
+        self, *, is_stopping: bool, version: int, minimum_version: int, size: int
     ) -> DeclineReason | None:
         """Return why a request of another entry is not taken, or None if it is."""
         if is_stopping:
@@ -145,7 +157,8 @@
             return DeclineReason.ISOLATED
         if version < minimum_version:
             return DeclineReason.OUTDATED
-        if self.relayed_requests >= MAXIMUM_RELAYED_REQUESTS:
+        is_full = self.relayed_requests >= MAXIMUM_RELAYED_REQUESTS
+        if is_full or self._relayed_bytes + size > MAXIMUM_RELAYED_BYTES:
             return DeclineReason.BUSY
         return None
 
--- a/tarragonshelf/edge/tests/fakes.py
+++ b/tarragonshelf/edge/tests/fakes.py
@@ -570,7 +570,7 @@
         relay: FakeEntry,
         minimum_version: int,
     ) -> None:
-        reason = relay.node.find_decline_reason(minimum_version)
+        reason = relay.node.find_decline_reason(minimum_version, machine.request.size)
         if reason is not None:
             ended = RelayEnded(attempt.number, RelayOutcome.DECLINED, decline_reason=reason)
             self._reply_relayed(entry, machine, ended)
@@ -579,11 +579,11 @@
         request = replace(machine.request, route=route, arrived_at=self.now, is_relayed=True)
         relayed = Relayed(relay, RequestMachine(request, relay.node))
         entry.relayed[machine, attempt.number] = relayed
-        relay.node.path.relayed_requests += 1
+        relay.node.path.acquire_relayed(machine.request.size)
         relay.most_relayed = max(relay.most_relayed, relay.node.path.relayed_requests)
 
         def finish(effect: Effect) -> None:
-            relay.node.path.relayed_requests -= 1
+            relay.node.path.release_relayed(machine.request.size)
             if entry.relayed.pop((machine, attempt.number), None) is None:
                 return
             if isinstance(effect, Refuse):
@@ -622,7 +622,7 @@
     def _cancel_relayed(self, entry: FakeEntry, machine: RequestMachine, number: int) -> None:
         relayed = entry.relayed.pop((machine, number), None)
         if relayed is not None:
-            relayed.relay.node.path.relayed_requests -= 1
+            relayed.relay.node.path.release_relayed(machine.request.size)
             self._relay_results.pop(relayed.machine, None)
             for effect in relayed.machine.abandon(self.now):
                 relayed.relay.open_attempts.pop((relayed.machine, effect.number), None)
--- a/tarragonshelf/site/_edge.py
+++ b/tarragonshelf/site/_edge.py
@@ -113,7 +113,7 @@
             self._handle_path_message,
             source=addresses.source,
         )
-        self.relay_client = RelayClient(self.links)
+        self.relay_client = RelayClient(self.links, self.pool.buffer_quota)
         forwarder = Forwarder(
             context=self.node,
             pool=self.pool,
--- a/tarragonshelf/site/_relay_client.py
+++ b/tarragonshelf/site/_relay_client.py
@@ -23,6 +23,7 @@
     RelayResponse,
 )
 from ..transport import Connection, Frame, PeerLinks, UnreachableError
+from ._exchange import ResponseBufferQuota
 from ._interfaces import RequestContent
 
 # Opening a connection takes two round trips, the handshake included; 40 ms each between regions.
@@ -64,10 +65,13 @@
     ----------
     links : PeerLinks
         Opens connections to other processes.
+    buffer_quota : ResponseBufferQuota
+        Limits the memory for unfinished responses of targets and relays together.
     """
 
-    def __init__(self, links: PeerLinks):
+    def __init__(self, links: PeerLinks, buffer_quota: ResponseBufferQuota):
         self.links = links
+        self.buffer_quota = buffer_quota
         # Highest version of the catalogue that a relay reported.
         self.latest_version = 0
         self._number = 0
@@ -101,6 +105,7 @@
         finally:
             opened.pending.pop(number, None)
             opened.used_at = loop.time()
+            self.buffer_quota.release(len(pending.body))
 
     def close_idle(self, now: float) -> None:
         """Close connections that no request has used for a while."""
@@ -158,11 +163,9 @@
             return
         if isinstance(message, RelayResponse):
             pending.response = message
-            pending.body += message.body
-            self._finish_if_complete(pending)
+            self._append_body(opened, pending, message.number, message.body)
         elif isinstance(message, RelayChunk):
-            pending.body += message.data
-            self._finish_if_complete(pending)
+            self._append_body(opened, pending, message.number, message.data)
         elif isinstance(message, RelayRefusal):
             self.latest_version = max(self.latest_version, message.version)
             _finish(pending, _create_refused(pending.attempt.number, message))
@@ -172,6 +175,19 @@
             )
             _finish(pending, declined)
 
+    def _append_body(
+        self, opened: _RelayConnection, pending: _PendingRelay, number: int, data: bytes
+    ) -> None:
+        """Add a part of the response, or give it up if it does not fit into the memory."""
+        if pending.result.done():
+            return
+        if not self.buffer_quota.reserve(len(data)):
+            opened.connection.send(RelayCancel(number))
+            _finish(pending, RelayEnded(pending.attempt.number, RelayOutcome.BROKEN))
+            return
+        pending.body += data
+        self._finish_if_complete(pending)
+
     def _finish_if_complete(self, pending: _PendingRelay) -> None:
         message = pending.response
         if message is None or len(pending.body) < message.size:
--- a/tarragonshelf/site/_relay_server.py
+++ b/tarragonshelf/site/_relay_server.py
@@ -96,11 +96,11 @@
         self, connection: Connection, incoming: dict[int, _Incoming], message: RelayRequest
     ) -> None:
         """Take a request, or decline it before its body has arrived."""
-        reason = self.node.find_decline_reason(message.minimum_version)
+        reason = self.node.find_decline_reason(message.minimum_version, message.size)
         if reason is not None:
             self._decline(connection, message, reason)
             return
-        self.node.path.relayed_requests += 1
+        self.node.path.acquire_relayed(message.size)
         incoming[message.number] = item = _Incoming(message, bytearray(message.body))
         self._start_if_complete(connection, item)
 
@@ -120,7 +120,7 @@
         finally:
             # A cancelled request was removed, and no longer counts, when it was cancelled.
             if incoming.pop(message.number, None) is not None:
-                self.node.path.relayed_requests -= 1
+                self.node.path.release_relayed(message.size)
 
     async def _execute(self, message: RelayRequest, body: bytes) -> tuple[Message, bytes]:
         """Forward a request and return the reply with the whole body of the response."""
@@ -172,7 +172,7 @@
         return RelayDecline(message.number, reason)
 
     def _cancel(self, item: _Incoming) -> None:
-        self.node.path.relayed_requests -= 1
+        self.node.path.release_relayed(item.message.size)
         if item.task is not None:
             item.task.cancel()
 
--- a/tarragonshelf/site/tests/test_relay.py
+++ b/tarragonshelf/site/tests/test_relay.py
@@ -7,6 +7,7 @@
 
 from ...catalogue import CatalogueCopy, compress_content
 from ...edge import EdgeNode, EdgeSettings, HubReceived
+from ...edge._path import MAXIMUM_RELAYED_BYTES
 from ...forwarding import (
     PermitDecided,
     RelayAttempt,
@@ -20,6 +21,7 @@
 from ...relaying import DeclineReason, PathDoubted, RelayRecord, TargetChecked
 from ...telemetry import create_clock
 from ...transport import EDGE_PACKAGES, PeerLinks, PeerServer, create_codec
+from .._exchange import MAXIMUM_BUFFERED_BYTES, ResponseBufferQuota
 from .._forwarder import Forwarder
 from .._interfaces import RequestContent
 from .._pool import ConnectionPool
@@ -123,7 +125,8 @@
         )
         port = await self.server.server.start("127.0.0.1", 0)
         self.relay = RelayRecord(f"127.0.0.1:{port}", "z")
-        self.client = RelayClient(self.links)
+        self.quota = ResponseBufferQuota()
+        self.client = RelayClient(self.links, self.quota)
         return self
 
     async def __aexit__(self, *error):
@@ -177,6 +180,17 @@
                 assert fixture.target.received == [body]
                 assert (ended.usage.executions, ended.usage.deliveries) == (1, 1)
                 assert fixture.server.in_flight == 0
+                assert fixture.quota.reserved_bytes == 0
+
+        asyncio.run(run())
+
+    def test_response_that_does_not_fit_into_the_memory_is_given_up(self):
+        async def run():
+            async with Fixture(Target()) as fixture:
+                fixture.quota.reserve(MAXIMUM_BUFFERED_BYTES - CHUNK_BYTES)
+                ended = await fixture.send(create_content(bytes(LARGE_BODY_BYTES)))
+                assert ended.outcome == RelayOutcome.BROKEN
+                await wait_until(lambda: fixture.server.in_flight == 0)
 
         asyncio.run(run())
 
@@ -263,6 +277,14 @@
 
         asyncio.run(run())
 
+    def test_entry_whose_memory_for_relayed_requests_is_used_up(self):
+        async def run():
+            async with Fixture(Target()) as fixture:
+                fixture.node.path.acquire_relayed(MAXIMUM_RELAYED_BYTES)
+                assert await self._get_decline(fixture) == DeclineReason.BUSY
+
+        asyncio.run(run())
+
     def test_entry_that_stops(self):
         async def run():
             async with Fixture(Target()) as fixture:
