soak: count a path cut only while an entry is there that could relay

Cause, traced: two of four entries were cut off; of the two others one was stopped at 14.2 s and one at 14.6 s of the log and both were away until 18.1 s. Meanwhile no entry reached a target, and the cut ones refused at once. The others' 11 requests were all sent before.

Why the case is allowed: without any entry in touch that reaches a target there is nobody to compare with at that time; all entries are then in the state for which immediate refusal is what is asked.

Conclusion: check as strict as the rule.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -210,7 +210,13 @@
         self._set_path_fault(cut, PathFault(fault.kind.removeprefix("path-")))
         await asyncio.sleep(MINIMUM_PATH_CUT_SECONDS + fault.duration_seconds)
         self._set_path_fault(cut, None)
-        self.history.check_path_cut(cut, started_at, _get_time(), controls=self.site.controls)
+        self.history.check_path_cut(
+            cut,
+            started_at,
+            _get_time(),
+            controls=self.site.controls,
+            others=[vm for vm in entries if vm not in cut],
+        )
         self._has_path_cut = False
 
     def _set_path_fault(self, vms: list[str], path_fault: PathFault | None) -> None:
--- a/soak/_history.py
+++ b/soak/_history.py
@@ -18,7 +18,8 @@
 # While some entries are cut off from all targets, from STABLE_SECONDS after it began, requests
 # to them are served at least PATH_SHARE times as often as those to the others, or at most
 # PATH_FAILURES and one in PATH_FAILURE_DIVISOR of all requests fail there. Disturbed entries do
-# not count, nor does the time in which half of the controls or more are disturbed.
+# not count, nor does the time in which half of the controls or more are disturbed, or all entries
+# that are not cut off.
 STABLE_SECONDS = 3.0
 PATH_SHARE = 2 / 3
 PATH_FAILURES = 10
@@ -213,7 +214,13 @@
             )
 
     def check_path_cut(
-        self, cut: list[str], started_at: float, ended_at: float, *, controls: list[str]
+        self,
+        cut: list[str],
+        started_at: float,
+        ended_at: float,
+        *,
+        controls: list[str],
+        others: list[str],
     ) -> None:
         """Check that callers of entries without a path to the targets were served all the same."""
         counts = {True: [0, 0], False: [0, 0]}
@@ -226,6 +233,7 @@
                 started_at + STABLE_SECONDS <= sent.sent_at < ended_at
                 and self.was_undisturbed(sent.entry, since, until)
                 and sound > len(controls) / 2
+                and any(self.was_undisturbed(vm, since, until) for vm in others)
             )
             if is_counted:
                 served_and_all = counts[sent.entry in cut]
