--- a/soak/_site.py
+++ b/soak/_site.py
@@ -1,6 +1,7 @@
 """The real processes of a site on loopback addresses, behind proxies that inject faults."""
 
 import asyncio
+import contextlib
 import json
 import os
 import shutil
@@ -34,6 +35,15 @@
         return probe.getsockname()[1]
 
 
+def find_free_ports(count: int) -> list[int]:
+    """Return different ports that are currently free on all loopback addresses."""
+    with contextlib.ExitStack() as stack:
+        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for probe in probes:
+            probe.bind(("0.0.0.0", 0))
+        return [probe.getsockname()[1] for probe in probes]
+
+
 def create_document(version: int) -> bytes:
     """Return a document of a version, with a route that only this version has."""
     rows = [
@@ -74,19 +84,19 @@
         self.entries = [f"127.{network}.2.{number + 2}" for number in range(entries)]
         self.target_host = f"127.{network}.3.2"
         # Proxies listen on these ports and forward to the real ones, on which processes listen.
-        self.peer_port, self.call_port, self.front_port = (
-            find_free_port(),
-            find_free_port(),
-            find_free_port(),
-        )
-        self.query_port = find_free_port()
+        (
+            self.peer_port,
+            self.call_port,
+            self.front_port,
+            self.query_port,
+            self._real_peer_port,
+            self._real_call_port,
+            self._real_front_port,
+        ) = find_free_ports(7)
         self.proxies: dict[str, dict[str, Proxy]] = {}
         self.processes: dict[str, subprocess.Popen] = {}
         self._expected_exits: set[int] = set()
         self._is_bootstrap = True
-        self._real_front_port = find_free_port()
-        self._real_peer_port = find_free_port()
-        self._real_call_port = find_free_port()
 
     @property
     def vms(self) -> list[str]:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,6 +10,7 @@
 from soak._faults import KINDS, LIMIT_KIND, PATH_KINDS, draw_faults
 from soak._history import Execution, History, SentRequest
 from soak._proxy import PathFault, Proxy, ProxyMode
+from soak._site import find_free_ports
 
 SEEDS = Path(__file__).parents[1] / "soak" / "seeds.txt"
 CI_SEED, CI_SECONDS = 7, 6.0
@@ -234,6 +235,12 @@
         assert not history.violations
 
 
+class TestPorts:
+    # Guards against a proxy that forwards to itself, as two of its ports are the same.
+    def test_ports_of_a_site_differ(self):
+        assert len(set(find_free_ports(200))) == 200
+
+
 class TestFaults:
     def test_seed_determines_the_faults(self):
         assert draw_faults(Random(5), 20.0) == draw_faults(Random(5), 20.0)
