Log what other controls answer to a request to join, and the hub of an entry that refuses a route

New: join_accepted, join_refused (reason, leader, detail), hub_left; the hub, whether it is current and its silence in request_rejected for no-route. Metrics: joins_total by outcome, control_is_member, control_is_voter, hub_silent_seconds. No logic changes.

--- a/tarragonshelf/edge/_hub_selector.py
+++ b/tarragonshelf/edge/_hub_selector.py
@@ -60,6 +60,14 @@
         is_timed_out = now - self._last_contact_at >= HEARTBEAT_TIMEOUT_SECONDS
         return not is_timed_out and self._stale_since is None
 
+    def describe(self, now: float) -> dict:
+        """Return the followed hub and its state as fields of a log event."""
+        return {
+            "hub": self.address,
+            "hub_is_current": self.has_current_hub(now),
+            "hub_silent_seconds": round(now - self._last_contact_at, 3),
+        }
+
     def is_near(self) -> bool:
         """Return whether the followed hub is in the same data centre."""
         return self._get_distance(self.address) == 0
--- a/tarragonshelf/edge/_node.py
+++ b/tarragonshelf/edge/_node.py
@@ -259,7 +259,10 @@
 
     def _choose_hub(self, now: float) -> list[Effect]:
         was_looking_up = self.hubs.is_looking_up
+        before = self.hubs.describe(now)
         address = self.hubs.choose(now)
+        if before["hub"] and before["hub"] != self.hubs.address:
+            self._pending_effects.append(EmitEvent("hub_left", before))
         if address is not None:
             return [FollowHub(address)]
         if was_looking_up and not self.hubs.is_looking_up:
--- a/tarragonshelf/replication/_node.py
+++ b/tarragonshelf/replication/_node.py
@@ -72,6 +72,11 @@
         member = self.replica.membership.get_member(self.replica.leader)
         return member.address if member else ""
 
+    @property
+    def is_member(self) -> bool:
+        """Whether this replica is a voter or a learner in the membership that it knows."""
+        return self.identity in self.replica.membership.identities
+
     # Operations of subclasses
 
     @abstractmethod
--- a/tarragonshelf/site/_caller_server.py
+++ b/tarragonshelf/site/_caller_server.py
@@ -162,10 +162,17 @@
             body = await _read_body(request, limits)
         except BodyTooLargeError:
             return self._reject(413, "body-too-large")
+        fields = self.dialect.read_caller_fields(request.raw_headers)
         matched = node.match(request.headers.get("Host", ""), request.raw_path)
         if matched is None:
-            return self._reject(404, "no-route", version=node.version, path=request.raw_path)
-        fields = self.dialect.read_caller_fields(request.raw_headers)
+            return self._reject(
+                404,
+                "no-route",
+                request=fields.request_id.decode("latin-1"),
+                version=node.version,
+                path=request.raw_path,
+                **node.hubs.describe(arrived_at),
+            )
         content = _create_content(request, body, fields.request_id)
         forward_request = _create_forward_request(arrived_at, matched, fields, content)
         node.record_request(arrived_at, matched.service)
--- a/tarragonshelf/site/_edge.py
+++ b/tarragonshelf/site/_edge.py
@@ -357,7 +357,9 @@
     def _refresh(self) -> None:
         now = read_time()
         self.metrics.set("catalogue_version", self.node.version)
-        self.metrics.set("hub_is_heard", int(self.node.hubs.has_current_hub(now)))
+        hub = self.node.hubs.describe(now)
+        self.metrics.set("hub_is_heard", int(hub["hub_is_current"]))
+        self.metrics.set("hub_silent_seconds", hub["hub_silent_seconds"])
         self.metrics.set("requests_under_way", self.caller_server.in_flight)
         self.metrics.set("path_is_lost", int(self.node.path.is_lost))
         self.metrics.set("relayed_under_way", self.relay_server.in_flight)
--- a/tarragonshelf/site/_hub.py
+++ b/tarragonshelf/site/_hub.py
@@ -233,9 +233,23 @@
 
     async def _request_join(self, address: str, request: Join) -> None:
         try:
-            await self.links.get(address).call(request, JOIN_INTERVAL_SECONDS)
+            reply = await self.links.get(address).call(request, JOIN_INTERVAL_SECONDS)
         except (UnreachableError, CallTimeoutError) as error:
+            self.metrics.count("joins_total", ("outcome", "not-answered"))
             self._report("join_not_answered", hub=address, problem=str(error))
+            return
+        if isinstance(reply, Refused):
+            self.metrics.count("joins_total", ("outcome", str(reply.reason)))
+            self._report(
+                "join_refused",
+                hub=address,
+                reason=reply.reason,
+                leader=reply.leader,
+                detail=reply.detail,
+            )
+        else:
+            self.metrics.count("joins_total", ("outcome", "accepted"))
+            self._report("join_accepted", hub=address)
 
     # Data folder
 
@@ -480,6 +494,8 @@
         replica = self.node.replica
         self.metrics.set("control_is_leader", int(replica.is_leader))
         self.metrics.set("control_is_current", int(self.node.is_current(read_time())))
+        self.metrics.set("control_is_member", int(self.node.is_member))
+        self.metrics.set("control_is_voter", int(replica.is_voter))
         self.metrics.set("control_term", replica.term)
         self.metrics.set("control_commit_index", replica.commit)
         self.metrics.set("catalogue_version", self.node.register.state.version)
