Failing tests: hubs replaced one after another, and entries meanwhile

Callers saw: no configuration any more after five controls had been replaced, and a route refused long after the version that added it had been acknowledged.

The simulated hubs asked all others to join, whatever their seeds; now they ask those that they know, as the process does. The simulated clock of joins started anew at each call of advance, so the simulated fleet never saw a join after its start. A VM that is gone does not even refuse connections.

--- a/tarragonshelf/edge/tests/fakes.py
+++ b/tarragonshelf/edge/tests/fakes.py
@@ -9,6 +9,7 @@
 from random import Random
 
 from ...base import Effect, Message
+from ...catalogue import CatalogueStored, PutCatalogue, compress_content
 from ...edge import (
     EdgeNode,
     EdgeSettings,
@@ -67,6 +68,8 @@
 # whose bytes are not acknowledged.
 CONNECT_TIMEOUT_SECONDS = 0.35
 USER_TIMEOUT_SECONDS = 1.5
+# Time after which an entry gives up connecting to a hub.
+HUB_CONNECT_TIMEOUT_SECONDS = 1.0
 # Time after which a connection that is being opened is reported as slow, and after which a check
 # of a target is given up.
 SLOW_CONNECT_SECONDS = 0.1
@@ -295,6 +298,29 @@
                 entry.hub = ""
                 self._execute(entry, entry.node.handle(self.now, lost))
 
+    def remove_hub(self, vm: str) -> None:
+        """Remove the VM of a hub for good after it was asked to stop."""
+        self.site.stop_gracefully(vm)
+        self.site.remove(vm)
+        self.stop_hubs(vm)
+
+    def start_put(self, version: int, report: Callable[[int], None]) -> None:
+        """Send a version to the leader, and report its number once it is acknowledged."""
+        leader = self.site.leader
+        if leader is None:
+            return
+        content = compress_content(str(version).encode())
+        call = self.site.call(leader, PutCatalogue(version, content))
+
+        def check() -> None:
+            reply = self.site.replies.get(call)
+            if isinstance(reply, CatalogueStored):
+                report(version)
+            elif reply is None:
+                self._after(STEP, check)
+
+        self._after(0.0, check)
+
     def start_hubs(self, *vms: str) -> None:
         """Start hubs from their disks."""
         for vm in vms:
@@ -403,7 +429,9 @@
         hub = self.site.hubs.get(vm)
         if entry.is_cut or hub is None or hub.node is None:
             lost = HubLost(f"{vm}:{PORT}")
-            self._after(0.35, lambda: self._execute(entry, entry.node.handle(self.now, lost)))
+            is_silent = entry.is_cut or hub is None or hub.is_gone
+            seconds = HUB_CONNECT_TIMEOUT_SECONDS if is_silent else REFUSE_SECONDS
+            self._after(seconds, lambda: self._execute(entry, entry.node.handle(self.now, lost)))
             return
         entry.hub, entry.number = vm, next(self.numbers)
         self._send_to_hub(entry, entry.node.create_subscription())
--- a/tarragonshelf/hub/tests/fakes.py
+++ b/tarragonshelf/hub/tests/fakes.py
@@ -27,7 +27,14 @@
     create_first_membership,
 )
 from ...registry import TargetNews
-from ...replication import CallReceived, EmitEvent, Join, PeerMessageReceived, Reply
+from ...replication import (
+    CallReceived,
+    EmitEvent,
+    Join,
+    PeerMessageReceived,
+    Reply,
+    StopRequested,
+)
 from ...storage import MessageFile, ReplicaStore
 from ...storage.tests.fakes import FakeFileSystem
 from ...transport import create_codec
@@ -35,6 +42,8 @@
 CODEC = create_codec()
 TICK = 0.05
 PORT = 7000
+# A process that is asked to stop waits this long for another leader.
+STOP_SECONDS = 1.0
 SAVES = (SaveHardState, SaveEntries, SaveSnapshot)
 REGIONS = {f"z{index}": f"r{index % 3}" for index in range(11)}
 
@@ -56,8 +65,12 @@
 class FakeHub:
     """One VM with its disk, and the hub process while it runs."""
 
-    def __init__(self, vm: str, data_centre: str):
+    def __init__(self, vm: str, data_centre: str, seeds: tuple[str, ...]):
         address = f"{vm}:{PORT}"
+        # VMs that the settings of this hub name.
+        self.seeds = seeds
+        # A VM that was removed does not even refuse connections.
+        self.is_gone = False
         self.record = HubRecord(vm, address, f"{vm}:80", data_centre)
         self.files = FakeFileSystem()
         self.node: HubNode | None = None
@@ -76,6 +89,7 @@
     def __init__(self, count: int, *, seed: int = 0, data_centres: int | None = None):
         self.random = Random(seed)
         self.now = 100.0
+        self._joined_at = self.now
         self.step = TICK
         self.hubs: dict[str, FakeHub] = {}
         self.blocked_links: set[tuple[str, str]] = set()
@@ -93,9 +107,16 @@
             self.start(vm, is_first=True)
         self.advance(8.0)
 
-    def add(self, vm: str, data_centre: str) -> None:
-        """Add a VM with an empty disk."""
-        self.hubs[vm] = FakeHub(vm, data_centre)
+    def add(self, vm: str, data_centre: str, seeds: tuple[str, ...] = ()) -> None:
+        """Add a VM with an empty disk, whose settings name some seeds."""
+        self.hubs[vm] = FakeHub(vm, data_centre, seeds or self.seeds)
+
+    def remove(self, vm: str, *, is_planned: bool = False) -> None:
+        """Remove a VM for good; if planned, its process is asked to stop before."""
+        if is_planned:
+            self.stop_gracefully(vm)
+        self.stop(vm, loses_disk=True)
+        self.hubs[vm].is_gone = True
 
     def start(self, vm: str, *, is_first: bool = False) -> None:
         """Start a hub from the content of its disk."""
@@ -137,6 +158,15 @@
         if loses_disk:
             hub.files = FakeFileSystem()
 
+    def stop_gracefully(self, vm: str) -> None:
+        """Ask a hub's process to stop, and let it transfer its leadership."""
+        hub = self.hubs[vm]
+        self._run(hub, StopRequested())
+        deadline = self.now + STOP_SECONDS
+        while hub.node.replica.is_leader and self.now < deadline:
+            self.advance(self.step)
+        self.stop(vm)
+
     def suspend(self, vm: str) -> None:
         """Suspend the VM of a hub."""
         self.hubs[vm].suspended_at = self.now
@@ -153,14 +183,13 @@
     def advance(self, seconds: float) -> None:
         """Advance the clock; deliver messages and run ticks."""
         end = self.now + seconds
-        joined_at = self.now
         while self.now < end:
             self.now += self.step
             self._deliver()
             for hub in list(self.hubs.values()):
                 self._run(hub, None)
-            if self.now - joined_at >= 0.5:
-                joined_at = self.now
+            if self.now - self._joined_at >= 0.5:
+                self._joined_at = self.now
                 self._send_joins()
 
     def call(self, vm: str, message) -> int:
@@ -233,7 +262,10 @@
             if hub.node is None or not hub.node.needs_to_join(self.now):
                 continue
             join = Join(hub.node.identity, hub.record.vm, hub.record.address)
-            for other in self.hubs.values():
+            known = {address.partition(":")[0] for address in hub.node.list_peers()}
+            for other in (
+                self.hubs[vm] for vm in sorted(known | set(hub.seeds)) if vm in self.hubs
+            ):
                 is_blocked = (hub.record.vm, other.record.vm) in self.blocked_links
                 if other is not hub and other.node is not None and not is_blocked:
                     self.call(other.record.vm, join)
--- /dev/null
+++ b/tarragonshelf/hub/tests/test_replacement.py
@@ -0,0 +1,100 @@
+"""Hubs that are replaced one after another by empty ones at other addresses."""
+
+from random import Random
+
+import pytest
+
+from ...replication import Refused
+from .fakes import FakeSite
+
+# Bounds of the users' specification: a replaced VM counts as lost until its successor has had
+# CATCH_UP_SECONDS, and everything works again RECOVERY_SECONDS after the last fault.
+CATCH_UP_SECONDS = 4.0
+RECOVERY_SECONDS = 15.0
+START_DELAYS = (-2.0, 1.0)
+
+
+def replace_hub(site: FakeSite, vm: str, seeds: tuple[str, ...], start_delay: float) -> str:
+    """Replace a hub and return its successor.
+
+    The successor starts ``start_delay`` seconds after the hub ended; if it is negative, the
+    replacement is planned and the successor starts first. Returns when the successor has had the
+    time to catch up.
+    """
+    successor = f"{vm}n"
+    site.add(successor, site.hubs[vm].record.data_centre, seeds)
+    if start_delay < 0:
+        site.start(successor)
+        site.advance(-start_delay)
+        site.remove(vm, is_planned=True)
+    else:
+        site.remove(vm)
+        site.advance(start_delay)
+        site.start(successor)
+    site.advance(CATCH_UP_SECONDS)
+    return successor
+
+
+def list_running(site: FakeSite) -> list[str]:
+    return [vm for vm, hub in site.hubs.items() if hub.node is not None]
+
+
+class TestJoin:
+    # Incident CONFIG: a new control whose seeds did not lead stayed outside for good.
+    @pytest.mark.parametrize("count", [3, 5, 11])
+    def test_hub_joins_although_none_of_its_seeds_leads(self, count):
+        site = FakeSite(count)
+        followers = tuple(vm for vm in site.hubs if vm != site.leader)
+        lost = followers[-1]
+        site.remove(lost)
+        site.add("new", "z1", followers[:1])
+        site.start("new")
+        site.advance(CATCH_UP_SECONDS)
+        assert "new" in site.voters
+        assert site.put(2)
+
+    # Incident CONFIG: the only seed that lived was itself not a member.
+    def test_hub_joins_through_one_that_is_joining(self):
+        site = FakeSite(5)
+        follower = next(vm for vm in site.hubs if vm != site.leader)
+        site.add("new1", "z5", (follower,))
+        site.start("new1")
+        site.add("new2", "z6", ("new1",))
+        site.start("new2")
+        site.advance(2 * CATCH_UP_SECONDS)
+        assert {"new1", "new2"} <= site.voters
+
+
+class TestReplacementOfAll:
+    # Incident CONFIG: after five controls had been replaced one after another, none of those that
+    # ran could lead, and acknowledged changes could not be read any more.
+    @pytest.mark.parametrize("seed", range(6))
+    @pytest.mark.parametrize("start_delay", START_DELAYS)
+    @pytest.mark.parametrize("count", [3, 5])
+    def test_changes_are_accepted_and_kept_while_all_hubs_are_replaced(
+        self, count, start_delay, seed
+    ):
+        site = FakeSite(count, seed=seed)
+        random = Random(seed)
+        version = 0
+        for vm in random.sample(sorted(site.hubs), count):
+            seeds = tuple(random.sample(list_running(site), 3))
+            replace_hub(site, vm, seeds, start_delay)
+            version += 1
+            assert site.put(version), f"version {version} was not accepted after {vm} was replaced"
+        site.advance(CATCH_UP_SECONDS)
+        running = list_running(site)
+        assert site.voters == set(running)
+        assert site.put(version + 1)
+        lost = random.choice(running)
+        for vm in running:
+            site.stop(vm, loses_power=True, loses_disk=vm == lost)
+        for vm in running:
+            site.hubs[vm].seeds = tuple(random.sample(running, 3))
+            site.start(vm)
+        site.advance(RECOVERY_SECONDS)
+        for vm in running:
+            assert site.hubs[vm].node.register.copy.version == version + 1
+            assert site.hubs[vm].node.leader_address == site.hubs[site.leader].record.address
+        reply = site.read()
+        assert not isinstance(reply, Refused) and reply.version == version + 1
