Fix CONFIG: ask the leader that a refusal names for membership, and introduce a new hub to its seeds

Callers saw: after controls had been replaced one after another no configuration came any more.

Cause: a new control asked the addresses in its settings to join, and dropped the replies. Only a leader admits a replica, so a control whose seeds did not lead stayed outside for as long as that lasted; its predecessor's seat stayed empty, until no majority was left. Hubs send news of each other to hubs that they know, so one outside learned of no other, and none learned of it.

Change: JoinRequests, a state machine shared by both control roles, asks seeds, known replicas and the leaders that they name, all at the same time, and follows a refusal at once. A hub without contact with a leader sends its record to its seeds as well, and so gets their news. The process only makes the calls and reports how they ended. The own interface's control had the same fault.

--- a/tarragonshelf/control/_node.py
+++ b/tarragonshelf/control/_node.py
@@ -21,6 +21,7 @@
     Done,
     EmitEvent,
     Join,
+    PeerCallEnded,
     PeerMessageReceived,
     PendingFollow,
     Refused,
@@ -70,6 +71,8 @@
         Intervals and message limits of replication.
     snapshot_entries : int
         Number of applied entries after which the log is compacted into a snapshot.
+    seeds : tuple of str, optional
+        Peer addresses of the controls that the settings name.
     """
 
     def __init__(
@@ -85,6 +88,7 @@
         entries: tuple[LogEntry, ...] = (),
         timing: Timing = Timing(),
         snapshot_entries: int = 2000,
+        seeds: tuple[str, ...] = (),
     ):
         super().__init__(
             identity=f"{vm}/{incarnation}",
@@ -94,6 +98,9 @@
             snapshot=snapshot,
             entries=entries,
             timing=timing,
+            vm=vm,
+            address=address,
+            seeds=seeds,
         )
         self.vm = vm
         self.address = address
@@ -142,6 +149,8 @@
             self._process_effects(now, self.replica.handle(now, message.message))
         elif isinstance(message, CallReceived):
             self._handle_call(now, message)
+        elif isinstance(message, PeerCallEnded):
+            self._handle_call_result(now, message)
         elif isinstance(message, StopRequested):
             self._process_effects(now, self.replica.transfer_leadership(now))
         return self._take_effects()
@@ -150,6 +159,9 @@
         """Run what depends on time: elections, heartbeats, time-outs and admission of learners."""
         self._process_effects(now, self.replica.tick(now))
         self._answer_follow_calls(now)
+        # A control with a log that is not a member was removed and must not join again.
+        if not self.is_initialized:
+            self._effects += self.joins.create_requests(now, [])
         if self.replica.has_committed_in_term:
             self._admit_learners(now)
             self._advance_clock(now)
--- a/tarragonshelf/daemons/_control.py
+++ b/tarragonshelf/daemons/_control.py
@@ -8,11 +8,12 @@
 
 from ..base import Effect, Message
 from ..consensus import SaveEntries, SaveHardState, SaveSnapshot, Send, Timing
-from ..control import (
+from ..control import ControlNode
+from ..replication import (
+    CallPeer,
     CallReceived,
-    ControlNode,
     EmitEvent,
-    Join,
+    PeerCallEnded,
     PeerMessageReceived,
     Reply,
     StopRequested,
@@ -30,7 +31,7 @@
 )
 
 TICK_INTERVAL_SECONDS = 0.02
-JOIN_INTERVAL_SECONDS = 1.0
+PEER_CALL_TIMEOUT_SECONDS = 1.0
 TRANSFER_TIMEOUT_SECONDS = 2.0
 INCARNATION_BYTES = 6
 STORAGE_EFFECTS = (SaveHardState, SaveEntries, SaveSnapshot)
@@ -77,6 +78,7 @@
         self._is_batch_scheduled = False
         self._pending_calls: dict[int, tuple[Connection, int]] = {}
         self._last_number = 0
+        self._peer_calls: set[asyncio.Task] = set()
 
     async def on_start(self) -> None:
         """Restore the state from the data folder and start listening."""
@@ -93,6 +95,8 @@
     async def on_stop(self) -> None:
         """Transfer leadership if this control is the leader, then stop."""
         await self._transfer_leadership()
+        for task in self._peer_calls:
+            task.cancel()
         await self.server.stop()
         await self.administration.stop()
         self.links.close()
@@ -104,27 +108,21 @@
             self._process_batch(is_tick=True)
             await asyncio.sleep(TICK_INTERVAL_SECONDS)
 
-    @Service.task
-    async def _join(self) -> None:
-        """Request membership of the cluster until the replica is initialized.
+    def _call_peer(self, effect: CallPeer) -> None:
+        task = asyncio.get_running_loop().create_task(self._finish_peer_call(effect))
+        self._peer_calls.add(task)
+        task.add_done_callback(self._peer_calls.discard)
 
-        A control with an empty data folder never creates a new cluster by itself.
-        """
-        request = Join(self.node.identity, self.settings.vm, self.settings.peer)
-        while not self.should_stop:
-            # A control with a log that is not a member was removed and must not join again.
-            if not self.node.is_initialized:
-                for control in self.settings.controls:
-                    await self._request_join(control.address, request)
-            await asyncio.sleep(JOIN_INTERVAL_SECONDS)
-
-    async def _request_join(self, address: str, request: Join) -> None:
-        if address == self.settings.peer:
-            return
+    async def _finish_peer_call(self, effect: CallPeer) -> None:
+        """Call another control, and pass the result to the node."""
+        reply, problem = None, ""
         try:
-            await self.links.get(address).call(request, JOIN_INTERVAL_SECONDS)
-        except (UnreachableError, CallTimeoutError):
-            return
+            reply = await self.links.get(effect.address).call(
+                effect.message, PEER_CALL_TIMEOUT_SECONDS
+            )
+        except (UnreachableError, CallTimeoutError) as error:
+            problem = str(error)
+        self._handle_event(PeerCallEnded(effect.address, effect.message, reply, problem))
 
     def _restore(self) -> ControlNode:
         settings = self.settings
@@ -154,15 +152,19 @@
                 election_timeout=settings.election_seconds,
             ),
             snapshot_entries=settings.snapshot_entries,
+            seeds=tuple(item.address for item in settings.controls),
         )
 
     def _handle_frame(self, connection: Connection, frame: Frame) -> None:
         if frame.call:
             self._last_number += 1
             self._pending_calls[self._last_number] = (connection, frame.call)
-            self._inbox.append(CallReceived(self._last_number, frame.message))
+            self._handle_event(CallReceived(self._last_number, frame.message))
         else:
-            self._inbox.append(PeerMessageReceived(frame.message))
+            self._handle_event(PeerMessageReceived(frame.message))
+
+    def _handle_event(self, event: Message) -> None:
+        self._inbox.append(event)
         if not self._is_batch_scheduled:
             self._is_batch_scheduled = True
             asyncio.get_running_loop().call_soon(self._process_batch)
@@ -194,6 +196,8 @@
                 self._send(effect)
             elif isinstance(effect, Reply):
                 self._reply(effect)
+            elif isinstance(effect, CallPeer):
+                self._call_peer(effect)
             elif isinstance(effect, EmitEvent):
                 self._report(effect.event, **effect.fields)
 
--- a/tarragonshelf/hub/_node.py
+++ b/tarragonshelf/hub/_node.py
@@ -28,6 +28,7 @@
     CallReceived,
     EmitEvent,
     Join,
+    PeerCallEnded,
     PeerMessageReceived,
     Refused,
     RefusedReason,
@@ -97,6 +98,8 @@
         Randomizes election time-outs.
     budget : RetryBudgetSettings, optional
         Retry budget of the whole site.
+    seeds : tuple of str, optional
+        Peer addresses of some hubs.
     hard_state, snapshot, entries
         Content of the data folder.
     """
@@ -144,6 +147,8 @@
         elif isinstance(message, SubscriberLost):
             if self.subscribers.remove(message.subscriber):
                 self._edges_changed = True
+        elif isinstance(message, PeerCallEnded):
+            self._handle_call_result(now, message)
         elif isinstance(message, StopRequested):
             self._process_effects(now, self.replica.transfer_leadership(now))
         return self._take_effects()
@@ -153,6 +158,8 @@
         self._process_effects(now, self.replica.tick(now))
         if self.replica.has_committed_in_term:
             self._maintain_voters(now)
+        if self.needs_to_join(now):
+            self._effects += self.joins.create_requests(now, self.list_peers())
         self._answer_drains(now)
         for call in self._drains.pop_timed_out(now):
             detail = "no majority of the hubs confirmed in time"
@@ -244,8 +251,9 @@
 
     def _gossip_to_peers(self, now: float) -> None:
         digest = TargetDigest(self.record.vm, self.targets.digest)
-        for address in self.list_peers():
-            if self.registrar.needs_hub_news(now, address):
+        is_introducing = self.needs_to_join(now)
+        for address in self.list_contacts(now):
+            if self.registrar.needs_hub_news(now, address) or is_introducing:
                 self._effects.append(SendToPeer(address, self.registrar.create_hub_news()))
             self._effects.append(SendToPeer(address, self._create_heartbeat(now)))
             self._effects.append(SendToPeer(address, digest))
--- a/tarragonshelf/hub/_state.py
+++ b/tarragonshelf/hub/_state.py
@@ -52,6 +52,7 @@
         entries: tuple[LogEntry, ...] = (),
         timing: Timing = Timing(),
         budget: RetryBudgetSettings = NO_RETRY_BUDGET,
+        seeds: tuple[str, ...] = (),
     ):
         super().__init__(
             identity=f"{record.vm}/{incarnation}",
@@ -61,6 +62,9 @@
             snapshot=snapshot,
             entries=entries,
             timing=timing,
+            vm=record.vm,
+            address=record.address,
+            seeds=seeds,
         )
         self.record = record
         self.reader = reader
@@ -127,3 +131,12 @@
         """Return the addresses of all other hubs."""
         members = {item.address for item in self.replica.membership.members}
         return sorted((members | self.registrar.list_addresses()) - {self.record.address})
+
+    def list_contacts(self, now: float) -> list[str]:
+        """Return the addresses of all other hubs, and of those that may know more of them.
+
+        Hubs that have never heard of this one send it nothing. So while it has no contact with a
+        leader it introduces itself to its seeds, which need not be members themselves.
+        """
+        contacts = self.joins.contacts if self.needs_to_join(now) else ()
+        return sorted({*self.list_peers(), *contacts})
--- a/tarragonshelf/hub/tests/fakes.py
+++ b/tarragonshelf/hub/tests/fakes.py
@@ -28,9 +28,10 @@
 )
 from ...registry import TargetNews
 from ...replication import (
+    CallPeer,
     CallReceived,
     EmitEvent,
-    Join,
+    PeerCallEnded,
     PeerMessageReceived,
     Reply,
     StopRequested,
@@ -44,6 +45,7 @@
 PORT = 7000
 # A process that is asked to stop waits this long for another leader.
 STOP_SECONDS = 1.0
+CALL_TIMEOUT_SECONDS = 0.5
 SAVES = (SaveHardState, SaveEntries, SaveSnapshot)
 REGIONS = {f"z{index}": f"r{index % 3}" for index in range(11)}
 
@@ -89,7 +91,6 @@
     def __init__(self, count: int, *, seed: int = 0, data_centres: int | None = None):
         self.random = Random(seed)
         self.now = 100.0
-        self._joined_at = self.now
         self.step = TICK
         self.hubs: dict[str, FakeHub] = {}
         self.blocked_links: set[tuple[str, str]] = set()
@@ -98,6 +99,9 @@
         self.pushed: list[tuple[str, int, object]] = []
         self.events: list[EmitEvent] = []
         self.seeds = tuple(f"vm{index}" for index in range(min(3, count)))
+        # Calls between hubs: those that end without a reply with the time, and those that wait.
+        self._end_calls: list[tuple[float, FakeHub, CallPeer, str]] = []
+        self._pending_peer_calls: dict[int, tuple[FakeHub, HubNode, CallPeer]] = {}
         self._in_flight: list[tuple[float, int, str, object]] = []
         self._number = 0
         self._calls = 0
@@ -141,6 +145,7 @@
                 heartbeat_interval=0.3, election_timeout=1.0, initial_election_timeout=0.35
             ),
             budget=RetryBudgetSettings(ratio=0.2, slack=40.0, window=10.0),
+            seeds=tuple(f"{seed}:{PORT}" for seed in hub.seeds),
         )
         found = {name: file.load()[0] for name, file in hub.message_files.items()}
         messages = {name: item for name, item in found.items() if item is not None}
@@ -186,11 +191,9 @@
         while self.now < end:
             self.now += self.step
             self._deliver()
+            self._finish_peer_calls()
             for hub in list(self.hubs.values()):
                 self._run(hub, None)
-            if self.now - self._joined_at >= 0.5:
-                self._joined_at = self.now
-                self._send_joins()
 
     def call(self, vm: str, message) -> int:
         """Start a call at a hub and return its number."""
@@ -257,18 +260,31 @@
         self._number += 1
         return f"n{self._number}"
 
-    def _send_joins(self) -> None:
-        for hub in self.hubs.values():
-            if hub.node is None or not hub.node.needs_to_join(self.now):
-                continue
-            join = Join(hub.node.identity, hub.record.vm, hub.record.address)
-            known = {address.partition(":")[0] for address in hub.node.list_peers()}
-            for other in (
-                self.hubs[vm] for vm in sorted(known | set(hub.seeds)) if vm in self.hubs
-            ):
-                is_blocked = (hub.record.vm, other.record.vm) in self.blocked_links
-                if other is not hub and other.node is not None and not is_blocked:
-                    self.call(other.record.vm, join)
+    def _call_peer(self, hub: FakeHub, effect: CallPeer) -> None:
+        """Call another hub, which answers unless it is not running or a link is blocked."""
+        other = self.hubs.get(effect.address.partition(":")[0])
+        is_blocked = other is None or self._is_blocked(hub.record.vm, other.record.vm)
+        if is_blocked or other.node is None or other.suspended_at is not None:
+            problem = f"{effect.address} did not answer"
+            self._end_calls.append((self.now + CALL_TIMEOUT_SECONDS, hub, effect, problem))
+            return
+        number = self.call(other.record.vm, effect.message)
+        self._pending_peer_calls[number] = (hub, hub.node, effect)
+
+    def _is_blocked(self, source: str, destination: str) -> bool:
+        links = {(source, destination), (destination, source)}
+        return bool(links & self.blocked_links)
+
+    def _finish_peer_calls(self) -> None:
+        due = [item for item in self._end_calls if item[0] <= self.now]
+        self._end_calls = [item for item in self._end_calls if item[0] > self.now]
+        for _, hub, effect, problem in due:
+            self._run(hub, PeerCallEnded(effect.address, effect.message, None, problem))
+        for number in [item for item in self._pending_peer_calls if item in self.replies]:
+            hub, node, effect = self._pending_peer_calls.pop(number)
+            if hub.node is node:
+                reply = self.replies[number]
+                self._run(hub, PeerCallEnded(effect.address, effect.message, reply))
 
     def _run(self, hub: FakeHub, message) -> None:
         if hub.node is None:
@@ -294,6 +310,8 @@
                 self._send(hub.record.vm, effect.address.partition(":")[0], effect.message)
             elif isinstance(effect, Reply):
                 self.replies[effect.call] = effect.message
+            elif isinstance(effect, CallPeer):
+                self._call_peer(hub, effect)
             elif isinstance(effect, EmitEvent):
                 self.events.append(effect)
             elif isinstance(effect, PushToSubscriber):
--- a/tarragonshelf/replication/__init__.py
+++ b/tarragonshelf/replication/__init__.py
@@ -8,11 +8,14 @@
     __name__,
     {
         "_admission": ("plan_admission", "plan_join", "plan_retirement"),
+        "_join_requests": ("JoinRequests",),
         "_messages": (
+            "CallPeer",
             "CallReceived",
             "Done",
             "EmitEvent",
             "Join",
+            "PeerCallEnded",
             "PeerMessageReceived",
             "Refused",
             "RefusedReason",
@@ -25,10 +28,13 @@
 )
 
 __all__ = [
+    "CallPeer",
     "CallReceived",
     "Done",
     "EmitEvent",
     "Join",
+    "JoinRequests",
+    "PeerCallEnded",
     "PeerMessageReceived",
     "PendingCalls",
     "PendingFollow",
--- a/tarragonshelf/replication/_messages.py
+++ b/tarragonshelf/replication/_messages.py
@@ -62,6 +62,16 @@
     message: Message
 
 
+@dataclass(frozen=True, slots=True)
+class PeerCallEnded(Message):
+    """Event: a call of another replica ended with a reply, or without one for a reason."""
+
+    address: str
+    request: Message
+    reply: Message | None = None
+    problem: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class StopRequested(Message):
     """Event: this process was asked to stop."""
@@ -75,6 +85,14 @@
     message: Message
 
 
+@dataclass(frozen=True, slots=True)
+class CallPeer(Effect):
+    """Call another replica; the event ``PeerCallEnded`` reports the result."""
+
+    address: str
+    message: Message
+
+
 @dataclass(frozen=True, slots=True)
 class EmitEvent(Effect):
     """Write an event to the process log."""
--- a/tarragonshelf/replication/_node.py
+++ b/tarragonshelf/replication/_node.py
@@ -22,7 +22,8 @@
     Timing,
 )
 from ._admission import plan_join
-from ._messages import Done, EmitEvent, Join, Refused, RefusedReason, Reply
+from ._join_requests import JoinRequests
+from ._messages import Done, EmitEvent, Join, PeerCallEnded, Refused, RefusedReason, Reply
 from ._pending_calls import PendingCalls
 
 
@@ -41,6 +42,10 @@
         State restored from the data folder.
     timing : Timing
         Intervals and message limits of replication.
+    vm, address : str
+        VM of the replica, and the address at which others reach it.
+    seeds : tuple of str, optional
+        Addresses of some replicas, which are asked for membership.
     """
 
     def __init__(
@@ -53,6 +58,9 @@
         snapshot: Snapshot | None,
         entries: tuple[LogEntry, ...],
         timing: Timing,
+        vm: str,
+        address: str,
+        seeds: tuple[str, ...] = (),
     ):
         self.identity = identity
         self.codec = codec
@@ -63,6 +71,7 @@
             random=random,
             timing=timing,
         )
+        self.joins = JoinRequests(Join(identity, vm, address), seeds)
         self._pending_calls = PendingCalls()
         self._effects: list[Effect] = []
 
@@ -163,6 +172,10 @@
         else:
             self._propose_membership(now, call, plan_join(membership, message))
 
+    def _handle_call_result(self, now: float, ended: PeerCallEnded) -> None:
+        if isinstance(ended.request, Join):
+            self._effects += self.joins.handle_result(now, ended)
+
     def _reply(self, call: int, message: Message) -> None:
         self._effects.append(Reply(call, message))
 
--- a/tarragonshelf/site/_hub.py
+++ b/tarragonshelf/site/_hub.py
@@ -28,9 +28,10 @@
 )
 from ..registry import TargetEntry
 from ..replication import (
+    CallPeer,
     CallReceived,
     EmitEvent,
-    Join,
+    PeerCallEnded,
     PeerMessageReceived,
     Refused,
     RefusedReason,
@@ -57,8 +58,7 @@
 from ._process import read_time
 
 TICK_SECONDS = 0.05
-# Interval between rounds of join requests, and the time-out of each request.
-JOIN_INTERVAL_SECONDS = 0.5
+PEER_CALL_TIMEOUT_SECONDS = 0.5
 LEADERSHIP_TRANSFER_SECONDS = 1.0
 # Targets and operators give up after 1 s without a response and try another control.
 SUBMIT_TIMEOUT_SECONDS = 0.95
@@ -167,6 +167,7 @@
         self._subscribers: dict[int, Connection] = {}
         self._subscriber_numbers: dict[Connection, int] = {}
         self._disk_failed_at: float | None = None
+        self._peer_calls: set[asyncio.Task] = set()
 
     # Start and stop
 
@@ -193,6 +194,8 @@
 
     async def on_stop(self) -> None:
         """Close all connections."""
+        for task in self._peer_calls:
+            task.cancel()
         await self.api_server.stop()
         await self.server.stop()
         if self.settings.metrics_address:
@@ -203,6 +206,8 @@
     def reload(self, seeds: tuple[str, ...]) -> None:
         """Add the seeds that the settings file names now."""
         self.seeds = list(dict.fromkeys([*seeds, *self.seeds]))
+        if self.node is not None:
+            self.node.joins.add_seeds(self._list_seed_addresses())
         self.logger.msg("settings_reloaded", seeds=list(seeds))
 
     @Service.task
@@ -212,44 +217,30 @@
             self.log_budget.report_dropped()
             await asyncio.sleep(TICK_SECONDS)
 
-    @Service.task
-    async def _join(self) -> None:
-        """Request membership while the hub has no contact with a leader."""
-        while not self.should_stop:
-            await asyncio.sleep(JOIN_INTERVAL_SECONDS)
-            if self.node is None or not self.node.needs_to_join(read_time()):
-                continue
-            record = self.settings.record
-            request = Join(self.node.identity, record.vm, record.address)
-            for address in self._list_join_addresses():
-                await self._request_join(address, request)
-
-    def _list_join_addresses(self) -> list[str]:
-        port = self.settings.record.address.rpartition(":")[2]
-        seeds = [f"{seed}:{port}" for seed in self.seeds]
-        known = self.node.list_peers() if self.node else []
-        own = self.settings.record.address
-        return [item for item in dict.fromkeys([*known, *seeds]) if item != own]
+    def _call_peer(self, effect: CallPeer) -> None:
+        task = asyncio.get_running_loop().create_task(self._finish_peer_call(effect))
+        self._peer_calls.add(task)
+        task.add_done_callback(self._peer_calls.discard)
 
-    async def _request_join(self, address: str, request: Join) -> None:
+    async def _finish_peer_call(self, effect: CallPeer) -> None:
+        """Call another control, and pass the result to the node."""
+        reply, problem, outcome = None, "", "accepted"
         try:
-            reply = await self.links.get(address).call(request, JOIN_INTERVAL_SECONDS)
-        except (UnreachableError, CallTimeoutError) as error:
-            self.metrics.count("joins_total", ("outcome", "not-answered"))
-            self._report("join_not_answered", hub=address, problem=str(error))
-            return
-        if isinstance(reply, Refused):
-            self.metrics.count("joins_total", ("outcome", str(reply.reason)))
-            self._report(
-                "join_refused",
-                hub=address,
-                reason=reply.reason,
-                leader=reply.leader,
-                detail=reply.detail,
+            reply = await self.links.get(effect.address).call(
+                effect.message, PEER_CALL_TIMEOUT_SECONDS
             )
-        else:
-            self.metrics.count("joins_total", ("outcome", "accepted"))
-            self._report("join_accepted", hub=address)
+            if isinstance(reply, Refused):
+                outcome = str(reply.reason)
+        except (UnreachableError, CallTimeoutError) as error:
+            problem, outcome = str(error), "not-answered"
+        kind = ("kind", type(effect.message).__name__)
+        self.metrics.count("peer_calls_total", kind, ("outcome", outcome))
+        self._inbox.append(PeerCallEnded(effect.address, effect.message, reply, problem))
+        self._schedule_batch()
+
+    def _list_seed_addresses(self) -> tuple[str, ...]:
+        port = self.settings.record.address.rpartition(":")[2]
+        return tuple(f"{seed}:{port}" for seed in self.seeds)
 
     # Data folder
 
@@ -287,6 +278,7 @@
                 initial_election_timeout=INITIAL_ELECTION_TIMEOUT_SECONDS,
             ),
             budget=self.settings.budget,
+            seeds=self._list_seed_addresses(),
         )
         if previous is not None:
             # State that is kept only in memory stays valid when writes to disk fail.
@@ -413,6 +405,8 @@
                     self.outbox.add(connection, effect.message)
             elif isinstance(effect, Reply):
                 self._finish_call(effect.call, effect.message)
+            elif isinstance(effect, CallPeer):
+                self._call_peer(effect)
             elif isinstance(effect, EmitEvent):
                 self._report(effect.event, **effect.fields)
         self.outbox.send()
