--- a/tarragonshelf/edge/_hub_selector.py
+++ b/tarragonshelf/edge/_hub_selector.py
@@ -21,11 +21,31 @@
 LOOKUP_TIMEOUT_SECONDS = 2.0
 # Minimum time that a hub is followed before the entry moves to a nearer one.
 MINIMUM_FOLLOW_SECONDS = 4.0
+# Other hubs are probed once the entry has had no current hub for this long.
+SEARCH_DELAY_SECONDS = 0.3
+# Time for which the result of a probe counts, and after which one without a result is given up.
+VERDICT_SECONDS = 1.0
+ABANDON_SECONDS = 5.0
+# Interval between probes of a hub during a search, and of a nearer one besides; both are doubled
+# with each failure up to the maximum.
+SEARCH_INTERVAL_SECONDS = 0.5
+NEARER_INTERVAL_SECONDS = 4.0
+MAXIMUM_INTERVAL_SECONDS = 32.0
+MAXIMUM_SEARCH_INTERVAL_SECONDS = 2.0
+# Probes that are under way at the same time.
+MAXIMUM_PROBES = 8
+# A hub is forgotten after this many failed probes in a row, unless only a few others are known.
+FORGET_FAILURES = 8
+MINIMUM_KNOWN_HUBS = 3
 
 
 class HubSelector:
     """Selects the nearest hub that sends heartbeats and is current.
 
+    A known address may belong to a hub that was removed, or that has no contact with the others.
+    So the entry leaves a hub that works only for one that a probe has found to be current, and if
+    its own does not work it probes all others at the same time.
+
     Parameters
     ----------
     topology : Topology
@@ -49,6 +69,13 @@
         self._has_contact = False
         self._stale_since: float | None = None
         self._lookup_started_at: float | None = None
+        self._not_current_since: float | None = None
+        # When a probe last found a hub to be current, when each was last probed, when the probes
+        # that are under way began, and how many have failed in a row.
+        self._verified_at: dict[str, float] = {}
+        self._probed_at: dict[str, float] = {}
+        self._probes: dict[str, float] = {}
+        self._failures: dict[str, int] = {}
         # At first the entry only looks up the nearest hub, as a subscription to a remote one
         # causes expensive traffic.
         self.is_looking_up = True
@@ -77,6 +104,10 @@
         for record in records:
             self._records[record.address] = record
 
+    def is_known(self, address: str) -> bool:
+        """Return whether a hub may be probed and followed."""
+        return address in self._records
+
     def add_seeds(self, addresses: tuple[str, ...]) -> None:
         """Add peer addresses of hubs whose data centre is unknown."""
         for address in addresses:
@@ -112,8 +143,80 @@
         if address == self.address:
             self.address = ""
 
+    def record_probe(self, now: float, address: str, *, is_current: bool | None) -> None:
+        """Record the result of a probe: whether the hub is current, or None without an answer."""
+        self._probes.pop(address, None)
+        if is_current:
+            self._verified_at[address] = now
+            self._failures.pop(address, None)
+            self._failed_at.pop(address, None)
+            return
+        self._verified_at.pop(address, None)
+        self._failures[address] = self._failures.get(address, 0) + 1
+        if is_current is None and address != self.address:
+            self._failed_at[address] = now
+        if self._failures[address] >= FORGET_FAILURES and address != self.address:
+            self._forget(address)
+
+    def _forget(self, address: str) -> None:
+        if len(self._records) > MINIMUM_KNOWN_HUBS:
+            self._records.pop(address, None)
+            self._failures.pop(address, None)
+
+    def start_probes(self, now: float) -> list[str]:
+        """Return the addresses of hubs to probe now."""
+        self._probes = {
+            name: at for name, at in self._probes.items() if now - at < ABANDON_SECONDS
+        }
+        if self._is_searching(now):
+            limits = (SEARCH_INTERVAL_SECONDS, MAXIMUM_SEARCH_INTERVAL_SECONDS)
+            candidates = [name for name in self._records if name != self.address]
+            count = MAXIMUM_PROBES
+        else:
+            limits = (NEARER_INTERVAL_SECONDS, MAXIMUM_INTERVAL_SECONDS)
+            candidates = self._list_nearer(now)
+            count = 1
+        due = [name for name in candidates if self._is_probe_due(now, name, *limits)]
+        due.sort(key=lambda name: (self._failures.get(name, 0), self._get_distance(name), name))
+        started = due[: max(0, count - len(self._probes))]
+        for name in started:
+            self._probes[name] = self._probed_at[name] = now
+        return started
+
+    def _is_probe_due(self, now: float, address: str, interval: float, maximum: float) -> bool:
+        interval = min(maximum, interval * 2 ** self._failures.get(address, 0))
+        return (
+            address not in self._probes
+            and now - self._probed_at.get(address, float("-inf")) >= interval
+        )
+
+    def _is_searching(self, now: float) -> bool:
+        since = self._not_current_since
+        return since is not None and now - since >= SEARCH_DELAY_SECONDS
+
+    def _list_nearer(self, now: float) -> list[str]:
+        """Return the hubs that are nearer than the followed one, if it may be left for them."""
+        if not self.address or now - self._followed_at < MINIMUM_FOLLOW_SECONDS:
+            return []
+        own_rank = (self._get_distance(self.address), self.address)
+        return [
+            name
+            for name in self._records
+            if (self._get_distance(name), name) < own_rank
+            and (self._get_distance(name) < OTHER_REGION_DISTANCE)
+        ]
+
+    def _is_verified(self, now: float, address: str) -> bool:
+        """Return whether a probe has just found another hub to be current."""
+        verified_at = self._verified_at.get(address, float("-inf"))
+        return now - verified_at < VERDICT_SECONDS and verified_at > self._get_failed_at(address)
+
     def choose(self, now: float) -> str | None:
         """Return the address of the hub to follow from now on, or None to keep the present one."""
+        if self.has_current_hub(now):
+            self._not_current_since = None
+        elif self._not_current_since is None:
+            self._not_current_since = now if self._stale_since is None else self._stale_since
         if self.is_looking_up:
             self._update_lookup(now)
         if self.address and self._must_leave(now):
@@ -149,11 +252,13 @@
     def _must_leave(self, now: float) -> bool:
         if now - self._last_contact_at >= HEARTBEAT_TIMEOUT_SECONDS:
             return True
-        if self._stale_since is None or now - self._stale_since < STALE_TIMEOUT_SECONDS:
+        since = self._followed_at if not self._has_contact else self._stale_since
+        if self.is_looking_up or since is None or now - since < STALE_TIMEOUT_SECONDS:
             return False
-        # A hub that is not current is better than none, so the entry leaves it only for another.
+        # A hub that is not current is better than none, so the entry leaves it only for one that
+        # is.
         others = (name for name in self._records if name != self.address)
-        return any(self._is_usable(now, name) for name in others)
+        return any(self._is_verified(now, name) for name in others)
 
     def _get_failed_at(self, address: str) -> float:
         return self._failed_at.get(address, float("-inf"))
@@ -163,11 +268,15 @@
 
     def _is_worth_moving(self, now: float, nearest: str) -> bool:
         is_due = now - self._followed_at >= MINIMUM_FOLLOW_SECONDS
+        if self._followed_at != float("-inf") and not self._is_verified(now, nearest):
+            return False
         ranks = [(self._get_distance(name), name) for name in (nearest, self.address)]
         return is_due and ranks[0] < ranks[1]
 
     def _find_nearest(self, now: float) -> str | None:
         usable = [name for name in self._records if self._is_usable(now, name)]
+        if verified := [name for name in self._records if self._is_verified(now, name)]:
+            usable = [*verified, self.address] if self.address else verified
         if not usable and self.address:
             return self.address
         if not usable:
--- a/tarragonshelf/edge/_messages.py
+++ b/tarragonshelf/edge/_messages.py
@@ -61,6 +61,21 @@
     address: str
 
 
+@dataclass(frozen=True, slots=True)
+class HubProbed(Message):
+    """A probe of a hub ended: whether the hub is current, or None if it did not answer."""
+
+    address: str
+    is_current: bool | None
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeHub(Effect):
+    """Ask a hub for a heartbeat on a connection of its own; ``HubProbed`` reports the result."""
+
+    address: str
+
+
 @dataclass(frozen=True, slots=True)
 class FollowHub(Effect):
     """Connect to a hub and close the connection to the previous one."""
--- a/tarragonshelf/edge/_node.py
+++ b/tarragonshelf/edge/_node.py
@@ -66,8 +66,10 @@
     EdgeSettings,
     FollowHub,
     HubLost,
+    HubProbed,
     HubReceived,
     PermitAnswered,
+    ProbeHub,
     RetryDecided,
     SendToHub,
 )
@@ -226,6 +228,9 @@
             self._handle_hub_message(now, message.message)
             if self.is_ready != was_ready:
                 self._announce_state()
+        elif isinstance(message, HubProbed):
+            self.hubs.record_probe(now, message.address, is_current=message.is_current)
+            return [*self._choose_hub(now), *self.pop_pending_effects()]
         elif isinstance(message, PathDoubted | TargetConnected | TargetChecked):
             self.path.handle(now, message)
         return self.pop_pending_effects()
@@ -263,11 +268,12 @@
         address = self.hubs.choose(now)
         if before["hub"] and before["hub"] != self.hubs.address:
             self._pending_effects.append(EmitEvent("hub_left", before))
+        probes: list[Effect] = [ProbeHub(item) for item in self.hubs.start_probes(now)]
         if address is not None:
-            return [FollowHub(address)]
+            return [FollowHub(address), *probes]
         if was_looking_up and not self.hubs.is_looking_up:
-            return [SendToHub(self.create_subscription())]
-        return []
+            return [SendToHub(self.create_subscription()), *probes]
+        return probes
 
     def _handle_hub_message(self, now: float, message: Message) -> None:
         if isinstance(message, CatalogueCopy):
--- a/tarragonshelf/edge/tests/fakes.py
+++ b/tarragonshelf/edge/tests/fakes.py
@@ -15,8 +15,10 @@
     EdgeSettings,
     FollowHub,
     HubLost,
+    HubProbed,
     HubReceived,
     PermitAnswered,
+    ProbeHub,
     RetryDecided,
     SendToHub,
 )
@@ -70,6 +72,8 @@
 USER_TIMEOUT_SECONDS = 1.5
 # Time after which an entry gives up connecting to a hub.
 HUB_CONNECT_TIMEOUT_SECONDS = 1.0
+# Time in which a hub answers a probe.
+PROBE_SECONDS = 0.1
 # Time after which a connection that is being opened is reported as slow, and after which a check
 # of a target is given up.
 SLOW_CONNECT_SECONDS = 0.1
@@ -404,6 +408,8 @@
         for effect in effects:
             if isinstance(effect, FollowHub):
                 self._follow(entry, effect.address.partition(":")[0])
+            elif isinstance(effect, ProbeHub):
+                self._probe_hub(entry, effect.address)
             elif isinstance(effect, SendToHub):
                 self._send_to_hub(entry, effect.message)
             elif isinstance(effect, RetryDecided):
@@ -436,6 +442,18 @@
         entry.hub, entry.number = vm, next(self.numbers)
         self._send_to_hub(entry, entry.node.create_subscription())
 
+    def _probe_hub(self, entry: FakeEntry, address: str) -> None:
+        hub = self.site.hubs.get(address.partition(":")[0])
+        is_silent = entry.is_cut or hub is None or hub.is_gone or hub.suspended_at is not None
+        if is_silent or hub.node is None:
+            seconds = HUB_CONNECT_TIMEOUT_SECONDS if is_silent else REFUSE_SECONDS
+            self._notify_later(entry, HubProbed(address, None), seconds)
+            return
+        is_current = hub.node.is_current(self.now)
+        news = HubReceived(address, hub.node.registrar.create_hub_news())
+        self._notify_later(entry, news, PROBE_SECONDS)
+        self._notify_later(entry, HubProbed(address, is_current), PROBE_SECONDS)
+
     def _disconnect(self, entry: FakeEntry) -> None:
         if entry.hub and self.site.hubs[entry.hub].node is not None:
             self.site.receive(entry.hub, SubscriberLost(entry.number))
--- a/tarragonshelf/edge/tests/test_edge.py
+++ b/tarragonshelf/edge/tests/test_edge.py
@@ -3,6 +3,8 @@
 from dataclasses import replace
 from random import Random
 
+import pytest
+
 from ...avoidance import EvidenceItem, EvidenceKind, EvidenceNews, Standing
 from ...catalogue import CatalogueCopy, compress_content
 from ...edge import (
@@ -10,8 +12,10 @@
     EdgeSettings,
     FollowHub,
     HubLost,
+    HubProbed,
     HubReceived,
     PermitAnswered,
+    ProbeHub,
     RetryDecided,
     SendToHub,
 )
@@ -60,10 +64,15 @@
         self.node = EdgeNode(settings=SETTINGS, reader=FakeReader(), random=Random(seed))
         self.now = 10.0
         self.effects = []
+        # What hubs answer to a probe; by default they are current.
+        self.probe_results: dict[str, bool | None] = {}
 
     def tick(self, seconds: float = 0.05):
         self.now += seconds
         self.effects = self.node.tick(self.now)
+        for probe in self.find(ProbeHub):
+            is_current = self.probe_results.get(probe.address, True)
+            self.effects += self.node.handle(self.now, HubProbed(probe.address, is_current))
         return self
 
     def receive(self, *messages):
@@ -130,6 +139,45 @@
         fixture.receive(HubBeat("h1", False)).tick(0.2)
         assert fixture.node.hubs.address != first
 
+    # Incident CONFIG, case 2: entries kept moving to a near hub that was gone or not current.
+    @pytest.mark.parametrize("result", [False, None])
+    def test_entry_does_not_move_to_a_near_hub_that_is_not_current(self, result):
+        fixture = Fixture().serve()
+        fixture.probe_results["h0:7"] = result
+        fixture.node.handle(fixture.now, HubLost("h0:7"))
+        assert fixture.node.hubs.address == "h1:7"
+        probes = 0
+        for _ in range(1200):
+            fixture.receive(HubBeat("h", True)).tick(0.05)
+            probes += len(fixture.find(ProbeHub))
+            assert fixture.node.hubs.address == "h1:7"
+        assert 1 <= probes <= 6
+        fixture.probe_results["h0:7"] = True
+        for _ in range(700):
+            fixture.receive(HubBeat("h", True)).tick(0.05)
+        assert fixture.node.hubs.address == "h0:7"
+
+    def test_silent_hub_is_left_for_the_nearest_that_answers_a_probe(self):
+        fixture = Fixture().serve()
+        fixture.receive(HubNews((HubRecord("g", "g:7", "g:80", "z0"),)))
+        fixture.probe_results = {"g:7": None, "h1:7": False}
+        fixture.node.handle(fixture.now, HubLost("h0:7"))
+        fixture.probe_results["h0:7"] = None
+        for _ in range(10):
+            fixture.tick(0.05)
+        assert fixture.node.hubs.address == "h2:7"
+
+    def test_hub_that_never_answers_is_forgotten(self):
+        fixture = Fixture().serve()
+        fixture.receive(HubNews((HubRecord("g", "g:7", "g:80", "z0"),)))
+        fixture.probe_results["g:7"] = None
+        for _ in range(6000):
+            fixture.receive(HubBeat("h", True)).tick(0.05)
+        assert fixture.node.hubs.address == "h0:7"
+        assert "g:7" not in {probe.address for probe in fixture.find(ProbeHub)}
+        assert not fixture.node.hubs.is_known("g:7")
+        assert fixture.node.hubs.is_known("h1:7")
+
     def test_entry_returns_to_the_nearest_hub(self):
         fixture = Fixture().serve()
         assert fixture.node.hubs.address == "h0:7"
--- a/tarragonshelf/site/_edge.py
+++ b/tarragonshelf/site/_edge.py
@@ -1,7 +1,8 @@
 """Entry process of a site."""
 
 import asyncio
-from dataclasses import dataclass
+from collections.abc import Coroutine
+from dataclasses import dataclass, replace
 from random import SystemRandom
 
 from aiohttp import web
@@ -14,13 +15,16 @@
     EdgeSettings,
     FollowHub,
     HubLost,
+    HubProbed,
     HubReceived,
     PermitAnswered,
+    ProbeHub,
     RetryDecided,
     SendToHub,
     plan_stop,
 )
 from ..forwarding import PermitDecided, PermitNeeded, RelayAttempt, RelayEnded
+from ..hub import HubBeat, HubNews
 from ..registry import TargetEntry
 from ..relaying import CheckTargets, CloseIdleConnections
 from ..replication import EmitEvent
@@ -45,6 +49,7 @@
 
 TICK_SECONDS = 0.05
 MAINTENANCE_SECONDS = 1.0
+PROBE_TIMEOUT_SECONDS = 1.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -152,7 +157,8 @@
         )
         self._hub_connection: Connection | None = None
         self._hub_task: asyncio.Task | None = None
-        self._checks: set[asyncio.Task] = set()
+        # Checks of targets and probes of hubs.
+        self._tasks_under_way: set[asyncio.Task] = set()
         self._pending_retries: dict[int, asyncio.Future] = {}
         self._pending_permits: dict[int, asyncio.Future] = {}
 
@@ -205,8 +211,8 @@
             await server.stop()
         if self.addresses.metrics:
             await self.administration.stop()
-        for check in self._checks:
-            check.cancel()
+        for task in self._tasks_under_way:
+            task.cancel()
         self.pool.close()
         self.relay_client.close()
         self.links.close()
@@ -238,6 +244,8 @@
         for effect in effects:
             if isinstance(effect, FollowHub):
                 self._follow(effect.address)
+            elif isinstance(effect, ProbeHub):
+                self._start_task(self._probe_hub(effect.address))
             elif isinstance(effect, SendToHub):
                 if self._hub_connection is not None:
                     self._hub_connection.send(effect.message)
@@ -247,7 +255,7 @@
                 self._pending_permits.pop(effect.number).set_result(effect.decided)
             elif isinstance(effect, CheckTargets):
                 for target in effect.targets:
-                    self._start_check(target)
+                    self._start_task(self._check(target))
             elif isinstance(effect, CloseIdleConnections):
                 self.pool.close()
             elif isinstance(effect, EmitEvent):
@@ -258,10 +266,10 @@
     def _handle_path_message(self, message: Message) -> None:
         self._execute_effects(self.node.handle(read_time(), message))
 
-    def _start_check(self, target: TargetEntry) -> None:
-        task = asyncio.get_running_loop().create_task(self._check(target))
-        self._checks.add(task)
-        task.add_done_callback(self._checks.discard)
+    def _start_task(self, coroutine: Coroutine[None, None, None]) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks_under_way.add(task)
+        task.add_done_callback(self._tasks_under_way.discard)
 
     async def _check(self, target: TargetEntry) -> None:
         self._handle_path_message(await self.pool.check(target))
@@ -302,6 +310,35 @@
         self.logger.msg("hub_lost", hub=address, problem=problem)
         self._execute_effects(self.node.handle(read_time(), HubLost(address)))
 
+    async def _probe_hub(self, address: str) -> None:
+        """Ask a hub for a heartbeat and the hubs that it knows, without following it."""
+        is_current: bool | None = None
+
+        def handle(connection: Connection, frame: Frame) -> None:
+            nonlocal is_current
+            if isinstance(frame.message, HubBeat):
+                is_current = frame.message.is_current
+            elif isinstance(frame.message, HubNews):
+                # The reply to a look-up ends with this message.
+                self._execute_effects(
+                    self.node.handle(read_time(), HubReceived(address, frame.message))
+                )
+                connection.close()
+
+        problem = ""
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
+                connection = await self.links.open(address)
+                try:
+                    connection.send(replace(self.node.create_subscription(), is_lookup=True))
+                    await connection.read(handle)
+                finally:
+                    connection.close()
+        except (UnreachableError, FrameError, OSError, TimeoutError) as error:
+            problem = repr(error)
+        self._report("hub_probed", hub=address, is_current=is_current, problem=problem)
+        self._execute_effects(self.node.handle(read_time(), HubProbed(address, is_current)))
+
     async def _receive(self, address: str, frame: Frame) -> None:
         received = HubReceived(address, frame.message)
         effects = self.node.handle(read_time(), received)
