Refuse a request without a route as outdated while a newer version may have one

An entry that has had no current hub for a second knows that it may lack a version, but said that there is no such route.

Ruled out: refusing requests that do have a route: they stay served, for hours without any control.

Change: such a request is refused with 503 and Retry-After as outdated, which is true (it has not run) and lets the caller come back or go elsewhere; with a current hub it is 404 as before.

Evidence: test_request_without_a_route_is_refused_while_a_version_may_be_missing got 404 before.

--- a/tarragonshelf/edge/_hub_selector.py
+++ b/tarragonshelf/edge/_hub_selector.py
@@ -87,6 +87,12 @@
         is_timed_out = now - self._last_contact_at >= HEARTBEAT_TIMEOUT_SECONDS
         return not is_timed_out and self._stale_since is None
 
+    def compute_outdated_seconds(self, now: float) -> float:
+        """Return for how long there has been no current hub, which would report new versions."""
+        if self.has_current_hub(now) or self._not_current_since is None:
+            return 0.0
+        return now - self._not_current_since
+
     def describe(self, now: float) -> dict:
         """Return the followed hub and its state as fields of a log event."""
         return {
--- a/tarragonshelf/edge/_node.py
+++ b/tarragonshelf/edge/_node.py
@@ -84,6 +84,8 @@
 # Bounds of the Retry-After time: within it a target has probably finished a request.
 MINIMUM_RETRY_AFTER_SECONDS = 0.1
 MAXIMUM_RETRY_AFTER_SECONDS = 2.0
+# Without a current hub for this long an entry may lack a version that is in force elsewhere.
+OUTDATED_SECONDS = 1.0
 # Tokens of the entry's own retry budget when it loses its hub. Together with the retries that
 # hubs granted just before, all entries stay below the budget of the site.
 INITIAL_LOCAL_TOKENS = 0.4
@@ -171,6 +173,10 @@
         """The version of the catalogue in force; 0 is none."""
         return self.catalogue.version if self.catalogue else 0
 
+    def may_lack_version(self, now: float) -> bool:
+        """Return whether a newer catalogue may be in force that this entry has not received."""
+        return self.hubs.compute_outdated_seconds(now) >= OUTDATED_SECONDS
+
     def match(self, host: str, path: str) -> RouteMatch | None:
         """Return the route of a request; only call this with a catalogue in force."""
         return self._table.match(host, path)
--- a/tarragonshelf/edge/tests/test_edge.py
+++ b/tarragonshelf/edge/tests/test_edge.py
@@ -116,6 +116,17 @@
         assert fixture.node.version == 4
         assert any(item.event == "catalogue_in_force" for item in fixture.find(EmitEvent))
 
+    def test_version_may_be_missing_after_a_second_without_a_current_hub(self):
+        fixture = Fixture().serve().tick()
+        assert not fixture.node.may_lack_version(fixture.now)
+        fixture.probe_results = dict.fromkeys(("h0:7", "h1:7", "h2:7"), False)
+        fixture.receive(HubBeat("h0", False)).tick(0.9)
+        assert not fixture.node.may_lack_version(fixture.now)
+        fixture.receive(HubBeat("h0", False)).tick(0.2)
+        assert fixture.node.may_lack_version(fixture.now)
+        fixture.receive(HubBeat("h0", True))
+        assert not fixture.node.may_lack_version(fixture.now)
+
     def test_catalogue_stays_in_force_without_any_hub(self):
         fixture = Fixture().serve()
         fixture.node.handle(fixture.now, HubLost(fixture.node.hubs.address))
--- a/tarragonshelf/forwarding/_messages.py
+++ b/tarragonshelf/forwarding/_messages.py
@@ -109,6 +109,7 @@
     HELD_BACK = "held-back"
     LIMITED = "limited"
     NO_PATH = "no-path"
+    OUTDATED = "outdated"
     STOPPING = "stopping"
     MAY_HAVE_RUN = "may-have-run"
     DEADLINE = "deadline"
--- a/tarragonshelf/site/_caller_server.py
+++ b/tarragonshelf/site/_caller_server.py
@@ -34,6 +34,8 @@
 MAXIMUM_LOGGED_TARGETS = 16
 # Idle connections are checked once per second, so their idle time is known to within 1 s.
 IDLE_MARGIN_SECONDS = 1.0
+# Time in which an entry usually finds another hub.
+OUTDATED_RETRY_AFTER_SECONDS = 0.5
 METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH", "DELETE"})
 
 
@@ -165,14 +167,7 @@
         fields = self.dialect.read_caller_fields(request.raw_headers)
         matched = node.match(request.headers.get("Host", ""), request.raw_path)
         if matched is None:
-            return self._reject(
-                404,
-                "no-route",
-                request=fields.request_id.decode("latin-1"),
-                version=node.version,
-                path=request.raw_path,
-                **node.hubs.describe(arrived_at),
-            )
+            return self._reject_unrouted(arrived_at, request.raw_path, fields.request_id)
         content = _create_content(request, body, fields.request_id)
         forward_request = _create_forward_request(arrived_at, matched, fields, content)
         node.record_request(arrived_at, matched.service)
@@ -248,6 +243,25 @@
             for item in unanswered
         ]
 
+    def _reject_unrouted(self, now: float, path: str, request_id: bytes) -> web.Response:
+        """Reject a request without a route, or refuse it if a newer catalogue may have one."""
+        node = self.node
+        may_lack_version = node.may_lack_version(now)
+        response = self._reject(
+            503 if may_lack_version else 404,
+            RefusalReason.OUTDATED if may_lack_version else "no-route",
+            request=request_id.decode("latin-1"),
+            version=node.version,
+            path=path,
+            **node.hubs.describe(now),
+        )
+        if not may_lack_version:
+            return response
+        refuse = Refuse(
+            RefusalReason.OUTDATED, has_run=False, retry_after=OUTDATED_RETRY_AFTER_SECONDS
+        )
+        return self.dialect.create_refusal(refuse, request_id)
+
     def _reject(self, status: int, reason: str, **fields) -> web.Response:
         self.metrics.count("requests_total", ("route", ""), ("outcome", reason))
         self.report("request_rejected", status=status, reason=reason, **fields)
--- a/tarragonshelf/site/tests/test_caller_server.py
+++ b/tarragonshelf/site/tests/test_caller_server.py
@@ -207,6 +207,21 @@
 
         assert run(test()) == 1
 
+    # Incident CONFIG, case 2: an entry without a current hub said that a new route does not exist.
+    def test_request_without_a_route_is_refused_while_a_version_may_be_missing(self):
+        async def test():
+            async with Fixture() as fixture:
+                now = asyncio.get_running_loop().time()
+                fixture.node.tick(now - 10.0)
+                reader, writer = await fixture.connect()
+                writer.write(create_request("q1").replace(b"Host: h", b"Host: other"))
+                return await read_response(reader)
+
+        status, body, headers = run(test())
+        assert (status, body) == (503, b"outdated")
+        assert float(headers[b"retry-after"]) > 0
+        assert headers[b"request-id"] == b"q1"
+
     def test_request_without_a_route_gets_404(self):
         async def test():
             async with Fixture() as fixture:
