Hubs tell other hubs only of those that they have heard themselves

A hub without a heartbeat is forgotten after 60 s, but hubs passed on each other's lists, so one whose time ended later (after a restart, for example) brought a removed hub back to all others, for good. Entries then kept connecting to it.

Change: the list for other hubs holds the sender and those whose heartbeats it received. Entries and the own disk still get all known hubs.

--- a/tarragonshelf/hub/_node.py
+++ b/tarragonshelf/hub/_node.py
@@ -265,6 +265,6 @@
         is_introducing = self.needs_to_join(now)
         for address in self.list_contacts(now):
             if self.registrar.needs_hub_news(now, address) or is_introducing:
-                self._effects.append(SendToPeer(address, self.registrar.create_hub_news()))
+                self._effects.append(SendToPeer(address, self.registrar.create_peer_news(now)))
             self._effects.append(SendToPeer(address, self._create_heartbeat(now)))
             self._effects.append(SendToPeer(address, digest))
--- a/tarragonshelf/hub/_registrar.py
+++ b/tarragonshelf/hub/_registrar.py
@@ -34,7 +34,9 @@
         self.own = own
         self.regions = regions
         self._hubs: dict[str, HubRecord] = {own.vm: own}
+        # When each hub was last heard, or learned of; and when it was heard by this hub itself.
         self._last_heartbeat_at: dict[str, float] = {}
+        self._heard_at: dict[str, float] = {}
         self._hub_news_sent_at: dict[str, float] = {}
         self._last_announcement_at: dict[str, float] = {}
 
@@ -53,6 +55,21 @@
         """Return all known hubs."""
         return HubNews(tuple(self._hubs.values()))
 
+    def create_peer_news(self, now: float) -> HubNews:
+        """Return this hub and those that it has heard itself.
+
+        Hubs that pass on what they were told would keep each other from forgetting one that is
+        gone.
+        """
+        return HubNews(
+            tuple(
+                record
+                for vm, record in self._hubs.items()
+                if vm == self.own.vm
+                or now - self._heard_at.get(vm, float("-inf")) <= HUB_RETENTION_SECONDS
+            )
+        )
+
     def merge_hubs(self, now: float, hubs: tuple[HubRecord, ...]) -> bool:
         """Add or update hubs and return whether any of them changed."""
         is_new = False
@@ -65,7 +82,7 @@
 
     def record_heartbeat(self, now: float, vm: str) -> None:
         """Record a heartbeat of a hub, and remove hubs without one for too long."""
-        self._last_heartbeat_at[vm] = now
+        self._last_heartbeat_at[vm] = self._heard_at[vm] = now
         expired = [
             name
             for name, at in self._last_heartbeat_at.items()
@@ -73,6 +90,7 @@
         ]
         for name in expired:
             del self._last_heartbeat_at[name]
+            self._heard_at.pop(name, None)
             self._hubs.pop(name, None)
 
     def needs_hub_news(self, now: float, address: str) -> bool:
