--- a/tarragonshelf/hub/_state.py
+++ b/tarragonshelf/hub/_state.py
@@ -124,8 +124,11 @@
         return now - self.replica.last_leader_contact < LEADER_TIMEOUT_SECONDS
 
     def needs_to_join(self, now: float) -> bool:
-        """Return whether no leader replicates to this hub, so that it has to join."""
-        return not self.is_stopping and not self.is_current(now)
+        """Return whether this hub has no contact with a leader, or is no member.
+
+        A leader that replicates to its address may take it for an incarnation whose disk is lost.
+        """
+        return not self.is_stopping and not (self.is_member and self.is_current(now))
 
     @property
     def is_stopping(self) -> bool:
--- a/tarragonshelf/hub/tests/test_replacement.py
+++ b/tarragonshelf/hub/tests/test_replacement.py
@@ -64,6 +64,49 @@
         assert {"new1", "new2"} <= site.voters
 
 
+class TestPowerLoss:
+    # Incident CONFIG: the final fault came while a control was joining.
+    @pytest.mark.parametrize("loses_disk", [False, True])
+    @pytest.mark.parametrize("count", [3, 5])
+    @pytest.mark.parametrize("tenths", range(0, 30, 3))
+    def test_hub_that_was_joining_joins_after_all_lost_power(self, tenths, count, loses_disk):
+        site = FakeSite(count, seed=tenths)
+        assert site.put(1)
+        lost = sorted(site.hubs)[tenths % count]
+        site.remove(lost)
+        site.add("new", "z1", tuple(list_running(site)[:1]))
+        site.start("new")
+        site.advance(tenths / 10)
+        running = list_running(site)
+        # One disk at a time may be lost, so the successor loses its own again.
+        for vm in running:
+            site.stop(vm, loses_power=True, loses_disk=loses_disk and vm == "new")
+        for vm in running:
+            site.start(vm)
+        site.advance(RECOVERY_SECONDS)
+        assert site.voters == set(running)
+        assert site.read().version == 1
+        assert site.put(2)
+
+
+class TestKnownHubs:
+    # Hubs told each other of one that was gone, and so never forgot it.
+    def test_removed_hub_is_forgotten_by_all(self):
+        site = FakeSite(5)
+        site.subscribe("vm0", 1, "e")
+        lost = next(vm for vm in site.hubs if vm not in (site.leader, "vm0"))
+        site.remove(lost)
+        site.advance(40.0)
+        restarted = list_running(site)[-1]
+        site.stop(restarted)
+        site.start(restarted)
+        site.advance(200.0)
+        for vm in list_running(site):
+            known = site.hubs[vm].node.registrar.list_addresses()
+            assert site.hubs[lost].record.address not in known
+            assert len(known) == 4
+
+
 class TestReplacementOfAll:
     # Incident CONFIG: after five controls had been replaced one after another, none of those that
     # ran could lead, and acknowledged changes could not be read any more.
