A control asks the leader that a refusal names, also before it is a member

A control that passed a change or a read on to a hub that leads no longer dropped the refusal and the leader in it, and one outside answered 503 although others had told it who leads.

Evidence: test_leader_that_a_refusal_names_is_asked got no reply before.

--- a/tarragonshelf/replication/_join_requests.py
+++ b/tarragonshelf/replication/_join_requests.py
@@ -35,6 +35,11 @@
         self._waiting: dict[str, float] = {}
         self.add_seeds(seeds)
 
+    @property
+    def latest_leader(self) -> str:
+        """Address of the leader that a refusal named last, or an empty string."""
+        return self._leaders[0] if self._leaders else ""
+
     @property
     def contacts(self) -> tuple[str, ...]:
         """Addresses of seeds and of leaders that other replicas named."""
--- a/tarragonshelf/site/_hub.py
+++ b/tarragonshelf/site/_hub.py
@@ -440,13 +440,15 @@
     async def submit(self, message: Message) -> Message | None:
         """Return the leader's reply to a command, or None if the time-out expired first.
 
-        Refusals other than ``INVALID`` are retried until then.
+        Refusals other than ``INVALID`` are retried until then, at the leader that they name.
         """
         deadline = read_time() + SUBMIT_TIMEOUT_SECONDS
+        named_leader = ""
         while (remaining := deadline - read_time()) > 0:
             reply = await self._submit_once(
-                message, min(remaining, SUBMIT_ATTEMPT_TIMEOUT_SECONDS)
+                message, min(remaining, SUBMIT_ATTEMPT_TIMEOUT_SECONDS), named_leader
             )
+            named_leader = reply.leader if isinstance(reply, Refused) else ""
             if reply is not None and not isinstance(reply, Refused):
                 return reply
             if isinstance(reply, Refused) and reply.reason == RefusedReason.INVALID:
@@ -454,13 +456,19 @@
             await asyncio.sleep(max(0.0, min(SUBMIT_RETRY_DELAY_SECONDS, deadline - read_time())))
         return None
 
-    async def _submit_once(self, message: Message, timeout: float) -> Message | None:
-        """Send a message once to the leader, which may be this hub."""
+    async def _submit_once(
+        self, message: Message, timeout: float, named_leader: str
+    ) -> Message | None:
+        """Send a message once to the leader, which may be this hub.
+
+        A hub that is no member yet knows only leaders that other hubs named.
+        """
         if self.node is None:
             return None
-        leader = self.node.leader_address
+        leader = named_leader or self.node.leader_address or self.node.joins.latest_leader
+        is_own = leader in ("", self.settings.record.address)
         try:
-            if self.node.replica.is_leader or not leader:
+            if self.node.replica.is_leader or is_own:
                 return await asyncio.wait_for(self._start_call(message), timeout)
             return await asyncio.wait_for(self.links.get(leader).call(message, timeout), timeout)
         except (UnreachableError, CallTimeoutError, TimeoutError):
--- a/tarragonshelf/site/tests/test_hub_service.py
+++ b/tarragonshelf/site/tests/test_hub_service.py
@@ -4,9 +4,11 @@
 import errno
 from unittest import mock
 
+from ...catalogue import CatalogueCopy, ReadCatalogue
 from ...hub import HubRecord
 from ...hub.tests.fakes import FakeReader
 from ...registry import TargetEntry, TargetState
+from ...replication import PeerCallEnded, Refused, RefusedReason
 from .._hub import DISK_RETRY_SECONDS, HubService, HubSettings
 from .._interfaces import HubRequestHandler
 
@@ -42,6 +44,40 @@
     raise AssertionError("the condition was not reached within 200 ticks")
 
 
+class FakeLink:
+    """A link to a hub that gives the same reply to each call."""
+
+    def __init__(self, reply):
+        self.reply = reply
+
+    async def call(self, message, timeout):
+        return self.reply
+
+
+class TestSubmit:
+    # Incident CONFIG: a hub dropped the refusals of others, and the leader that they named.
+    def test_leader_that_a_refusal_names_is_asked(self, tmp_path):
+        async def test():
+            service = create_service(tmp_path)
+            service._restore()
+            links = {
+                "127.0.0.2:7000": FakeLink(Refused(RefusedReason.NOT_LEADER, "127.0.0.3:7000")),
+                "127.0.0.3:7000": FakeLink(CatalogueCopy(7)),
+            }
+            service.node.joins.handle_result(
+                0.0,
+                PeerCallEnded(
+                    "127.0.0.4:7000",
+                    service.node.joins.join,
+                    Refused(RefusedReason.NOT_LEADER, "127.0.0.2:7000"),
+                ),
+            )
+            with mock.patch.object(service.links, "get", side_effect=links.get):
+                return await service.submit(ReadCatalogue())
+
+        assert asyncio.run(test()) == CatalogueCopy(7)
+
+
 class TestDisk:
     def test_first_start_on_a_full_disk_retries_until_there_is_space(self, tmp_path):
         async def test():
