Drop and report unknown messages instead of closing the connection

Cause: a frame of a kind that this build lacks, an unknown enum value or a missing field raised FrameError, which closed the connection: of a hub and its entries, of two hubs (with the replication on it), of a join. While builds run side by side, each new message of one build broke the links to the other, and a caller of an unknown call waited for a broken connection.

Change: the codec tells well-formed but unknown content from malformed bytes. An unknown one-way message or reply is dropped, an unknown call is refused with unknown-name, the caller of a call whose reply is unknown gets an error at once. An unknown item is left out of a list only where each item stands for itself (evidence); a list of targets, which is confirmed as a whole, and log entries are dropped as a whole message. On disk nothing is left out: the decoder still raises. Each case is logged (message_unknown, within the rate limit) and counted (messages_unknown by link and kind). Malformed bytes close the connection as before.

Conclusion: future messages no longer break links to builds from this one on; builds before it still close the connection.

--- a/tarragonshelf/daemons/_control.py
+++ b/tarragonshelf/daemons/_control.py
@@ -19,7 +19,14 @@
 )
 from ..settings import ControlSettings
 from ..storage import CorruptionError, ReplicaStore, create_local_file_system
-from ..telemetry import AdministrationServer, Metrics, create_clock, create_logger
+from ..telemetry import (
+    AdministrationServer,
+    LogRateLimiter,
+    Metrics,
+    create_clock,
+    create_logger,
+    create_unknown_reporter,
+)
 from ..transport import (
     CallTimeoutError,
     Connection,
@@ -59,6 +66,9 @@
             secret=secret,
             clock=self.clock,
             handler=self._handle_frame,
+            report_unknown=create_unknown_reporter(
+                self.metrics, LogRateLimiter(self.logger).write
+            ),
         )
         self.server = PeerServer(
             vm=settings.vm,
--- a/tarragonshelf/daemons/_entry.py
+++ b/tarragonshelf/daemons/_entry.py
@@ -11,7 +11,14 @@
 from ..health import EvidenceDigest
 from ..membership import EntryRecord, EntryState, Gossip, SendGossip
 from ..settings import EntrySettings
-from ..telemetry import AdministrationServer, Metrics, create_clock, create_logger
+from ..telemetry import (
+    AdministrationServer,
+    LogRateLimiter,
+    Metrics,
+    create_clock,
+    create_logger,
+    create_unknown_reporter,
+)
 from ..transport import (
     CallTimeoutError,
     Connection,
@@ -61,6 +68,9 @@
             secret=secret,
             clock=self.clock,
             handler=self._handle_frame,
+            report_unknown=create_unknown_reporter(
+                self.metrics, LogRateLimiter(self.logger).write
+            ),
         )
         self.server = PeerServer(
             vm=settings.vm,
--- a/tarragonshelf/site/_edge.py
+++ b/tarragonshelf/site/_edge.py
@@ -24,7 +24,14 @@
 from ..registry import TargetEntry
 from ..relaying import CheckTargets, CloseIdleConnections
 from ..replication import EmitEvent
-from ..telemetry import AdministrationServer, LogRateLimiter, Metrics, create_clock, create_logger
+from ..telemetry import (
+    AdministrationServer,
+    LogRateLimiter,
+    Metrics,
+    create_clock,
+    create_logger,
+    create_unknown_reporter,
+)
 from ..transport import (
     EDGE_PACKAGES,
     Connection,
@@ -106,6 +113,7 @@
             secret=secret,
             clock=self.clock,
             codec=create_codec(EDGE_PACKAGES),
+            report_unknown=create_unknown_reporter(self.metrics, self._report),
         )
         self.pool = ConnectionPool(
             dialect,
--- a/tarragonshelf/site/_hub.py
+++ b/tarragonshelf/site/_hub.py
@@ -38,7 +38,14 @@
     StopRequested,
 )
 from ..storage import CorruptionError, RestoredState
-from ..telemetry import AdministrationServer, LogRateLimiter, Metrics, create_clock, create_logger
+from ..telemetry import (
+    AdministrationServer,
+    LogRateLimiter,
+    Metrics,
+    create_clock,
+    create_logger,
+    create_unknown_reporter,
+)
 from ..throttling import PermitRequest
 from ..transport import (
     SITE_PACKAGES,
@@ -138,6 +145,7 @@
             clock=self.clock,
             handler=self._receive,
             codec=create_codec(SITE_PACKAGES),
+            report_unknown=create_unknown_reporter(self.metrics, self._report),
         )
         self.outbox = MessageBatcher(self.links.frames, self.clock)
         self.server = PeerServer(
--- a/tarragonshelf/telemetry/__init__.py
+++ b/tarragonshelf/telemetry/__init__.py
@@ -2,6 +2,7 @@
 
 from ._administration import AdministrationServer, Metrics
 from ._logs import LogRateLimiter, create_clock, create_logger
+from ._unknown import create_unknown_reporter
 
 __all__ = [
     "AdministrationServer",
@@ -9,4 +10,5 @@
     "Metrics",
     "create_clock",
     "create_logger",
+    "create_unknown_reporter",
 ]
--- a/tarragonshelf/transport/__init__.py
+++ b/tarragonshelf/transport/__init__.py
@@ -1,16 +1,17 @@
 """Communication between processes: Thrift codec, frames, connections and calls."""
 
 from ._batcher import MessageBatcher
-from ._codec import EDGE_PACKAGES, SITE_PACKAGES, ThriftCodec, create_codec
+from ._codec import EDGE_PACKAGES, SITE_PACKAGES, ThriftCodec, UnknownMessageError, create_codec
 from ._connection import (
     CallTimeoutError,
     Connection,
     Link,
     PeerServer,
+    UnknownReplyError,
     UnreachableError,
     set_user_timeout,
 )
-from ._frames import Frame, FrameCodec
+from ._frames import Frame, FrameCodec, UnknownMessage
 from ._handshake import Challenge, Proof, Welcome, compute_proof
 from ._links import PeerLinks
 
@@ -28,6 +29,9 @@
     "PeerServer",
     "Proof",
     "ThriftCodec",
+    "UnknownMessage",
+    "UnknownMessageError",
+    "UnknownReplyError",
     "UnreachableError",
     "Welcome",
     "compute_proof",
--- a/tarragonshelf/transport/_codec.py
+++ b/tarragonshelf/transport/_codec.py
@@ -10,7 +10,8 @@
 import typing
 from importlib import import_module
 
-from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
+from thrift.protocol.TCompactProtocol import TCompactProtocol, TCompactProtocolAcceleratedFactory
+from thrift.Thrift import TType
 from thrift.transport.TTransport import TMemoryBuffer
 from thrift.TSerialization import serialize
 
@@ -33,6 +34,52 @@
     "membership",
     "entry",
 )
+BODY_FIELD = next(spec[0] for spec in ttypes.Envelope.thrift_spec if spec and spec[2] == "body")
+# Items that are left out of a received list if this build does not know one of their values. Each
+# stands for itself, and nobody confirms them. Other lists are accepted or refused as a whole: a
+# log entry must not be skipped, and a control confirms that it stored a list of targets.
+SKIPPABLE_ITEMS = frozenset({"EvidenceItem"})
+# The ``RefusedReason`` of an unknown call; entries do not load that class.
+UNKNOWN_CALL_REASON = "unknown-name"
+
+
+class UnknownMessageError(FrameError):
+    """Well-formed content that this build does not know.
+
+    Either the kind of message is unknown, or one of its values, or a field that this build needs
+    is missing.
+
+    Attributes
+    ----------
+    kind : int
+        Number of the message's field in ``Body``.
+    """
+
+    def __init__(self, kind: int, problem: str):
+        super().__init__(problem)
+        self.kind = kind
+
+
+class SkippedItems:
+    """The problems of list items that were left out while a message was converted.
+
+    ``problems`` is None if no item may be left out.
+    """
+
+    def __init__(self):
+        self.problems: list[str] | None = None
+
+    def convert(self, from_wire: typing.Callable, items: list) -> tuple:
+        """Return the items that could be converted; raise if none may be left out."""
+        converted = []
+        for item in items:
+            try:
+                converted.append(from_wire(item))
+            except (TypeError, ValueError, AttributeError) as error:
+                if self.problems is None:
+                    raise
+                self.problems.append(str(error))
+        return tuple(converted)
 
 
 class StructConverter:
@@ -43,7 +90,7 @@
         self.wire_class = wire_class
         self._fields: list[tuple[str, str, typing.Any, typing.Any]] = []
 
-    def prepare(self, converters: dict[type, "StructConverter"]) -> None:
+    def prepare(self, converters: dict[type, "StructConverter"], skipped: SkippedItems) -> None:
         """Create the conversion of each field.
 
         This needs the converters of all messages, as messages contain other messages.
@@ -51,7 +98,7 @@
         hints = typing.get_type_hints(self.message_class)
         for field in dataclasses.fields(self.message_class):
             wire_name = WIRE_FIELD_NAMES.get(field.name, field.name)
-            to_wire, from_wire = _create_conversions(hints[field.name], converters)
+            to_wire, from_wire = _create_conversions(hints[field.name], converters, skipped)
             self._fields.append((field.name, wire_name, to_wire, from_wire))
 
     def to_wire(self, message: Message) -> typing.Any:
@@ -74,7 +121,7 @@
         return self.message_class(**values)
 
 
-def _create_conversions(hint, converters):
+def _create_conversions(hint, converters, skipped):
     """Return functions that convert a value of a type to the wire and back.
 
     Both are None if the value needs no conversion.
@@ -82,9 +129,9 @@
     origin = typing.get_origin(hint)
     if origin in (typing.Union, types.UnionType):
         inner_hint = next(item for item in typing.get_args(hint) if item is not types.NoneType)
-        return _create_conversions(inner_hint, converters)
+        return _create_conversions(inner_hint, converters, skipped)
     if origin is tuple:
-        return _create_list_conversions(typing.get_args(hint)[0], converters)
+        return _create_list_conversions(typing.get_args(hint)[0], converters, skipped)
     if hint in converters:
         return converters[hint].to_wire, converters[hint].from_wire
     if issubclass(hint, enum.StrEnum):
@@ -92,14 +139,22 @@
     return None, None
 
 
-def _create_list_conversions(hint, converters):
-    to_wire, from_wire = _create_conversions(hint, converters)
+def _create_list_conversions(hint, converters, skipped):
+    to_wire, from_wire = _create_conversions(hint, converters, skipped)
     if to_wire is None:
         return list, tuple
-    return (
-        lambda items: [to_wire(item) for item in items],
-        lambda items: tuple(from_wire(item) for item in items),
-    )
+
+    def convert_all_to_wire(items):
+        return [to_wire(item) for item in items]
+
+    def convert_all_from_wire(items):
+        return tuple(from_wire(item) for item in items)
+
+    def convert_known_from_wire(items):
+        return skipped.convert(from_wire, items)
+
+    is_skippable = hint.__name__ in SKIPPABLE_ITEMS
+    return convert_all_to_wire, convert_known_from_wire if is_skippable else convert_all_from_wire
 
 
 class ThriftCodec(Codec):
@@ -115,6 +170,8 @@
     def __init__(self, packages: tuple[str, ...] = ALL_PACKAGES):
         self._factory = TCompactProtocolAcceleratedFactory()
         self._fields: dict[type, tuple[str, StructConverter]] = {}
+        self._kinds: dict[str, int] = {}
+        self._skipped = SkippedItems()
         converters = {}
         modules = [_handshake]
         modules += (import_module(f"..{name}", __package__) for name in packages)
@@ -128,16 +185,55 @@
             converter = StructConverter(message_class, wire_class)
             converters[converter.message_class] = converter
             self._fields[converter.message_class] = (spec[2], converter)
+            self._kinds[spec[2]] = spec[0]
         for converter in converters.values():
-            converter.prepare(converters)
+            converter.prepare(converters, self._skipped)
 
     def encode(self, message: Message) -> bytes:
         """Return a message as bytes."""
         return serialize(self.to_body(message), self._factory)
 
     def decode(self, content: bytes) -> Message:
-        """Return the message that was encoded; raise ``FrameError`` on malformed content."""
-        return self.from_body(self.read_struct(ttypes.Body, content))
+        """Return the message that was encoded.
+
+        Raises
+        ------
+        UnknownMessageError
+            If this build does not know its kind or one of its values.
+        FrameError
+            If the content is malformed.
+        """
+        body = self.read_struct(ttypes.Body, content)
+        message = self._convert_body(body)
+        if message is None:
+            raise self._create_unknown_kind(_read_body_field(_create_reader(content)))
+        return message
+
+    def decode_envelope(self, content: bytes) -> tuple[ttypes.Envelope, Message | None, list]:
+        """Return an envelope, its message, and an error for each part that is unknown.
+
+        The message is None if it is unknown as a whole. Unknown items of lists in
+        ``SKIPPABLE_ITEMS`` are left out of it.
+
+        Raises
+        ------
+        FrameError
+            If the content is malformed.
+        """
+        envelope = self.read_struct(ttypes.Envelope, content)
+        self._skipped.problems = problems = []
+        try:
+            message = self._convert_body(envelope.body)
+        except UnknownMessageError as error:
+            return envelope, None, [error]
+        finally:
+            self._skipped.problems = None
+        if message is None:
+            return envelope, None, [self._create_unknown_kind(_read_kind(content))]
+        if not problems:
+            return envelope, message, []
+        kind = self._kinds[self._fields[type(message)][0]]
+        return envelope, message, [UnknownMessageError(kind, problem) for problem in problems]
 
     def to_body(self, message: Message) -> ttypes.Body:
         """Return the generated ``Body`` that contains a message."""
@@ -146,22 +242,26 @@
         setattr(body, name, converter.to_wire(message))
         return body
 
-    def from_body(self, body: ttypes.Body | None) -> Message:
-        """Return the message in a generated ``Body``.
+    def create_refusal(self, kind: int) -> ttypes.Body:
+        """Return the generated ``Body`` of the reply to a call of an unknown kind."""
+        detail = f"this build does not know messages of kind {kind}"
+        return ttypes.Body(refused=ttypes.Refused(reason=UNKNOWN_CALL_REASON, detail=detail))
 
-        Raises
-        ------
-        FrameError
-            If it contains no supported message, or one with invalid fields.
-        """
+    def _convert_body(self, body: ttypes.Body | None) -> Message | None:
+        """Return the message in a generated ``Body``, or None if its kind is not supported."""
         for name, converter in self._fields.values():
             wire = getattr(body, name, None)
             if wire is not None:
                 try:
                     return converter.from_wire(wire)
                 except (TypeError, ValueError, AttributeError) as error:
-                    raise FrameError(f"message {name!r} is malformed: {error}") from error
-        raise FrameError("frame contains no supported message")
+                    raise UnknownMessageError(
+                        self._kinds[name], f"this build does not know a message {name!r}: {error}"
+                    ) from error
+        return None
+
+    def _create_unknown_kind(self, kind: int) -> FrameError:
+        return UnknownMessageError(kind, f"this build does not know messages of kind {kind}")
 
     def read_struct(self, wire_class: type, content: bytes) -> typing.Any:
         """Return the generated object that was encoded; raise ``FrameError`` on bad content."""
@@ -178,6 +278,39 @@
         return serialize(wire, self._factory)
 
 
+def _create_reader(content: bytes) -> TCompactProtocol:
+    return TCompactProtocol(TMemoryBuffer(content))
+
+
+def _read_kind(content: bytes) -> int:
+    """Return the number of the kind of message in an encoded ``Envelope``.
+
+    Raises
+    ------
+    FrameError
+        If it contains no message.
+    """
+    reader = _create_reader(content)
+    reader.readStructBegin()
+    while True:
+        _, field_type, number = reader.readFieldBegin()
+        if field_type == TType.STOP:
+            raise FrameError("frame contains no message")
+        if (number, field_type) == (BODY_FIELD, TType.STRUCT):
+            return _read_body_field(reader)
+        reader.skip(field_type)
+        reader.readFieldEnd()
+
+
+def _read_body_field(reader: TCompactProtocol) -> int:
+    """Return the number of the first field of a ``Body``; raise ``FrameError`` if it is empty."""
+    reader.readStructBegin()
+    _, field_type, number = reader.readFieldBegin()
+    if field_type == TType.STOP:
+        raise FrameError("frame contains no message")
+    return number
+
+
 def _find_message_class(modules: list, wire_class: type) -> type | None:
     for module in modules:
         found = getattr(module, wire_class.__name__, None)
--- a/tarragonshelf/transport/_connection.py
+++ b/tarragonshelf/transport/_connection.py
@@ -9,7 +9,7 @@
 
 from ..base import FrameError, Message
 from ..utils import HybridClock
-from ._frames import MAXIMUM_HANDSHAKE_BYTES, Frame, FrameCodec
+from ._frames import MAXIMUM_HANDSHAKE_BYTES, Frame, FrameCodec, UnknownMessage
 from ._handshake import (
     NONCE_BYTES,
     Challenge,
@@ -41,11 +41,17 @@
     """The connection to a peer could not be established, or it broke."""
 
 
+class UnknownReplyError(UnreachableError):
+    """A peer's reply to a call cannot be understood; the peer may have executed the call."""
+
+
 class CallTimeoutError(TimeoutError):
     """A peer did not answer a call in time; it may still execute the call."""
 
 
 Handler = Callable[["Connection", Frame], Awaitable[None] | None]
+# Name of the link of an unknown message on the connecting side, which is not told the peer's role.
+OUTGOING_LINK = "outgoing"
 
 
 class Connection:
@@ -123,6 +129,8 @@
         ------
         UnreachableError
             If the connection is closed before the reply arrives.
+        UnknownReplyError
+            If this build does not know the reply.
         CallTimeoutError
             If there is no reply within ``timeout`` seconds.
         """
@@ -144,6 +152,7 @@
         """Process incoming frames until the connection is closed.
 
         Replies complete their calls; every other frame except keep-alives goes to the handler.
+        Messages that this build does not know are reported and dropped; unknown calls are refused.
 
         Raises
         ------
@@ -157,8 +166,12 @@
             while (frame := await self.frames.read(self.reader)) is not None:
                 self._last_received_at = asyncio.get_running_loop().time()
                 self.clock.observe(frame.stamp)
+                if frame.unknown:
+                    self._report_unknown(frame)
                 if frame.is_reply:
                     self._complete_call(frame)
+                elif isinstance(frame.message, UnknownMessage):
+                    self._refuse_unknown(frame)
                 elif isinstance(frame.message, KeepAlive):
                     self.send(KeepAliveReply())
                 elif not isinstance(frame.message, KeepAliveReply):
@@ -189,9 +202,31 @@
 
     def _complete_call(self, frame: Frame) -> None:
         future = self._pending_calls.get(frame.call)
-        if future is not None and not future.done():
+        if future is None or future.done():
+            return
+        if isinstance(frame.message, UnknownMessage):
+            problem = f"{self.peer} replied to a call: {frame.message.problem}"
+            future.set_exception(UnknownReplyError(problem))
+        else:
             future.set_result(frame.message)
 
+    def _report_unknown(self, frame: Frame) -> None:
+        if self.frames.report_unknown is None:
+            return
+        link = self.role or OUTGOING_LINK
+        for unknown in frame.unknown:
+            self.frames.report_unknown(
+                link=link, peer=self.peer, kind=unknown.kind, problem=unknown.problem
+            )
+
+    def _refuse_unknown(self, frame: Frame) -> None:
+        """Refuse an unknown call, so that its sender does not wait; drop a one-way message."""
+        if frame.call and self.is_open:
+            refusal = self.frames.encode_refusal(
+                frame.call, frame.message.kind, self.clock.stamp()
+            )
+            self.write(refusal)
+
 
 class PeerServer:
     """Accepts connections of peers and operators that hold the fleet secret.
--- a/tarragonshelf/transport/_links.py
+++ b/tarragonshelf/transport/_links.py
@@ -1,5 +1,7 @@
 """Outgoing connections to peers by address."""
 
+from collections.abc import Callable
+
 from ..utils import HybridClock
 from ._codec import ThriftCodec, create_codec
 from ._connection import Connection, Link
@@ -21,6 +23,8 @@
         Receives frames that are not replies; by default they are ignored.
     codec : ThriftCodec, optional
         Encodes messages; by default it supports those of all packages.
+    report_unknown : callable, optional
+        Reports messages that this build does not know; see ``FrameCodec``.
     """
 
     def __init__(
@@ -32,13 +36,14 @@
         clock: HybridClock,
         handler=None,
         codec: ThriftCodec | None = None,
+        report_unknown: Callable[..., None] | None = None,
     ):
         self.vm = vm
         self.role = role
         self.secret = secret
         self.clock = clock
         self.handler = handler or (lambda connection, frame: None)
-        self.frames = FrameCodec(codec or create_codec())
+        self.frames = FrameCodec(codec or create_codec(), report_unknown)
         self._links: dict[str, Link] = {}
 
     def get(self, address: str) -> Link:
