Refuse to start on stored content that this build cannot read

An unknown command was found only once it was applied; a known message that is no command was skipped silently, so that replicas could differ.

Ruled out: a torn tail, as the checksums match and nothing is cut off. Saved messages (targets, catalogue, hubs) were already reported and left out; a test holds that now.

Change: ReplicaStore raises UnreadableError, a CorruptionError that names the file and the unknown kind or value. The register raises on a message that is no command. The control logs control_refused_to_start and exits with 1.

Conclusion: a command of a new kind has to be understood by one release before a later one proposes it.

--- a/tarragonshelf/catalogue/__init__.py
+++ b/tarragonshelf/catalogue/__init__.py
@@ -15,7 +15,7 @@
     UnreadableCatalogueError,
     WeightedService,
 )
-from ._register import CatalogueRegister
+from ._register import CatalogueRegister, UnknownCommandError
 from ._table import RouteMatch, RouteTable
 from ._validation import find_validation_errors
 
@@ -33,6 +33,7 @@
     "RouteMatch",
     "RouteTable",
     "ServiceSpec",
+    "UnknownCommandError",
     "UnreadableCatalogueError",
     "WeightedService",
     "compress_content",
--- a/tarragonshelf/site/_hub_disk.py
+++ b/tarragonshelf/site/_hub_disk.py
@@ -2,10 +2,17 @@
 
 import secrets
 
-from ..base import Codec, Effect, Message
-from ..consensus import SaveEntries, SaveHardState, SaveSnapshot
+from ..base import Codec, Effect, FrameError, Message
+from ..catalogue import CatalogueRegister, UnknownCommandError
+from ..consensus import EntryKind, LogEntry, SaveEntries, SaveHardState, SaveSnapshot
 from ..hub import FIRST_INCARNATION, SAVED_MESSAGE_NAMES, SaveMessage
-from ..storage import MessageFile, ReplicaStore, RestoredState, create_local_file_system
+from ..storage import (
+    MessageFile,
+    ReplicaStore,
+    RestoredState,
+    UnreadableError,
+    create_local_file_system,
+)
 
 INCARNATION_BYTES = 6
 REPLICA_EFFECTS = (SaveEntries, SaveHardState, SaveSnapshot)
@@ -32,7 +39,15 @@
         self._message_files: dict[str, MessageFile] = {}
 
     def restore(self) -> RestoredState:
-        """Return the replica's state from disk; raise ``CorruptionError`` if it is damaged."""
+        """Return the replica's state from disk.
+
+        Raises
+        ------
+        CorruptionError
+            If the state is damaged.
+        UnreadableError
+            If the log or the snapshot contains what this build does not know.
+        """
         if self._store is not None:
             self._store.files.close()
         files = create_local_file_system(self.folder)
@@ -40,7 +55,13 @@
         self._message_files = {
             name: MessageFile(files, self.codec, name) for name in SAVED_MESSAGE_NAMES
         }
-        return self._store.restore(self._create_incarnation)
+        restored = self._store.restore(self._create_incarnation)
+        for entry in restored.entries:
+            if entry.kind == EntryKind.COMMAND:
+                self._check_command(entry)
+        if restored.snapshot is not None:
+            self._check_snapshot(restored.snapshot.data)
+        return restored
 
     def load_saved_messages(self) -> tuple[dict[str, Message], dict[str, str]]:
         """Return the saved messages by name, and the problem of each that could not be read."""
@@ -62,6 +83,20 @@
             if isinstance(effect, SaveMessage):
                 self._message_files[effect.name].save(effect.message)
 
+    def _check_command(self, entry: LogEntry) -> None:
+        """Raise ``UnreadableError`` if this build cannot apply a log entry."""
+        try:
+            CatalogueRegister().check(entry.index, self.codec.decode(entry.payload))
+        except (FrameError, UnknownCommandError) as error:
+            raise UnreadableError(f"log entry {entry.index}", str(error)) from error
+
+    def _check_snapshot(self, data: bytes) -> None:
+        """Raise ``UnreadableError`` if this build cannot read the state in a snapshot."""
+        try:
+            self.codec.decode(data)
+        except FrameError as error:
+            raise UnreadableError("the state in the snapshot", str(error)) from error
+
     def _create_incarnation(self) -> str:
         """Return the incarnation of a new data folder.
 
--- a/tarragonshelf/site/tests/test_hub_service.py
+++ b/tarragonshelf/site/tests/test_hub_service.py
@@ -4,11 +4,16 @@
 import errno
 from unittest import mock
 
-from ...hub import HubRecord
+import pytest
+
+from ...consensus import LogEntry, SaveEntries
+from ...hub import HubBeat, HubRecord
 from ...hub.tests.fakes import FakeReader
 from ...registry import TargetEntry, TargetState
+from ...storage import encode_frame
 from .._hub import DISK_RETRY_SECONDS, HubService, HubSettings
 from .._interfaces import HubRequestHandler
+from .._process import read_time
 
 TARGET = TargetEntry("i-1", 1, 1, TargetState.READY, "127.0.0.1:9", "s", "z", 3)
 
@@ -84,3 +89,80 @@
             assert not service.node.replica.is_leader
 
         asyncio.run(test())
+
+
+# A command of a kind that no build has, in the compact protocol.
+NEW_COMMAND = b"\x0c\x88\x0e\x00\x00"
+
+
+class TestContentOfAnotherBuild:
+    def test_unknown_command_in_the_log_keeps_the_process_from_starting(self, tmp_path):
+        async def test():
+            service = create_service(tmp_path)
+            service._restore()
+            entry = LogEntry(2, 1, payload=NEW_COMMAND)
+            service.disk.save([SaveEntries(2, (entry,))])
+            restarted = create_service(tmp_path)
+            with mock.patch.object(restarted, "_report") as report, pytest.raises(SystemExit):
+                restarted._restore()
+            assert report.call_args.args == ("control_refused_to_start",)
+            problem = report.call_args.kwargs["problem"]
+            assert "log entry 2" in problem
+            assert "kind 900" in problem
+
+        asyncio.run(test())
+
+    def test_known_message_that_is_no_command_keeps_the_process_from_starting(self, tmp_path):
+        async def test():
+            service = create_service(tmp_path)
+            service._restore()
+            payload = service.links.frames.codec.encode(HubBeat("a", True))
+            service.disk.save([SaveEntries(2, (LogEntry(2, 1, payload=payload),))])
+            restarted = create_service(tmp_path)
+            with mock.patch.object(restarted, "_report") as report, pytest.raises(SystemExit):
+                restarted._restore()
+            assert "HubBeat" in report.call_args.kwargs["problem"]
+
+        asyncio.run(test())
+
+    def test_committed_unknown_command_is_not_skipped(self, tmp_path):
+        async def test():
+            service = create_service(tmp_path)
+            service._restore()
+            await tick_until(service, lambda: service.node.replica.has_committed_in_term)
+            applied = service.node.register.state.index
+            service.node.replica.propose(read_time(), NEW_COMMAND)
+            events = []
+            with mock.patch.object(service, "_report", lambda name, **fields: events.append(name)):
+                for _ in range(3):
+                    service._process_batch(is_tick=True)
+            assert "batch_failed" in events
+            assert service.node.register.state.index <= applied
+
+        asyncio.run(test())
+
+    def test_saved_message_of_an_unknown_kind_is_reported_and_left_out(self, tmp_path):
+        async def test():
+            service = create_service(tmp_path)
+            service._restore()
+            (tmp_path / "targets").write_bytes(encode_frame(NEW_COMMAND))
+            restarted = create_service(tmp_path)
+            with mock.patch.object(restarted, "_report") as report:
+                restarted._restore()
+            assert report.call_args.args == ("memory_not_restored",)
+            assert report.call_args.kwargs["file"] == "targets"
+            assert restarted.node is not None
+
+        asyncio.run(test())
+
+    def test_unknown_messages_of_peers_are_counted_and_logged(self, tmp_path):
+        async def test():
+            service = create_service(tmp_path)
+            fields = {"link": "entry", "peer": "e", "kind": 900, "problem": "new"}
+            with mock.patch.object(service.log_budget, "write") as write:
+                service.links.frames.report_unknown(**fields)
+            write.assert_called_once_with("message_unknown", **fields)
+            text = service.metrics.render(["text/plain"])[0].decode()
+            assert 'tarragonshelf_messages_unknown{kind="900",link="entry"} 1' in text
+
+        asyncio.run(test())
--- a/tarragonshelf/storage/__init__.py
+++ b/tarragonshelf/storage/__init__.py
@@ -1,7 +1,14 @@
 """Durable state in a data folder: journals, snapshot, incarnation and message files."""
 
 from ._files import FileSystem, LocalFileSystem, create_local_file_system
-from ._journal import CorruptionError, Journal, RecoveredFrames, TornTail, encode_frame
+from ._journal import (
+    CorruptionError,
+    Journal,
+    RecoveredFrames,
+    TornTail,
+    UnreadableError,
+    encode_frame,
+)
 from ._message_file import MessageFile
 from ._store import ReplicaStore, RestoredState
 
@@ -15,6 +22,7 @@
     "ReplicaStore",
     "RestoredState",
     "TornTail",
+    "UnreadableError",
     "create_local_file_system",
     "encode_frame",
 ]
--- a/tarragonshelf/storage/_journal.py
+++ b/tarragonshelf/storage/_journal.py
@@ -20,6 +20,15 @@
         self.offset = offset
 
 
+class UnreadableError(CorruptionError):
+    """Intact data that this build does not know, usually as a later build wrote it."""
+
+    def __init__(self, name: str, reason: str):
+        Exception.__init__(self, f"{name} cannot be read by this build: {reason}")
+        self.name = name
+        self.offset = 0
+
+
 @dataclass(frozen=True, slots=True)
 class TornTail:
     """An incomplete last frame that recovery removed.
--- a/tarragonshelf/storage/_store.py
+++ b/tarragonshelf/storage/_store.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from ..base import Codec
+from ..base import Codec, FrameError, Message
 from ..consensus import (
     HardState,
     LogEntry,
@@ -13,7 +13,7 @@
     Snapshot,
 )
 from ._files import FileSystem
-from ._journal import CorruptionError, Journal, TornTail, encode_frame
+from ._journal import CorruptionError, Journal, TornTail, UnreadableError, encode_frame
 
 INCARNATION_FILE = "incarnation"
 SNAPSHOT_FILE = "snapshot"
@@ -62,6 +62,8 @@
         ------
         CorruptionError
             If synced data is damaged, or a journal or snapshot exists without an incarnation.
+        UnreadableError
+            If a record or the snapshot contains what this build does not know.
         """
         names = self.files.list_names()
         incarnation = self._restore_incarnation(names, create_incarnation)
@@ -135,7 +137,7 @@
         recovery = Journal(self.files, SNAPSHOT_FILE).recover()
         if recovery.torn is not None or len(recovery.frames) != 1:
             raise CorruptionError(SNAPSHOT_FILE, 0, "the snapshot is not one intact frame")
-        return self.codec.decode(recovery.frames[0])
+        return self._decode(SNAPSHOT_FILE, recovery.frames[0])
 
     def _restore_journals(self, names: list[str], snapshot: Snapshot | None):
         journals = [name for name in names if _is_journal(name)]
@@ -147,7 +149,7 @@
                 raise CorruptionError(name, recovery.torn.offset, "an earlier journal is torn")
             torn = recovery.torn
             for frame in recovery.frames:
-                self._replay(frame, entries)
+                self._replay(name, frame, entries)
             self._sequence = _parse_sequence(name)
         base = snapshot.index if snapshot is not None else 0
         kept = sorted(index for index in entries if index > base)
@@ -155,9 +157,15 @@
             raise CorruptionError(journals[-1], 0, f"log entries after index {base} are missing")
         return tuple(entries[index] for index in kept), torn
 
-    def _replay(self, frame: bytes, entries: dict[int, LogEntry]) -> None:
+    def _decode(self, name: str, content: bytes) -> Message:
+        try:
+            return self.codec.decode(content)
+        except FrameError as error:
+            raise UnreadableError(f"file {name!r}", str(error)) from error
+
+    def _replay(self, name: str, frame: bytes, entries: dict[int, LogEntry]) -> None:
         for content in _split_frame(frame):
-            record = self.codec.decode(content)
+            record = self._decode(name, content)
             if record.hard_state is not None:
                 self._hard_state = record.hard_state
             if record.first_index:
--- a/tarragonshelf/storage/tests/test_store.py
+++ b/tarragonshelf/storage/tests/test_store.py
@@ -8,13 +8,22 @@
     HardState,
     LogEntry,
     Membership,
+    Record,
     SaveEntries,
     SaveHardState,
     SaveSnapshot,
     Snapshot,
 )
 from ...transport import create_codec
-from .. import CorruptionError, Journal, ReplicaStore, create_local_file_system
+from .. import (
+    CorruptionError,
+    Journal,
+    MessageFile,
+    ReplicaStore,
+    UnreadableError,
+    create_local_file_system,
+    encode_frame,
+)
 from .fakes import CrashError, FakeFileSystem
 
 CODEC = create_codec()
@@ -167,6 +176,65 @@
             ReplicaStore(files, CODEC).restore(lambda: "2")
 
 
+# A message of a kind that no build has, and fields that no build has, in the compact protocol.
+NEW_KIND = b"\x0c\x88\x0e\x00\x00"
+NEW_FIELDS = b"\x08\xa0\x01\x03new"
+
+
+class TestContentOfAnotherBuild:
+    """It is neither skipped nor taken for a torn write: the process must not start."""
+
+    def create_files(self) -> FakeFileSystem:
+        files = FakeFileSystem()
+        store = ReplicaStore(files, CODEC)
+        store.restore(lambda: "1")
+        store.save([SaveEntries(1, create_entries(1, 2))])
+        return files
+
+    def append_record(self, files: FakeFileSystem, content: bytes) -> None:
+        frame = len(content).to_bytes(4, "big") + content
+        Journal(files, "journal-000000000000").append(frame)
+
+    @pytest.mark.parametrize("is_followed", [True, False])
+    def test_unknown_kind_of_log_entry(self, is_followed):
+        files = self.create_files()
+        content = CODEC.encode(Record(first_index=3, entries=create_entries(3, 3)))
+        self.append_record(files, content.replace(b"command", b"renamed"))
+        if is_followed:
+            self.append_record(files, CODEC.encode(Record(hard_state=HardState(2))))
+        before = files.read("journal-000000000000")
+        with pytest.raises(UnreadableError, match=r"journal-000000000000.*renamed"):
+            restore(files)
+        assert files.read("journal-000000000000") == before
+
+    def test_unknown_kind_of_record(self):
+        files = self.create_files()
+        self.append_record(files, NEW_KIND)
+        with pytest.raises(UnreadableError, match="kind 900"):
+            restore(files)
+
+    def test_snapshot_of_an_unknown_kind(self):
+        files = self.create_files()
+        files.replace("snapshot", encode_frame(NEW_KIND))
+        with pytest.raises(UnreadableError, match=r"snapshot.*kind 900"):
+            restore(files)
+
+    def test_unknown_fields_of_a_record_are_ignored(self):
+        files = self.create_files()
+        content = CODEC.encode(Record(first_index=3, entries=create_entries(3, 3)))
+        # Both structs, the record and the body, end here.
+        assert content.endswith(b"\x00\x00")
+        self.append_record(files, content[:-2] + NEW_FIELDS + b"\x00\x00")
+        assert restore(files)[2] == create_entries(1, 3)
+
+    def test_saved_message_is_left_out_with_its_problem(self):
+        files = FakeFileSystem()
+        files.replace("targets", encode_frame(NEW_KIND))
+        message, problem = MessageFile(files, CODEC, "targets").load()
+        assert message is None
+        assert "kind 900" in problem
+
+
 class TestLocalFileSystem:
     def test_the_state_survives_a_restart(self, tmp_path):
         files = create_local_file_system(str(tmp_path / "data"))
