--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -31,8 +31,10 @@
 
     def __init__(self, seed: int, folder: Path, *, controls: int, entries: int, targets: int):
         self.random = Random(seed)
-        self.history = History()
-        self.site = Site(folder, controls=controls, entries=entries, history=self.history)
+        self.history = self._create_history()
+        self.site = self._create_site(
+            folder, controls=controls, entries=entries, history=self.history
+        )
         self.targets = [
             Target(f"t{number}", number, self.history, Random(self.random.random()))
             for number in range(targets)
@@ -56,7 +58,7 @@
             await self._wait_until_serving()
             tasks += [_create_task(item.run()) for item in (*self.callers, self.operator)]
             tasks.append(_create_task(self._watch_processes()))
-            await Injector(self.site, self.targets, self.history).inject(faults)
+            await self._inject(faults)
             await self._check_recovery()
             self._report_failed_tasks(tasks)
         finally:
@@ -66,6 +68,15 @@
             for target in self.targets:
                 target.stop()
 
+    def _create_history(self) -> History:
+        return History()
+
+    def _create_site(self, folder: Path, **options) -> Site:
+        return Site(folder, **options)
+
+    async def _inject(self, faults: list[Fault]) -> None:
+        await Injector(self.site, self.targets, self.history).inject(faults)
+
     def _shuffle_control_addresses(self) -> list[str]:
         addresses = self.site.list_control_addresses()
         return self.random.sample(addresses, len(addresses))
@@ -127,7 +138,7 @@
     return asyncio.get_running_loop().create_task(coroutine)
 
 
-async def _run_until_stopped(soak: Soak, faults: list[Fault]) -> None:
+async def run_until_stopped(soak: Soak, faults: list[Fault]) -> None:
     """Run, and stop all child processes when this process receives SIGTERM."""
     task = asyncio.current_task()
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
@@ -162,7 +173,7 @@
     path.mkdir(parents=True, exist_ok=True)
     soak = Soak(seed, path, controls=controls, entries=entries, targets=targets)
     faults = draw_faults(Random(seed), seconds)
-    asyncio.run(_run_until_stopped(soak, faults))
+    asyncio.run(run_until_stopped(soak, faults))
     if not soak.history.violations and not is_kept:
         shutil.rmtree(path)
     return {
