--- a/tarragonshelf/site/_edge.py
+++ b/tarragonshelf/site/_edge.py
@@ -28,7 +28,14 @@
 from ..registry import TargetEntry
 from ..relaying import CheckTargets, CloseIdleConnections
 from ..replication import EmitEvent
-from ..telemetry import AdministrationServer, LogRateLimiter, Metrics, create_clock, create_logger
+from ..telemetry import (
+    AdministrationServer,
+    LogRateLimiter,
+    Metrics,
+    create_clock,
+    create_logger,
+    create_unknown_reporter,
+)
 from ..transport import (
     EDGE_PACKAGES,
     Connection,
@@ -111,6 +118,7 @@
             secret=secret,
             clock=self.clock,
             codec=create_codec(EDGE_PACKAGES),
+            report_unknown=create_unknown_reporter(self.metrics, self._report),
         )
         self.pool = ConnectionPool(
             dialect,
