An odd entry of another writer is refused before it reaches the hub

(1) `born`, `seq` and `slots` were accepted up to 2**64 - 1, what the parser reads, while the wire carries signed 64-bit integers: encoding the target for its file raised OverflowError in the batch, the hub restarted its replica, kept the target as state in memory, and failed again at the next save, with each of them losing its leadership and all calls. (3) Ports 0 and 65536 to 99999, hosts as 999.0.0.1 and line ends after a value were accepted; a connection to such a port raises OverflowError, which is no OSError. (4) An identity with CR LF would stand in a header to the target. (5) A start in a far future would keep out all later targets at its address. (6) Durations of 400 digits were infinite; weights could add up to infinity.

Ruled out: orjson raises JSONDecodeError for deep nesting above 1024, NaN, lone surrogates, bytes that are not UTF-8 and numbers above any double.

Change: integers fit the wire, starts lie before the year 10000, slots at most 1,000,000; addresses are IPv4 with a port from 1 to 65535; names are printable and short; errors quote a bounded part of a value; a leave with a number that no start has is refused instead of removing the incarnation that is known. A body that cannot be decompressed is refused with 400.

Conclusion: such an entry gets 400 and names no target.

--- a/tarragonshelf/catalogue/_validation.py
+++ b/tarragonshelf/catalogue/_validation.py
@@ -36,6 +36,9 @@
             errors.append(f"services: {item.service!r} is unknown")
         if not item.weight >= 0:
             errors.append(f"services: the weight of {item.service!r} is below 0")
-    if not sum(item.weight for item in route.services) > 0:
+    total = sum(item.weight for item in route.services)
+    if not total > 0:
         errors.append("services: the weights add up to 0")
+    if not isfinite(total):
+        errors.append("services: the sum of the weights is too large")
     return errors
--- a/tarragonshelf/platform/_documents.py
+++ b/tarragonshelf/platform/_documents.py
@@ -75,7 +75,7 @@
 def _read_route(row: dict[str, Any], field_path: str) -> Route:
     kind = read_text(row.get("kind"), f"{field_path}.kind")
     if kind not in KINDS:
-        raise MalformedError(f"{field_path}.kind: {kind!r} is unknown")
+        raise MalformedError(f"{field_path}.kind: is unknown")
     timeout = read_seconds(row.get("timeout"), f"{field_path}.timeout")
     objective = timeout
     if "target_latency" in row:
--- a/tarragonshelf/platform/_hub_requests.py
+++ b/tarragonshelf/platform/_hub_requests.py
@@ -1,5 +1,6 @@
 """HTTP requests of targets and operators to a hub."""
 
+import re
 from typing import Any
 
 import orjson
@@ -22,6 +23,7 @@
     MalformedError,
     read_address,
     read_integer,
+    read_name,
     read_seconds,
     read_table,
     read_text,
@@ -33,6 +35,12 @@
 PUT_CATALOGUE_PATH = "/v1/config/put"
 GET_CATALOGUE_PATH = "/v1/config/get"
 MAXIMUM_BODY_BYTES = 8 << 20
+# The end of the year 9999. The start of a target orders the incarnations at its address, so one
+# that lies beyond any clock would keep out all later ones.
+MAXIMUM_START_MILLISECONDS = 253_402_300_799_999
+MAXIMUM_SLOTS = 1_000_000
+# An identity is sent to the target in a header.
+_IDENTITY = re.compile(r"[\x21-\x7e]{1,255}")
 TARGET_STATES = {"ready": TargetState.READY, "draining": TargetState.DRAINING}
 
 
@@ -41,7 +49,10 @@
 
     async def handle(self, request: web.BaseRequest, hub: HubCommands) -> web.Response:
         """Return the response to one request."""
-        content = await _read_content(request)
+        try:
+            content = await _read_content(request)
+        except web.RequestPayloadError as error:
+            return _create_error(400, f"body: {error}")
         if request.path == GET_CATALOGUE_PATH:
             return await self._get_catalogue(hub)
         if request.path == PUT_CATALOGUE_PATH:
@@ -92,32 +103,49 @@
     state = TARGET_STATES.get(read_text(status.get("state"), "state"))
     if state is None:
         raise MalformedError("state: is unknown")
-    service = read_text(info.get("service"), "service")
-    if not identity or not service:
-        raise MalformedError("the target or its service has no name")
+    service = read_name(info.get("service"), "service")
+    if not service:
+        raise MalformedError("the target's service has no name")
     return TargetEntry(
-        identity=identity,
+        identity=_read_identity(identity),
         # ``born`` is the start of the process: a restart under the same name is a new incarnation.
-        started=read_integer(body.get("born"), "born"),
+        started=_read_start(body.get("born")),
         sequence=read_integer(status.get("seq"), "seq"),
         state=state,
         address=read_address(body.get("address"), "address"),
         service=service,
-        data_centre=read_text(info.get("zone"), "zone"),
-        slots=read_integer(info.get("slots"), "slots", minimum=1),
+        data_centre=read_name(info.get("zone"), "zone"),
+        slots=read_integer(info.get("slots"), "slots", minimum=1, maximum=MAXIMUM_SLOTS),
         warm_seconds=read_seconds(status.get("warmup_left", "0ms"), "warmup_left"),
     )
 
 
 def read_leave(identity: str, content: bytes) -> TargetEntry:
-    """Return the registry entry of a target that leaves; ``content`` may be empty or malformed."""
-    started = 0
+    """Return the registry entry of a target that leaves; ``content`` may be empty or malformed.
+
+    Without a start time the leave applies to the incarnation that the hubs know.
+
+    Raises
+    ------
+    MalformedError
+        If the identity is not one, or the start time is a number that no start has.
+    """
     try:
-        started = read_integer(_parse(content).get("born", 0), "born")
+        start = _parse(content).get("born")
     except MalformedError:
-        # Without a start time the leave applies to the incarnation that the hubs know.
-        started = 0
-    return TargetEntry(identity, started, 0, TargetState.LEFT)
+        start = None
+    started = _read_start(start) if isinstance(start, int | float) else 0
+    return TargetEntry(_read_identity(identity), started, 0, TargetState.LEFT)
+
+
+def _read_identity(text: str) -> str:
+    if not _IDENTITY.fullmatch(text):
+        raise MalformedError("the identity of the target is not 1 to 255 visible characters")
+    return text
+
+
+def _read_start(value: Any) -> int:
+    return read_integer(value, "born", maximum=MAXIMUM_START_MILLISECONDS)
 
 
 def _parse(content: bytes) -> dict[str, Any]:
--- a/tarragonshelf/platform/_values.py
+++ b/tarragonshelf/platform/_values.py
@@ -1,13 +1,19 @@
 """Parses values in the platform's formats."""
 
 import re
-from math import inf
+from ipaddress import AddressValueError, IPv4Address
+from math import inf, isfinite
+from reprlib import repr as _describe
 from typing import Any
 
-_DURATION = re.compile(r"^(\d+(?:\.\d+)?)(ms|s)$")
+# Messages between processes carry signed 64-bit integers.
+MAXIMUM_INTEGER = 2**63 - 1
+MAXIMUM_PORT = 65535
+MAXIMUM_NAME_CHARACTERS = 255
+_DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
 _DECIMAL = re.compile(r"^\d+(?:\.\d+)?$")
-_VERSION = re.compile(r"^[0-9a-f]{8}$")
-_ADDRESS = re.compile(r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")
+_VERSION = re.compile(r"[0-9a-f]{8}")
+_ADDRESS = re.compile(r"([0-9.]+):([0-9]{1,5})")
 
 
 class MalformedError(ValueError):
@@ -16,10 +22,11 @@
 
 def read_seconds(value: Any, field_path: str) -> float:
     """Return the seconds of a duration such as ``1500ms`` or ``2.5s``."""
-    match = _DURATION.match(value) if isinstance(value, str) else None
-    if match is None:
-        raise MalformedError(f"{field_path}: {value!r} is not a time")
-    return float(match[1]) / (1000 if match[2] == "ms" else 1)
+    match = _DURATION.fullmatch(value) if isinstance(value, str) else None
+    seconds = float(match[1]) / (1000 if match[2] == "ms" else 1) if match else inf
+    if not isfinite(seconds):
+        raise MalformedError(f"{field_path}: {_describe(value)} is not a time")
+    return seconds
 
 
 def format_seconds(seconds: float) -> str:
@@ -29,29 +36,42 @@
 
 def read_version(value: Any, field_path: str) -> int:
     """Return the version as a number; its text is eight hexadecimal digits."""
-    if not isinstance(value, str) or not _VERSION.match(value):
-        raise MalformedError(f"{field_path}: {value!r} is not a version")
+    if not isinstance(value, str) or not _VERSION.fullmatch(value):
+        raise MalformedError(f"{field_path}: {_describe(value)} is not a version")
     return int(value, 16)
 
 
 def read_text(value: Any, field_path: str) -> str:
     """Return a string."""
     if not isinstance(value, str):
-        raise MalformedError(f"{field_path}: {value!r} is not a text")
+        raise MalformedError(f"{field_path}: {_describe(value)} is not a text")
     return value
 
 
-def read_integer(value: Any, field_path: str, *, minimum: int = 0) -> int:
-    """Return an integer that is at least ``minimum``."""
-    if not isinstance(value, int) or isinstance(value, bool) or value < minimum:
-        raise MalformedError(f"{field_path}: {value!r} is not a whole number from {minimum}")
+def read_name(value: Any, field_path: str) -> str:
+    """Return a string that is short and has only printable characters; it may be empty."""
+    name = read_text(value, field_path)
+    if len(name) > MAXIMUM_NAME_CHARACTERS or not name.isprintable():
+        raise MalformedError(f"{field_path}: {_describe(value)} is not a name")
+    return name
+
+
+def read_integer(
+    value: Any, field_path: str, *, minimum: int = 0, maximum: int = MAXIMUM_INTEGER
+) -> int:
+    """Return an integer from ``minimum`` to ``maximum``."""
+    is_integer = isinstance(value, int) and not isinstance(value, bool)
+    if not is_integer or not minimum <= value <= maximum:
+        raise MalformedError(
+            f"{field_path}: {_describe(value)} is not a whole number from {minimum} to {maximum}"
+        )
     return value
 
 
 def read_number(value: Any, field_path: str) -> float:
     """Return a number."""
     if not isinstance(value, int | float) or isinstance(value, bool):
-        raise MalformedError(f"{field_path}: {value!r} is not a number")
+        raise MalformedError(f"{field_path}: {_describe(value)} is not a number")
     return float(value)
 
 
@@ -78,7 +98,16 @@
 
 
 def read_address(value: Any, field_path: str) -> str:
-    """Return an address ``IP:PORT`` with an IPv4 address."""
-    if not isinstance(value, str) or not _ADDRESS.match(value):
-        raise MalformedError(f"{field_path}: {value!r} is not an address")
+    """Return an address ``IP:PORT`` with an IPv4 address and a port that can be connected to."""
+    match = _ADDRESS.fullmatch(value) if isinstance(value, str) else None
+    if match is None or not _is_host(match[1]) or not 1 <= int(match[2]) <= MAXIMUM_PORT:
+        raise MalformedError(f"{field_path}: {_describe(value)} is not an address")
     return value
+
+
+def _is_host(text: str) -> bool:
+    try:
+        address = IPv4Address(text)
+    except AddressValueError:
+        return False
+    return not address.is_unspecified
