A deadline of many digits counts as a long time

Cause: Deadline-Ms with more than 308 digits raised OverflowError, and with more than 4300 digits ValueError, so that the caller got 500 without a log line of the entry.

Ruled out: Keep-Alive, Server-Limit (inf is refused) and Content-Length of a target (h11 refuses more than 20 digits). Change: the value is read as a floating-point number; the time-out of the route bounds it as before. Evidence: TestHugeNumbers.test_deadline_of_a_caller with 400 and 5000 digits failed before. Conclusion: mended.

--- a/tarragonshelf/platform/_entry_http.py
+++ b/tarragonshelf/platform/_entry_http.py
@@ -46,7 +46,7 @@
         remaining_seconds = None
         text = _get_header(headers, DEADLINE_HEADER)
         if text.isdigit():
-            remaining_seconds = int(text) / 1000
+            remaining_seconds = float(text) / 1000
         return CallerFields(_get_header(headers, REQUEST_ID_HEADER), remaining_seconds)
 
     def write_headers(
--- a/tarragonshelf/platform/tests/test_platform.py
+++ b/tarragonshelf/platform/tests/test_platform.py
@@ -203,6 +203,20 @@
         assert ("Retry-After" in response.headers) == (status == 503)
 
 
+class TestHugeNumbers:
+    """Numbers of any length in headers count as a very long time."""
+
+    @pytest.mark.parametrize("digits", [20, 400, 5000])
+    def test_deadline_of_a_caller(self, digits):
+        fields = PlatformDialect().read_caller_fields(((b"Deadline-Ms", b"9" * digits),))
+        assert fields.remaining_seconds > 1e9
+
+    @pytest.mark.parametrize("digits", [20, 400, 5000])
+    def test_idle_time_of_a_target(self, digits):
+        headers = ((b"Keep-Alive", b"timeout=" + b"9" * digits),)
+        assert PlatformDialect().get_idle_seconds(headers) > 1e9
+
+
 class TestLimitHeader:
     """A target names its limit in responses of every kind; only a success lifts it."""
 
