--- a/tarragonshelf/platform/tests/test_odd_values.py
+++ b/tarragonshelf/platform/tests/test_odd_values.py
@@ -56,7 +56,10 @@
     *(("info.service", value) for value in ODD_TEXTS),
     *(("info.zone", value) for value in ODD_TEXTS[1:]),
     *(("status.state", value) for value in ODD_TEXTS),
-    *(("status.warmup_left", value) for value in ["9" * 400 + "s", "\u0663s", "1s\n", 1e300, DEEP]),
+    *(
+        ("status.warmup_left", value)
+        for value in ["9" * 400 + "s", "\u0663s", "1s\n", 1e300, DEEP]
+    ),
     *(("info", value) for value in [DEEP, [], None]),
 ]
 ODD_BODIES = [
