An address that no socket takes counts as unreachable

Cause: connecting to a port above 65535 raises OverflowError, to a host with a NUL or with a label that is too long ValueError or UnicodeError. Neither the pool nor the links caught them. A target that an older hub or an earlier file names so made a request count as possibly run (502 instead of another target) and left its check without a result; a hub of that kind in the settings or in the news of another hub ended the task that asks to join, and with it the control process.

Ruled out: hosts that cannot be resolved (gaierror is an OSError). Change: the pool raises ConnectionError, a link UnreachableError. Conclusion: mended at the two places that open connections by address.

--- a/tarragonshelf/site/_pool.py
+++ b/tarragonshelf/site/_pool.py
@@ -203,12 +203,16 @@
 
     async def _open(self, target: TargetEntry) -> TargetConnection:
         host, _, port = target.address.rpartition(":")
-        _, connection = await asyncio.get_running_loop().create_connection(
-            lambda: TargetConnection(self.dialect, self.buffer_quota),
-            host,
-            int(port),
-            local_addr=self.source_address,
-        )
+        try:
+            _, connection = await asyncio.get_running_loop().create_connection(
+                lambda: TargetConnection(self.dialect, self.buffer_quota),
+                host,
+                int(port),
+                local_addr=self.source_address,
+            )
+        except (ValueError, OverflowError) as error:
+            # A host or port that no socket takes.
+            raise ConnectionError(f"cannot connect to {target.address!r}: {error}") from error
         return connection
 
 
--- a/tarragonshelf/site/tests/test_pool.py
+++ b/tarragonshelf/site/tests/test_pool.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from ...platform._entry_http import PlatformDialect
 from ...registry import TargetEntry, TargetState
 from .._pool import ESTABLISHED, ConnectionPool
@@ -41,3 +43,19 @@
             assert not pool.pop_connect_summary().has_failures
 
         asyncio.run(run())
+
+
+class TestOddAddresses:
+    # Guards against a target that an older hub or an earlier file names: connecting raised
+    # OverflowError or ValueError, and a request counted as possibly run.
+    @pytest.mark.parametrize("address", ["127.0.0.1:65536", f"127.0.0.1:{10**30}", "\x00:9", "x"])
+    def test_target_counts_as_not_reached(self, address):
+        async def run():
+            pool = ConnectionPool(PlatformDialect(), lambda target: 10)
+            target = create_target("i-1", address)
+            with pytest.raises(OSError):
+                await pool.get(target, is_repeatable=True)
+            assert not (await pool.check(target)).is_connected
+            assert pool.pop_connect_summary().tried == {"i-1"}
+
+        asyncio.run(run())
--- a/tarragonshelf/transport/_connection.py
+++ b/tarragonshelf/transport/_connection.py
@@ -423,7 +423,11 @@
 
     async def _open(self) -> Connection:
         host, _, port = self.address.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
+        try:
+            reader, writer = await asyncio.open_connection(host, int(port))
+        except (ValueError, OverflowError) as error:
+            # A host or port that no socket takes.
+            raise UnreachableError(f"cannot connect to {self.address!r}: {error}") from error
         set_user_timeout(writer.transport)
         try:
             peer = await self._perform_handshake(reader, writer)
