Internal ports that cannot be used are refused as malformed settings

Cause: an empty list raised IndexError, which neither the start nor a reload catches; a port above 65535 was accepted. Change: both raise MalformedError, which is printed or logged with its field. Conclusion: mended.

--- a/tarragonshelf/platform/_settings.py
+++ b/tarragonshelf/platform/_settings.py
@@ -6,7 +6,15 @@
 import orjson
 
 from ..forwarding import RetryBudgetSettings
-from ._values import MalformedError, read_integer, read_list, read_seconds, read_table, read_text
+from ._values import (
+    MAXIMUM_PORT,
+    MalformedError,
+    read_integer,
+    read_list,
+    read_seconds,
+    read_table,
+    read_text,
+)
 
 FILE_VARIABLE = "TARRAGONSHELF_NODE_FILE"
 # The platform closes internal ports to callers and targets, so the connections between processes
@@ -64,7 +72,11 @@
 
 def _read_ports(fields: dict[str, Any]) -> list[int]:
     ports = read_list(fields.get("internal_ports"), "internal_ports")
-    return [read_integer(port, "internal_ports", minimum=1) for port in ports]
+    if not ports:
+        raise MalformedError("internal_ports: is empty")
+    return [
+        read_integer(port, "internal_ports", minimum=1, maximum=MAXIMUM_PORT) for port in ports
+    ]
 
 
 def read_peer_port(fields: dict[str, Any]) -> int:
--- a/tarragonshelf/platform/tests/test_platform.py
+++ b/tarragonshelf/platform/tests/test_platform.py
@@ -295,6 +295,12 @@
         with pytest.raises(MalformedError, match=name):
             create_edge_settings({**SETTINGS, name: None})
 
+    # Guards against a changed file that is refused without a log line: only this error is caught.
+    @pytest.mark.parametrize("ports", [[], [0, 1], [65536], [2**64], "7620", [None]])
+    def test_odd_ports_are_refused(self, ports):
+        with pytest.raises(MalformedError, match="internal_ports"):
+            read_seed_hubs({**SETTINGS, "internal_ports": ports})
+
     def test_one_seed_is_enough(self):
         assert read_seed_hubs({**SETTINGS, "seeds": ["10.0.0.9:4"]}) == ("10.0.0.9:7620",)
 
