--- a/tarragonshelf/consensus/_leader.py
+++ b/tarragonshelf/consensus/_leader.py
@@ -147,7 +147,10 @@
         if reply.installed:
             progress.match_index = max(progress.match_index, reply.index)
             progress.next_index = progress.match_index + 1
-        elif reply.index == progress.snapshot_index and reply.offset > progress.snapshot_offset:
+        elif reply.index == progress.snapshot_index and (
+            # A follower that has restarted since has none of the earlier parts.
+            reply.offset == 0 or reply.offset > progress.snapshot_offset
+        ):
             progress.snapshot_offset = reply.offset
             self._send_snapshot(reply.follower, progress)
         self._finish_reads()
