Entries subscribe again after a batch of their hub failed

Cause: when a write fails, the hub drops all effects of the batch and restores its replica, but kept as sent what it had for its entries: the catalogue counted as pushed, targets that waited in a batch were known and so no news again, counts and lists had been marked as sent. An entry that stayed with the hub kept the old catalogue until the next change and never learned of the target. While the disk failed the hub also dropped the notice that an entry had left, which then counted in the shares of budgets and connections for ever.

Ruled out: other hubs (checksums of the targets are compared every second); calls (all are refused when the replica is restored). Change: a restored hub has no subscribers and closes their connections; entries subscribe again, here or elsewhere, and receive everything. Evidence: TestEntriesOfAFailingDisk, 3 tests, failed before. Conclusion: what a failed batch did not send cannot be missed.

--- a/tarragonshelf/hub/_node.py
+++ b/tarragonshelf/hub/_node.py
@@ -122,16 +122,17 @@
     def adopt_volatile_state(self, previous: "HubNode") -> None:
         """Take over state of the previous node after its replica was restarted from disk.
 
-        Targets and their limits, hubs, subscribers, retry budgets and permits are not part of the
-        replicated log.
+        Targets and their limits, hubs, retry budgets and permits are not part of the replicated
+        log. Subscribers are not taken over: what the failed batch had for them was not sent, so
+        they have to subscribe again, and then receive everything.
         """
         self.targets = previous.targets
         self.registrar = previous.registrar
-        self.subscribers = previous.subscribers
         self.retry_pool = previous.retry_pool
         self.limits = previous.limits
         self.permits = previous.permits
         self._saved_catalogue = previous._saved_catalogue
+        self._edges_changed = True
 
     def handle(self, now: float, message: Message) -> list[Effect]:
         """Handle a message of a peer, an entry, a target or an operator."""
--- a/tarragonshelf/site/_hub.py
+++ b/tarragonshelf/site/_hub.py
@@ -257,6 +257,9 @@
 
     def _replace_node(self, restored: RestoredState) -> None:
         previous = self.node
+        # The new node knows none of the entries. They subscribe again, here or at another hub.
+        for connection in list(self._subscribers.values()):
+            connection.close()
         self.node = HubNode(
             record=self.settings.record,
             incarnation=restored.incarnation,
--- a/tarragonshelf/site/tests/test_hub_service.py
+++ b/tarragonshelf/site/tests/test_hub_service.py
@@ -4,13 +4,17 @@
 import errno
 from unittest import mock
 
-from ...hub import HubRecord
+from ...catalogue import CatalogueCopy, CatalogueStored, PutCatalogue, compress_content
+from ...hub import HubRecord, Subscribe
 from ...hub.tests.fakes import FakeReader
-from ...registry import TargetEntry, TargetState
+from ...registry import TargetEntry, TargetNews, TargetState
+from ...transport import Frame
 from .._hub import DISK_RETRY_SECONDS, HubService, HubSettings
 from .._interfaces import HubRequestHandler
+from .._process import read_time
 
 TARGET = TargetEntry("i-1", 1, 1, TargetState.READY, "127.0.0.1:9", "s", "z", 3)
+SECOND_TARGET = TargetEntry("i-2", 1, 1, TargetState.READY, "127.0.0.1:10", "s", "z", 3)
 
 
 class UnusedRequestHandler(HubRequestHandler):
@@ -84,3 +88,136 @@
             assert not service.node.replica.is_leader
 
         asyncio.run(test())
+
+
+class FakeConnection:
+    """The hub's end of a connection to an entry."""
+
+    def __init__(self):
+        self.messages = []
+        self.is_open = True
+
+    def write(self, content: bytes) -> None:
+        reader = asyncio.StreamReader()
+        reader.feed_data(content)
+        reader.feed_eof()
+        self.messages.append(reader)
+
+    def close(self) -> None:
+        self.is_open = False
+
+
+async def read_messages(service: HubService, connection: FakeConnection) -> list:
+    """Return the messages that the hub has sent on a connection."""
+    messages = []
+    for reader in connection.messages:
+        while (frame := await service.links.frames.read(reader)) is not None:
+            messages.append(frame.message)
+    connection.messages = []
+    return messages
+
+
+def follow(service: HubService, *, version: int = 0) -> FakeConnection:
+    """Return the connection of a new entry that follows the hub."""
+    connection = FakeConnection()
+    service._receive(connection, Frame(Subscribe("e", "e:80", "z", version, True)))
+    return connection
+
+
+async def start_leader(folder) -> HubService:
+    service = create_service(folder)
+    service._restore()
+    await tick_until(service, lambda: service.node.replica.has_committed_in_term)
+    return service
+
+
+async def put(service: HubService, version: int) -> bool:
+    """Store a version and return whether it was acknowledged."""
+    content = compress_content(str(version).encode())
+    call = asyncio.create_task(service.submit(PutCatalogue(version, content)))
+    while not call.done():
+        service._process_batch(is_tick=True)
+        await asyncio.sleep(0.02)
+    return isinstance(call.result(), CatalogueStored)
+
+
+DISK_FULL = OSError(errno.ENOSPC, "no space")
+
+
+class TestEntriesOfAFailingDisk:
+    """Nothing of a failed batch is sent, so the entries of the hub must not rely on it."""
+
+    # Guards against a target of which the entries of a hub never learn: the hub kept it in memory
+    # and had sent it to no entry, so later heartbeats of the target were no news.
+    def test_entry_learns_of_a_target_that_was_announced_before(self, tmp_path):
+        async def run():
+            service = await start_leader(tmp_path)
+            connection = follow(service)
+            service._process_batch(is_tick=True)
+            await read_messages(service, connection)
+            # Updates are sent in batches, so the second one still waits.
+            assert await service.announce(TARGET) is not None
+            assert await service.announce(SECOND_TARGET) is not None
+            with mock.patch("os.write", side_effect=DISK_FULL):
+                # The targets are due to be saved.
+                service.node._saved_at = float("-inf")
+                service._process_batch(is_tick=True)
+                assert service._disk_failed_at is not None
+
+            def names_target(message) -> bool:
+                return isinstance(message, TargetNews) and SECOND_TARGET.identity in {
+                    item.identity for item in message.targets
+                }
+
+            await self._check_that_entry_learns(service, connection, names_target)
+
+        asyncio.run(run())
+
+    # Guards against an entry that keeps an old catalogue until the next change.
+    def test_entry_learns_of_a_catalogue_that_a_failed_batch_committed(self, tmp_path):
+        async def run():
+            service = await start_leader(tmp_path)
+            assert await put(service, 1)
+            connection = follow(service, version=1)
+            service._process_batch(is_tick=True)
+            await read_messages(service, connection)
+            with mock.patch.object(
+                service.disk._message_files["catalogue"], "save", side_effect=DISK_FULL
+            ):
+                call = PutCatalogue(2, compress_content(b"2"))
+                assert await service._submit_once(call, 0.3) is not None
+            await self._check_that_entry_learns(
+                service,
+                connection,
+                lambda message: isinstance(message, CatalogueCopy) and message.version == 2,
+                version=1,
+            )
+
+        asyncio.run(run())
+
+    async def _check_that_entry_learns(self, service, connection, is_searched, *, version=0):
+        """Check that the entry hears it, or is disconnected and hears it when it returns."""
+        service._disk_failed_at -= DISK_RETRY_SECONDS
+        await tick_until(service, lambda: service.node.replica.has_committed_in_term)
+        for _ in range(5):
+            service._process_batch(is_tick=True)
+        if not connection.is_open:
+            connection = follow(service, version=version)
+            service._process_batch(is_tick=True)
+        assert any(map(is_searched, await read_messages(service, connection)))
+
+    # Guards against entries that count for ever in the shares of budgets and connections.
+    def test_entry_that_leaves_while_the_disk_fails_is_forgotten(self, tmp_path):
+        async def run():
+            service = await start_leader(tmp_path)
+            connection = follow(service)
+            service._process_batch(is_tick=True)
+            assert len(service.node.subscribers.serving) == 1
+            service._disk_failed_at = read_time()
+            service._remove_subscriber(connection)
+            service._process_batch(is_tick=True)
+            service._disk_failed_at -= DISK_RETRY_SECONDS
+            await tick_until(service, lambda: service.node.replica.has_committed_in_term)
+            assert service.node.subscribers.serving == ()
+
+        asyncio.run(run())
