What is restored is synced before it counts as stored

Cause: after a sync that the disk refused, the last frame is in the file but perhaps only in the cache of the operating system. The replica was restored with it, counted it as stored and confirmed it to the leader without another write, so a loss of power lost what had been acknowledged.

Ruled out: partial writes (cut as a torn tail). Evidence: storage TestRefusedSync, 2 tests, failed before. Conclusion: mended as far as a second sync can; an operating system that marks pages as clean after a failed sync is not covered.

--- a/tarragonshelf/storage/_store.py
+++ b/tarragonshelf/storage/_store.py
@@ -62,11 +62,14 @@
         ------
         CorruptionError
             If synced data is damaged, or a journal or snapshot exists without an incarnation.
+        OSError
+            If the disk refuses; nothing may be sent before a later call has succeeded.
         """
         names = self.files.list_names()
         incarnation = self._restore_incarnation(names, create_incarnation)
         snapshot = self._restore_snapshot(names)
         entries, torn = self._restore_journals(names, snapshot)
+        self._sync_restored(names)
         return RestoredState(incarnation, self._hard_state, snapshot, entries, torn)
 
     def save(self, effects) -> None:
@@ -155,6 +158,17 @@
             raise CorruptionError(journals[-1], 0, f"log entries after index {base} are missing")
         return tuple(entries[index] for index in kept), torn
 
+    def _sync_restored(self, names: list[str]) -> None:
+        """Sync what was read.
+
+        After a sync that the disk refused, the last frame may be in the cache of the operating
+        system only, while the replica counts it as stored from now on.
+        """
+        for name in names:
+            if name == SNAPSHOT_FILE or _is_journal(name):
+                self.files.sync(name)
+        self.files.sync_folder()
+
     def _replay(self, frame: bytes, entries: dict[int, LogEntry]) -> None:
         for content in _split_frame(frame):
             record = self.codec.decode(content)
--- a/tarragonshelf/storage/tests/test_store.py
+++ b/tarragonshelf/storage/tests/test_store.py
@@ -1,5 +1,7 @@
 """Recovery of the data folder after crashes, torn writes and damage."""
 
+import errno
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -186,3 +188,40 @@
         journal.append(b"two")
         assert journal.recover().frames == (b"one", b"two")
         files.close()
+
+
+class RefusingFileSystem(FakeFileSystem):
+    """A disk that refuses to sync while ``is_refusing`` is set; what was written stays cached."""
+
+    is_refusing = False
+
+    def sync(self, name):
+        if self.is_refusing:
+            raise OSError(errno.ENOSPC, "no space", name)
+        super().sync(name)
+
+
+class TestRefusedSync:
+    # Guards against an entry that counts as stored because it could be read back, although only
+    # the cache of the operating system held it.
+    def test_content_that_is_restored_after_a_refused_sync_outlasts_a_crash(self):
+        files = RefusingFileSystem(torn_share=0.0)
+        store = ReplicaStore(files, CODEC)
+        store.restore(lambda: "1")
+        store.save([SaveEntries(1, create_entries(1, 1))])
+        files.is_refusing = True
+        with pytest.raises(OSError):
+            store.save([SaveEntries(2, create_entries(2, 2))])
+        files.is_refusing = False
+        restored = restore(files)
+        files.crash()
+        assert restore(files) == restored
+
+    def test_nothing_is_restored_while_syncs_are_refused(self):
+        files = RefusingFileSystem(torn_share=0.0)
+        store = ReplicaStore(files, CODEC)
+        store.restore(lambda: "1")
+        store.save([SaveEntries(1, create_entries(1, 1))])
+        files.is_refusing = True
+        with pytest.raises(OSError):
+            restore(files)
