A leader whose disk refuses stops without an error

Ruled out: none other; all other writes are those of batches. Change: the request to stop is handled as a batch. Evidence: TestStopOnAFailingDisk, 2 tests, failed before.

--- a/tarragonshelf/site/_hub.py
+++ b/tarragonshelf/site/_hub.py
@@ -463,7 +463,8 @@
     async def _transfer_leadership(self) -> None:
         if self.node is None or not self.node.replica.is_leader:
             return
-        self._execute_effects(self.node.handle(read_time(), StopRequested()))
+        self._inbox.append(StopRequested())
+        self._process_batch()
         deadline = read_time() + LEADERSHIP_TRANSFER_SECONDS
         while self.node.replica.is_leader and read_time() < deadline:
             await asyncio.sleep(TICK_SECONDS)
--- a/tarragonshelf/site/tests/test_hub_service.py
+++ b/tarragonshelf/site/tests/test_hub_service.py
@@ -2,13 +2,18 @@
 
 import asyncio
 import errno
+import socket
+from pathlib import Path
+from typing import ClassVar
 from unittest import mock
 
 from ...catalogue import CatalogueCopy, CatalogueStored, PutCatalogue, compress_content
 from ...hub import HubRecord, Subscribe
 from ...hub.tests.fakes import FakeReader
 from ...registry import TargetEntry, TargetNews, TargetState
+from ...storage import LocalFileSystem
 from ...transport import Frame
+from .. import _hub_disk
 from .._hub import DISK_RETRY_SECONDS, HubService, HubSettings
 from .._interfaces import HubRequestHandler
 from .._process import read_time
@@ -221,3 +226,115 @@
             assert service.node.subscribers.serving == ()
 
         asyncio.run(run())
+
+
+class TestStopOnAFailingDisk:
+    # Guards against a stop that ends with an error, so that connections and logs stay open.
+    def test_leader_whose_disk_is_full_stops(self, tmp_path):
+        async def run():
+            service = await start_leader(tmp_path)
+            with mock.patch.object(service.disk, "save", side_effect=DISK_FULL):
+                await service._transfer_leadership()
+            assert not service.node.replica.is_leader
+
+        asyncio.run(run())
+
+    # Guards against a write to files whose end has not been restored yet.
+    def test_nothing_is_written_while_the_disk_fails(self, tmp_path):
+        async def run():
+            service = await start_leader(tmp_path)
+            service._disk_failed_at = read_time()
+            with mock.patch.object(service.disk, "save") as save:
+                await service._transfer_leadership()
+            save.assert_not_called()
+
+        asyncio.run(run())
+
+
+def find_port() -> int:
+    """Return a port that is free on loopback."""
+    with socket.create_server(("127.0.9.1", 0)) as server:
+        return server.getsockname()[1]
+
+
+class FullFileSystem(LocalFileSystem):
+    """A folder on a disk that is full while it is in ``full_folders``; half of a write is done."""
+
+    full_folders: ClassVar[set[str]] = set()
+
+    def append(self, name, content):
+        if str(self.folder) in self.full_folders:
+            super().append(name, content[: len(content) // 2])
+            raise DISK_FULL
+        super().append(name, content)
+
+
+def create_full_file_system(folder: str) -> FullFileSystem:
+    path = Path(folder)
+    path.mkdir(parents=True, exist_ok=True)
+    return FullFileSystem(path)
+
+
+class TestDisksOneAfterAnother:
+    # What another operator saw: long after the last disk had room again, changes were refused.
+    def test_every_hub_accepts_changes_afterwards(self, tmp_path):
+        async def run():
+            port = find_port()
+            vms = [f"127.0.9.{number}" for number in (1, 2, 3)]
+            services = [create_peer(tmp_path, vm, vms, port) for vm in vms]
+            for service in services:
+                await service.start()
+            await self._put_until_stored(services, 1)
+            version, stored = 1, 1
+            for _ in services:
+                # The leader each time, so that leadership moves with every disk.
+                leaders = [item for item in services if item.node.replica.is_leader]
+                folder = leaders[0].settings.data_folder
+                FullFileSystem.full_folders.add(folder)
+                deadline = read_time() + 1.5
+                while read_time() < deadline:
+                    version += 1
+                    if await self._put(services[version % 3], version):
+                        stored = version
+                    await asyncio.sleep(0.1)
+                FullFileSystem.full_folders.discard(folder)
+                stored = await self._put_until_stored(services, version + 1)
+                version = stored
+            for service in services:
+                version += 1
+                stored = await self._put_until_stored([service], version)
+            await asyncio.sleep(1.0)
+            assert [item.node.register.state.version for item in services] == [stored] * 3
+            assert all(item._is_ready() for item in services)
+            for service in services:
+                await service.stop()
+
+        with mock.patch.object(_hub_disk, "create_local_file_system", create_full_file_system):
+            asyncio.run(run())
+
+    async def _put(self, service: HubService, version: int) -> bool:
+        content = compress_content(str(version).encode())
+        return isinstance(await service.submit(PutCatalogue(version, content)), CatalogueStored)
+
+    async def _put_until_stored(self, services: list[HubService], version: int) -> int:
+        deadline = read_time() + 5.0
+        while not await self._put(services[version % len(services)], version):
+            assert read_time() < deadline
+            version += 1
+        return version
+
+
+def create_peer(folder, vm: str, vms: list[str], port: int) -> HubService:
+    """Return one hub of several, each with an address of its own on loopback."""
+    settings = HubSettings(
+        name=vm,
+        record=HubRecord(vm, f"{vm}:{port}", f"{vm}:{port + 1}", "z"),
+        regions={"z": "r"},
+        seeds=tuple(vms),
+        is_first_start=True,
+        data_folder=str(folder / vm),
+        api_address=f"{vm}:0",
+    )
+    return HubService(
+        settings, reader=FakeReader(), request_handler=UnusedRequestHandler(), secret=b"s" * 16
+    )
