--- a/tarragonshelf/site/tests/test_hub_service.py
+++ b/tarragonshelf/site/tests/test_hub_service.py
@@ -308,6 +308,8 @@
             assert all(item._is_ready() for item in services)
             for service in services:
                 await service.stop()
+            # The connections close in the passes of the event loop that follow.
+            await asyncio.sleep(0.1)
 
         with mock.patch.object(_hub_disk, "create_local_file_system", create_full_file_system):
             asyncio.run(run())
