Crashes of one target count once towards a quarantine

Ruled out: the gossip, which still passes each crash on. Change: the targets of the recent crashes are counted. Evidence: TestPoison.test_two_incarnations_of_one_target_count_as_one_crash failed before (2 instead of 1). Conclusion: mended.

--- a/tarragonshelf/health/_poison.py
+++ b/tarragonshelf/health/_poison.py
@@ -21,7 +21,8 @@
     """Records which targets crashed while they ran which requests.
 
     A request is quarantined after ``CRASHES_TO_QUARANTINE`` targets crashed while they ran it;
-    incarnations of one target count separately. All times are in seconds on the entry's clock.
+    all incarnations of one target count once, as a target may crash by itself. All times are in
+    seconds on the entry's clock.
     """
 
     def __init__(self):
@@ -34,7 +35,7 @@
     def count_crashes(self, now: float, digest: str) -> int:
         """Return how many targets recently crashed while they ran a request."""
         crashes = self._crashes.get(digest, {})
-        return sum(1 for at in crashes.values() if now - at < QUARANTINE_SECONDS)
+        return len({key[0] for key, at in crashes.items() if now - at < QUARANTINE_SECONDS})
 
     def record(self, now: float, note: PoisonNote) -> bool:
         """Record a crash and return whether it was not known yet."""
--- a/tarragonshelf/health/tests/test_health.py
+++ b/tarragonshelf/health/tests/test_health.py
@@ -111,6 +111,16 @@
         assert register.is_quarantined(2.0, "d")
         assert not register.is_quarantined(2.0, "other")
 
+    # Guards against a request that is held back because one target crashed twice by itself.
+    def test_two_incarnations_of_one_target_count_as_one_crash(self):
+        register = PoisonRegister()
+        assert register.record(0.0, PoisonNote("d", "t1", "1"))
+        assert register.record(1.0, PoisonNote("d", "t1", "2"))
+        assert register.count_crashes(2.0, "d") == 1
+        assert not register.is_quarantined(2.0, "d")
+        register.record(3.0, PoisonNote("d", "t2", "1"))
+        assert register.is_quarantined(4.0, "d")
+
     def test_quarantine_ends(self):
         register = PoisonRegister()
         register.record(0.0, PoisonNote("d", "t1", "1"))
