A background command that is refused for good is reported and given up

Ruled out: the leader client, which already returns such a refusal at once. Change: reasons that are permanent end the retries with a log line (command_refused); no reply and all other reasons are retried as before.

--- a/tarragonshelf/control/__init__.py
+++ b/tarragonshelf/control/__init__.py
@@ -11,7 +11,7 @@
     Reply,
     StopRequested,
 )
-from ._finder import LeaderFinder
+from ._finder import PERMANENT_REASONS, LeaderFinder
 from ._machine import ControlMachine, ControlSnapshot
 from ._messages import (
     COMMANDS,
@@ -34,6 +34,7 @@
 
 __all__ = [
     "COMMANDS",
+    "PERMANENT_REASONS",
     "AdvanceClock",
     "AttachedEntry",
     "CallReceived",
--- a/tarragonshelf/daemons/_command_submitter.py
+++ b/tarragonshelf/daemons/_command_submitter.py
@@ -1,9 +1,10 @@
 """Submission of commands to the leader, also in the background."""
 
 import asyncio
+from collections.abc import Callable
 
 from ..base import Message
-from ..control import Refused
+from ..control import PERMANENT_REASONS, Refused
 from ._leader_client import LeaderClient
 
 RETRY_INTERVAL_SECONDS = 0.25
@@ -17,10 +18,13 @@
     ----------
     client : LeaderClient
         Sends commands to the leader.
+    report : callable
+        Called with an event name and fields when a background command is refused for good.
     """
 
-    def __init__(self, client: LeaderClient):
+    def __init__(self, client: LeaderClient, *, report: Callable[..., None]):
         self.client = client
+        self.report = report
         self._tasks: set[asyncio.Task] = set()
 
     @property
@@ -33,7 +37,10 @@
         return await self.client.submit(command, timeout)
 
     def submit_in_background(self, command: Message) -> None:
-        """Submit a command in the background, and retry until it is acknowledged."""
+        """Submit a command in the background, and retry until it is acknowledged.
+
+        A command that is refused for good is reported and given up.
+        """
         task = asyncio.get_running_loop().create_task(self._submit_until_acknowledged(command))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -55,4 +62,12 @@
             result = await self.client.submit(command, SUBMIT_TIMEOUT_SECONDS)
             if result is not None and not isinstance(result, Refused):
                 return
+            if isinstance(result, Refused) and result.reason in PERMANENT_REASONS:
+                self.report(
+                    "command_refused",
+                    command=type(command).__name__,
+                    reason=result.reason,
+                    problem=result.detail,
+                )
+                return
             await asyncio.sleep(RETRY_INTERVAL_SECONDS)
--- a/tarragonshelf/daemons/_entry.py
+++ b/tarragonshelf/daemons/_entry.py
@@ -72,7 +72,7 @@
         )
         addresses = [control.address for control in settings.controls]
         self.controls = rank_by_rendezvous(settings.vm, addresses)
-        self.submitter = CommandSubmitter(LeaderClient(self.links, addresses))
+        self.submitter = CommandSubmitter(LeaderClient(self.links, addresses), report=self._report)
         self.upstream = Upstream(maximum_answer=settings.maximum_answer)
         self.caller_server = CallerServer(
             node=self.node,
