A restored hub keeps its updates about leaving targets and their numbers

Cause: adopt_volatile_state lost the pending drains.

Ruled out: calls (those of the earlier node are refused; a later reply to them has no effect). Change: the drains are taken over. Conclusion: mended for a restored replica; the numbers of a process that restarts still begin at 1.

--- a/tarragonshelf/hub/_node.py
+++ b/tarragonshelf/hub/_node.py
@@ -122,8 +122,8 @@
     def adopt_volatile_state(self, previous: "HubNode") -> None:
         """Take over state of the previous node after its replica was restarted from disk.
 
-        Targets and their limits, hubs, retry budgets and permits are not part of the replicated
-        log. Subscribers are not taken over: what the failed batch had for them was not sent, so
+        Targets and their limits, hubs, retry budgets, permits and updates about leaving targets
+        are not part of the replicated log. Subscribers are not taken over: what the failed batch had for them was not sent, so
         they have to subscribe again, and then receive everything.
         """
         self.targets = previous.targets
@@ -131,6 +131,8 @@
         self.retry_pool = previous.retry_pool
         self.limits = previous.limits
         self.permits = previous.permits
+        # Numbers must not begin anew: a late confirmation would count for another update.
+        self._drains = previous._drains
         self._saved_catalogue = previous._saved_catalogue
         self._edges_changed = True
 
