A permit whose caller left serves the next request

Ruled out: giving it back to the leader, which needs a message that older builds do not know. Change: the entry keeps such a permit for 0.2 s, as long as a reply may take, for its next request to the same target. Conclusion: mended within one entry.

--- a/tarragonshelf/edge/_node.py
+++ b/tarragonshelf/edge/_node.py
@@ -381,12 +381,19 @@
         itself while it has no hub that is in contact with a leader.
         """
         request = self.permit_requests.add(now, needed)
-        if self.hubs.has_current_hub(now):
+        decided = self.permit_requests.decide_with_unused(now, request.number)
+        if decided is not None:
+            self._pending_effects.append(PermitAnswered(request.number, decided))
+        elif self.hubs.has_current_hub(now):
             self._pending_effects.append(SendToHub(request))
         else:
             self._decide_unanswered_permits(now, is_lost=True)
         return request.number
 
+    def return_permit(self, now: float, target: str) -> None:
+        """Give back a permit for a target whose request has ended before it was decided."""
+        self.permit_requests.give_back(now, target)
+
     def _decide_unanswered_permits(self, now: float, *, is_lost: bool = False) -> None:
         decisions = self.permit_requests.decide_unanswered(now, is_lost=is_lost)
         self._pending_effects += (PermitAnswered(*item) for item in decisions)
--- a/tarragonshelf/edge/_permits.py
+++ b/tarragonshelf/edge/_permits.py
@@ -8,6 +8,8 @@
 
 # The hub asks the leader, which may be in another region. A reply takes up to 90 ms.
 REPLY_TIMEOUT_SECONDS = 0.2
+# A permit that its request no longer needs may be used by another request for this long.
+UNUSED_PERMIT_SECONDS = 0.2
 # Range of the time after which callers that are refused without a leader should return. It takes
 # one or two seconds to elect a leader.
 MINIMUM_RETURN_SECONDS = 0.5
@@ -43,6 +45,8 @@
         self._local_permits = LocalPermits(random)
         self._number = 0
         self._pending: dict[int, _PendingRequest] = {}
+        # Targets of permits that were given back, with the time until which they may be used.
+        self._unused: list[tuple[str, float]] = []
 
     def add(self, now: float, needed: PermitNeeded) -> PermitRequest:
         """Create and record the request to the hub for a permit."""
@@ -59,6 +63,21 @@
         self._pending[self._number] = _PendingRequest(now, request)
         return request
 
+    def give_back(self, now: float, target: str) -> None:
+        """Keep a permit whose request has ended for the next request to its target."""
+        self._unused.append((target, now + UNUSED_PERMIT_SECONDS))
+
+    def decide_with_unused(self, now: float, number: int) -> PermitDecided | None:
+        """Decide a request with a permit that was given back, or return None if there is none."""
+        self._unused = [item for item in self._unused if now <= item[1]]
+        wanted = {limit.target for limit in self._pending[number].request.limits}
+        for item in self._unused:
+            if item[0] in wanted:
+                self._unused.remove(item)
+                del self._pending[number]
+                return PermitDecided(item[0])
+        return None
+
     def complete(self, now: float, reply: PermitReply) -> PermitDecided | None:
         """Return the decision of the hub, or None if the request is no longer pending.
 
--- a/tarragonshelf/hub/_node.py
+++ b/tarragonshelf/hub/_node.py
@@ -123,8 +123,8 @@
         """Take over state of the previous node after its replica was restarted from disk.
 
         Targets and their limits, hubs, retry budgets, permits and updates about leaving targets
-        are not part of the replicated log. Subscribers are not taken over: what the failed batch had for them was not sent, so
-        they have to subscribe again, and then receive everything.
+        are not part of the replicated log. Subscribers are not taken over: what the failed batch
+        had for them was not sent, so they have to subscribe again, and then receive everything.
         """
         self.targets = previous.targets
         self.registrar = previous.registrar
--- a/tarragonshelf/site/_edge.py
+++ b/tarragonshelf/site/_edge.py
@@ -122,6 +122,7 @@
             report=self._report,
             request_retry=self._request_retry,
             request_permit=self._request_permit,
+            return_permit=self._return_permit,
             relay=self._relay,
         )
         self.relay_server = RelayServer(
@@ -319,6 +320,9 @@
         number = self.node.request_permit(read_time(), needed)
         return await self._wait_for_decision(self._pending_permits, number)
 
+    def _return_permit(self, target: str) -> None:
+        self.node.return_permit(read_time(), target)
+
     async def _wait_for_decision(
         self, pending: dict[int, asyncio.Future], number: int
     ) -> bool | PermitDecided:
--- a/tarragonshelf/site/_forwarder.py
+++ b/tarragonshelf/site/_forwarder.py
@@ -54,6 +54,8 @@
         Requests a retry from the budget of a service and returns whether it was granted.
     request_permit : callable
         Requests a permit for a target with a limit and returns the decision.
+    return_permit : callable
+        Gives back a permit for a target that is not needed any longer.
     relay : callable
         Sends a request to another entry and returns how that ended.
     """
@@ -68,6 +70,7 @@
         report: Callable[..., None],
         request_retry: Callable[[str], Awaitable[bool]],
         request_permit: Callable[[PermitNeeded], Awaitable[PermitDecided]],
+        return_permit: Callable[[str], None],
         relay: Callable[[RelayAttempt, RequestContent], Awaitable[RelayEnded]],
     ):
         self.context = context
@@ -77,6 +80,7 @@
         self.report = report
         self.request_retry = request_retry
         self.request_permit = request_permit
+        self.return_permit = return_permit
         self.relay = relay
 
     async def forward(
@@ -259,7 +263,10 @@
         self._handle(RetryGrantAnswered(await self.forwarder.request_retry(service)))
 
     async def _request_permit(self, needed: PermitNeeded) -> None:
-        self._handle(await self.forwarder.request_permit(needed))
+        decided = await self.forwarder.request_permit(needed)
+        if self._result.done() and decided.target:
+            self.forwarder.return_permit(decided.target)
+        self._handle(decided)
 
     def _start(self, number: int, attempt: Coroutine, crashed: Message) -> None:
         """Run an attempt as a task; ``crashed`` is how it ended if the task raises an error."""
--- a/tarragonshelf/site/tests/test_caller_server.py
+++ b/tarragonshelf/site/tests/test_caller_server.py
@@ -65,6 +65,7 @@
             report=lambda event, **fields: self.reports.append(event),
             request_retry=self.request_retry,
             request_permit=self.request_permit,
+            return_permit=lambda target: None,
             relay=self.relay,
         )
         self.server = CallerServer(
--- a/tarragonshelf/site/tests/test_relay.py
+++ b/tarragonshelf/site/tests/test_relay.py
@@ -107,6 +107,7 @@
             report=self.report,
             request_retry=self._deny_retry,
             request_permit=self._deny_permit,
+            return_permit=lambda target: None,
             relay=self._fail_relay,
         )
         self.links = self._create_links("e0")
