An isolated entry without a hub uses the entries that it knows as relays

Cause: only a hub names relays, and only to entries that report that they are isolated.

Ruled out: asking other entries, which needs a new message. Change: while no hub is current and no relay is known, the entries that the last hub named for callers are asked, at the relay port that is the same on all VMs. They decline if they have no path themselves. Conclusion: mended where another entry of the data centre followed the same hub.

--- a/tarragonshelf/edge/_node.py
+++ b/tarragonshelf/edge/_node.py
@@ -240,6 +240,7 @@
         self.suspects.remove_expired(now)
         self.targets.remove_departed(now)
         self.path.tick(now)
+        self._find_relays_without_hub(now)
         return [*self._choose_hub(now), *self.pop_pending_effects()]
 
     def pop_pending_effects(self) -> list[Effect]:
@@ -294,6 +295,27 @@
             counts = {item.target: item.count for item in message.items}
             self.balancer.update_peer_load(counts, is_whole=message.is_whole)
 
+    def _find_relays_without_hub(self, now: float) -> None:
+        """Use the entries that a hub has named for callers as relays if no hub names any.
+
+        The port for requests to relay is the same on all VMs. Those entries may have lost their
+        path, too, and then decline.
+        """
+        port = self.settings.relay_address.rpartition(":")[2]
+        is_needed = self.path.is_lost and self.path.relays.is_empty
+        if not port or not is_needed or self.hubs.has_current_hub(now):
+            return
+        addresses = (
+            (f"{item.address.rpartition(':')[0]}:{port}", item.data_centre) for item in self._edges
+        )
+        self.path.relays.update(
+            tuple(
+                RelayRecord(address, data_centre)
+                for address, data_centre in addresses
+                if address != self.settings.relay_address
+            )
+        )
+
     def _activate_catalogue(self, copy: CatalogueCopy) -> None:
         """Put a catalogue in force if its version is higher than the present one."""
         if copy.version <= self.version:
--- a/tarragonshelf/edge/tests/test_isolation.py
+++ b/tarragonshelf/edge/tests/test_isolation.py
@@ -241,3 +241,17 @@
         fleet.advance(5.0)
         tries = count_tries(fleet, names, healed_at, fleet.now - 2.0)
         assert tries.cut_served >= 0.98 * tries.cut
+
+
+@pytest.mark.parametrize("entries", SIZES)
+class TestWithoutHubs:
+    # Guards against an entry that refuses all callers because no hub is left to name relays.
+    @pytest.mark.parametrize("fault", list(PathFault))
+    def test_cut_entry_uses_the_entries_that_it_knows(self, fault, entries):
+        fleet = create_fleet(entries)
+        names = list_share(fleet, 1 / 3)
+        fleet.stop_hubs(*fleet.site.hubs)
+        tries = play_cut(fleet, names, fault)
+        assert tries.cut
+        assert not tries.is_rule_broken, tries
+        assert find_broken_promises(fleet) == []
--- a/tarragonshelf/relaying/_selector.py
+++ b/tarragonshelf/relaying/_selector.py
@@ -30,6 +30,11 @@
         self._in_flight: dict[str, int] = {}
         self._avoided_until: dict[str, float] = {}
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no relay is known."""
+        return not self._relays
+
     def update(self, relays: tuple[RelayRecord, ...]) -> None:
         """Replace the known relays."""
         self._relays = relays
