An entry reports a catalogue that it cannot read and keeps the one in force

Report of another operator: machines that read a list with an odd entry stopped following it.

Cause: a document that a hub of another build has stored and that this entry cannot read raised an error in the task that follows the hub. The connection was dropped without a log line, at each hub, so that the entry had no targets, loads or permits either.

Ruled out: hubs, which store documents without reading them again. Change: the entry logs catalogue_unreadable with version and problem and keeps the catalogue in force; the next readable version takes effect. Evidence: edge test_unreadable_catalogue_is_reported_and_the_last_one_stays, 2 cases, raised before. Conclusion: mended.

--- a/tarragonshelf/edge/_node.py
+++ b/tarragonshelf/edge/_node.py
@@ -19,6 +19,7 @@
     Route,
     RouteMatch,
     RouteTable,
+    UnreadableCatalogueError,
     decompress_content,
 )
 from ..forwarding import (
@@ -317,10 +318,19 @@
         )
 
     def _activate_catalogue(self, copy: CatalogueCopy) -> None:
-        """Put a catalogue in force if its version is higher than the present one."""
+        """Put a catalogue in force if its version is higher than the present one.
+
+        One that this build cannot read, though a hub of another build has stored it, is reported,
+        and the present one stays.
+        """
         if copy.version <= self.version:
             return
-        self.catalogue = self.reader.read(decompress_content(copy.content))
+        try:
+            self.catalogue = self.reader.read(decompress_content(copy.content))
+        except UnreadableCatalogueError as error:
+            fields = {"version": copy.version, "problem": str(error)}
+            self._pending_effects.append(EmitEvent("catalogue_unreadable", fields))
+            return
         self._table = RouteTable(self.catalogue, self.random)
         self._maximum_connections = {
             spec.name: spec.maximum_connections for spec in self.catalogue.services
--- a/tarragonshelf/edge/tests/test_edge.py
+++ b/tarragonshelf/edge/tests/test_edge.py
@@ -3,6 +3,8 @@
 from dataclasses import replace
 from random import Random
 
+import pytest
+
 from ...avoidance import EvidenceItem, EvidenceKind, EvidenceNews, Standing
 from ...catalogue import CatalogueCopy, compress_content
 from ...edge import (
@@ -107,6 +109,19 @@
         assert fixture.node.version == 4
         assert any(item.event == "catalogue_in_force" for item in fixture.find(EmitEvent))
 
+    # Guards against an entry that drops the connection to each hub that sends it such a document,
+    # and then has no targets, loads and permits either.
+    @pytest.mark.parametrize("content", [compress_content(b"odd"), b"not compressed"])
+    def test_unreadable_catalogue_is_reported_and_the_last_one_stays(self, content):
+        fixture = Fixture().serve().receive(CatalogueCopy(4, content))
+        assert fixture.node.version == 3
+        assert fixture.node.is_ready
+        (event,) = fixture.find(EmitEvent)
+        assert (event.event, event.fields["version"]) == ("catalogue_unreadable", 4)
+        assert event.fields["problem"]
+        fixture.receive(CatalogueCopy(5, compress_content(b"5")))
+        assert fixture.node.version == 5
+
     def test_catalogue_stays_in_force_without_any_hub(self):
         fixture = Fixture().serve()
         fixture.node.handle(fixture.now, HubLost(fixture.node.hubs.address))
