--- a/tarragonshelf/edge/_node.py
+++ b/tarragonshelf/edge/_node.py
@@ -19,6 +19,7 @@
     Route,
     RouteMatch,
     RouteTable,
+    UnreadableCatalogueError,
     decompress_content,
 )
 from ..forwarding import (
@@ -251,6 +252,7 @@
         self.suspects.remove_expired(now)
         self.targets.remove_departed(now)
         self.path.tick(now)
+        self._find_relays_without_hub(now)
         return [*self._choose_hub(now), *self.pop_pending_effects()]
 
     def pop_pending_effects(self) -> list[Effect]:
@@ -309,11 +311,41 @@
             counts = {item.target: item.count for item in message.items}
             self.balancer.update_peer_load(counts, is_whole=message.is_whole)
 
+    def _find_relays_without_hub(self, now: float) -> None:
+        """Use the entries that a hub has named for callers as relays if no hub names any.
+
+        The port for requests to relay is the same on all VMs. Those entries may have lost their
+        path, too, and then decline.
+        """
+        port = self.settings.relay_address.rpartition(":")[2]
+        is_needed = self.path.is_lost and self.path.relays.is_empty
+        if not port or not is_needed or self.hubs.has_current_hub(now):
+            return
+        addresses = (
+            (f"{item.address.rpartition(':')[0]}:{port}", item.data_centre) for item in self._edges
+        )
+        self.path.relays.update(
+            tuple(
+                RelayRecord(address, data_centre)
+                for address, data_centre in addresses
+                if address != self.settings.relay_address
+            )
+        )
+
     def _activate_catalogue(self, copy: CatalogueCopy) -> None:
-        """Put a catalogue in force if its version is higher than the present one."""
+        """Put a catalogue in force if its version is higher than the present one.
+
+        One that this build cannot read, though a hub of another build has stored it, is reported,
+        and the present one stays.
+        """
         if copy.version <= self.version:
             return
-        self.catalogue = self.reader.read(decompress_content(copy.content))
+        try:
+            self.catalogue = self.reader.read(decompress_content(copy.content))
+        except UnreadableCatalogueError as error:
+            fields = {"version": copy.version, "problem": str(error)}
+            self._pending_effects.append(EmitEvent("catalogue_unreadable", fields))
+            return
         self._table = RouteTable(self.catalogue, self.random)
         self._maximum_connections = {
             spec.name: spec.maximum_connections for spec in self.catalogue.services
@@ -396,12 +428,19 @@
         itself while it has no hub that is in contact with a leader.
         """
         request = self.permit_requests.add(now, needed)
-        if self.hubs.has_current_hub(now):
+        decided = self.permit_requests.decide_with_unused(now, request.number)
+        if decided is not None:
+            self._pending_effects.append(PermitAnswered(request.number, decided))
+        elif self.hubs.has_current_hub(now):
             self._pending_effects.append(SendToHub(request))
         else:
             self._decide_unanswered_permits(now, is_lost=True)
         return request.number
 
+    def return_permit(self, now: float, target: str) -> None:
+        """Give back a permit for a target whose request has ended before it was decided."""
+        self.permit_requests.give_back(now, target)
+
     def _decide_unanswered_permits(self, now: float, *, is_lost: bool = False) -> None:
         decisions = self.permit_requests.decide_unanswered(now, is_lost=is_lost)
         self._pending_effects += (PermitAnswered(*item) for item in decisions)
--- a/tarragonshelf/platform/tests/test_platform.py
+++ b/tarragonshelf/platform/tests/test_platform.py
@@ -203,6 +203,20 @@
         assert ("Retry-After" in response.headers) == (status == 503)
 
 
+class TestHugeNumbers:
+    """Numbers of any length in headers count as a very long time."""
+
+    @pytest.mark.parametrize("digits", [20, 400, 5000])
+    def test_deadline_of_a_caller(self, digits):
+        fields = PlatformDialect().read_caller_fields(((b"Deadline-Ms", b"9" * digits),))
+        assert fields.remaining_seconds > 1e9
+
+    @pytest.mark.parametrize("digits", [20, 400, 5000])
+    def test_idle_time_of_a_target(self, digits):
+        headers = ((b"Keep-Alive", b"timeout=" + b"9" * digits),)
+        assert PlatformDialect().get_idle_seconds(headers) > 1e9
+
+
 class TestLimitHeader:
     """A target names its limit in responses of every kind; only a success lifts it."""
 
@@ -281,6 +295,12 @@
         with pytest.raises(MalformedError, match=name):
             create_edge_settings({**SETTINGS, name: None})
 
+    # Guards against a changed file that is refused without a log line: only this error is caught.
+    @pytest.mark.parametrize("ports", [[], [0, 1], [65536], [2**64], "7620", [None]])
+    def test_odd_ports_are_refused(self, ports):
+        with pytest.raises(MalformedError, match="internal_ports"):
+            read_seed_hubs({**SETTINGS, "internal_ports": ports})
+
     def test_one_seed_is_enough(self):
         assert read_seed_hubs({**SETTINGS, "seeds": ["10.0.0.9:4"]}) == ("10.0.0.9:7620",)
 
--- a/tarragonshelf/site/_hub.py
+++ b/tarragonshelf/site/_hub.py
@@ -271,6 +271,9 @@
 
     def _replace_node(self, restored: RestoredState) -> None:
         previous = self.node
+        # The new node knows none of the entries. They subscribe again, here or at another hub.
+        for connection in list(self._subscribers.values()):
+            connection.close()
         self.node = HubNode(
             record=self.settings.record,
             incarnation=restored.incarnation,
@@ -465,7 +468,7 @@
         return None
 
     async def _submit_once(
-        self, message: Message, timeout: float, named_leader: str
+        self, message: Message, timeout: float, named_leader: str = ""
     ) -> Message | None:
         """Send a message once to the leader, which may be this hub.
 
