soak: replace all controls, end with a fault right after a change

Cause: the soak keeps its controls and the seeds in the settings for the whole run, reads the document at any one control, and looks up the route of a version only at the end.

Callers use a list of controls that lags by up to 3 s, and settings name seeds from that list. No second disk is lost before the successor had 4 s with a majority. Each run ends, once all has recovered, with a fault right after a change was acknowledged: all controls or all processes killed, also with the loss of a disk, or a kill during a join. Afterwards each control has to return the newest document. During the run callers look up the routes of the last versions: no entry may use a version older than it has to know or has used before.

Evidence: unit tests of the checks and of the draws pass.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -12,7 +12,7 @@
 import fire
 from aiohttp import ClientSession
 
-from ._faults import Fault, Injector, draw_faults
+from ._faults import Fault, Injector, draw_faults, draw_final_fault, draw_replacements
 from ._history import History
 from ._site import Site, find_free_port
 from ._targets import Target, keep_announcing
@@ -32,7 +32,13 @@
     def __init__(self, seed: int, folder: Path, *, controls: int, entries: int, targets: int):
         self.random = Random(seed)
         self.history = History()
-        self.site = Site(folder, controls=controls, entries=entries, history=self.history)
+        self.site = Site(
+            folder,
+            controls=controls,
+            entries=entries,
+            history=self.history,
+            random=Random(f"settings of {seed}"),
+        )
         self.targets = [
             Target(f"t{number}", number, self.history, Random(self.random.random()))
             for number in range(targets)
@@ -43,8 +49,11 @@
             for number in range(2 * entries)
         ]
 
-    async def run(self, faults: list[Fault]) -> None:
-        """Start the site, inject faults under load, and check that everything recovers."""
+    async def run(self, faults: list[Fault], final_fault: Fault) -> None:
+        """Start the site, inject faults under load, and check that everything recovers.
+
+        The last fault comes when everything has recovered from the others.
+        """
         tasks: list[asyncio.Task] = []
         await self.site.start()
         try:
@@ -54,10 +63,16 @@
                     _create_task(keep_announcing(target, self._shuffle_control_addresses))
                 )
             await self._wait_until_serving()
-            tasks += [_create_task(item.run()) for item in (*self.callers, self.operator)]
+            changes = _create_task(self.operator.run())
+            tasks += [changes, *(_create_task(item.run()) for item in self.callers)]
             tasks.append(_create_task(self._watch_processes()))
-            await Injector(self.site, self.targets, self.history).inject(faults)
-            await self._check_recovery()
+            injector = Injector(self.site, self.targets, self.history)
+            await injector.inject(faults)
+            await self._check_recovery("faults")
+            changes.cancel()
+            await self._put_last_version()
+            await injector.inject_final(final_fault)
+            await self._check_recovery("the final fault")
             self._report_failed_tasks(tasks)
         finally:
             for task in tasks:
@@ -66,6 +81,19 @@
             for target in self.targets:
                 target.stop()
 
+    async def _put_last_version(self) -> None:
+        """Change the document; it is due for as long as all has to be recovered in."""
+        async with ClientSession() as session:
+            put = self.operator.put(session, self.operator.version + 1)
+            try:
+                await asyncio.wait_for(put, RECOVERY_TIMEOUT_SECONDS)
+            except TimeoutError:
+                self.history.report_violation(
+                    "recover",
+                    f"version {self.operator.version} was not acknowledged within "
+                    f"{RECOVERY_TIMEOUT_SECONDS:g} s",
+                )
+
     def _shuffle_control_addresses(self) -> list[str]:
         addresses = self.site.list_control_addresses()
         return self.random.sample(addresses, len(addresses))
@@ -75,7 +103,10 @@
         async with ClientSession() as session:
             await asyncio.wait_for(self.operator.put(session, 1), START_TIMEOUT_SECONDS)
             for vm in self.site.entries:
-                while (await self.callers[0].send(session, vm)).status not in (200, 500):
+                while (await self.callers[0].send(session, vm, version=0)).status not in (
+                    200,
+                    500,
+                ):
                     if asyncio.get_running_loop().time() > deadline:
                         raise TimeoutError(f"{vm} did not serve within {START_TIMEOUT_SECONDS} s")
                     await asyncio.sleep(0.2)
@@ -85,32 +116,36 @@
             self.site.check_processes()
             await asyncio.sleep(0.2)
 
-    async def _check_recovery(self) -> None:
-        """Check that each entry serves with the newest document and that it can be read back."""
+    async def _check_recovery(self, cause: str) -> None:
+        """Check that each entry serves by the newest document, and each control returns it."""
         deadline = asyncio.get_running_loop().time() + RECOVERY_TIMEOUT_SECONDS
         problems = await self._find_problems()
         while problems and asyncio.get_running_loop().time() < deadline:
             await asyncio.sleep(0.5)
             problems = await self._find_problems()
         for problem in problems:
-            self.history.report_violation("recover", problem)
+            self.history.report_violation("recover", f"after {cause}, {problem}")
 
     async def _find_problems(self) -> list[str]:
         """Return a description of each function that currently fails."""
         problems = []
         async with ClientSession() as session:
-            version = await self.operator.read(session)
             newest = max(number for _, number in self.history.acknowledged_versions)
-            if version < newest:
-                problems.append(f"read version {version} instead of {newest}")
+            for vm in self.site.controls:
+                version = await self.operator.read(session, f"{vm}:{self.site.call_port}")
+                if version < newest:
+                    problems.append(f"{vm} returned version {version} instead of {newest}")
             for vm in self.site.entries:
-                sent = [await self.callers[0].send(session, vm) for _ in range(FINAL_REQUESTS)]
+                sent = [
+                    await self.callers[0].send(session, vm, version=0)
+                    for _ in range(FINAL_REQUESTS)
+                ]
                 if not any(item.status == 200 for item in sent):
                     problems.append(
                         f"{vm} responded only with statuses {[item.status for item in sent]}"
                     )
                 # Each version replaces the route of the previous one by a route of its own.
-                lookup = await self.callers[0].send(session, vm, f"v{newest}")
+                lookup = await self.callers[0].send(session, vm, version=newest)
                 if lookup.status == 404 and newest == self.operator.version:
                     problems.append(f"{vm} does not have version {newest} in force")
         return problems
@@ -127,11 +162,11 @@
     return asyncio.get_running_loop().create_task(coroutine)
 
 
-async def _run_until_stopped(soak: Soak, faults: list[Fault]) -> None:
+async def _run_until_stopped(soak: Soak, faults: list[Fault], final_fault: Fault) -> None:
     """Run, and stop all child processes when this process receives SIGTERM."""
     task = asyncio.current_task()
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
-    await soak.run(faults)
+    await soak.run(faults, final_fault)
 
 
 def run_seed(
@@ -141,6 +176,7 @@
     controls: int = 3,
     entries: int = 4,
     targets: int = 8,
+    replace: bool = False,
     folder: str = "",
 ) -> dict:
     """Run one seed and return the faults, the outcomes and the violations found.
@@ -153,6 +189,8 @@
         Time within which faults start.
     controls, entries, targets : int
         Number of processes or targets of each kind.
+    replace : bool
+        Whether all controls are replaced one after another, beside few other faults.
     folder : str
         Directory in which settings, disks and logs are kept. By default, a temporary directory
         is used and kept only if a guarantee was violated.
@@ -161,8 +199,13 @@
     path = Path(folder or tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     path.mkdir(parents=True, exist_ok=True)
     soak = Soak(seed, path, controls=controls, entries=entries, targets=targets)
-    faults = draw_faults(Random(seed), seconds)
-    asyncio.run(_run_until_stopped(soak, faults))
+    random = Random(seed)
+    if replace:
+        faults = draw_replacements(random, seconds, controls)
+    else:
+        faults = draw_faults(random, seconds)
+    final_fault = draw_final_fault(random)
+    asyncio.run(_run_until_stopped(soak, faults, final_fault))
     if not soak.history.violations and not is_kept:
         shutil.rmtree(path)
     return {
@@ -170,7 +213,7 @@
         "seconds": seconds,
         "faults": [
             f"{item.start_seconds} {item.kind} {item.victim} {item.duration_seconds}"
-            for item in faults
+            for item in (*faults, final_fault)
         ],
         "requests": soak.history.count_outcomes(),
         "versions": len(soak.history.acknowledged_versions),
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import signal
+from collections import Counter
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 
-from ._history import History
+from ._history import STABLE_SECONDS, History
 from ._proxy import PathFault, Proxy, ProxyMode
 from ._site import Site
 from ._targets import DRAIN_OBSERVATION_SECONDS, FAILURE_MODES, Target
@@ -32,6 +33,14 @@
 # Time that a control without its disk gets to catch up, and for which no disk is wiped afterwards:
 # the fleet has to tolerate the loss of one disk at a time.
 CATCH_UP_SECONDS = 5.0
+# Range of the time between the starts of two replacements of controls in a run that replaces all,
+# in an ordinary run, and of the time between other faults in a run that replaces all.
+REPLACE_INTERVAL_SECONDS = (4.0, 12.0)
+RARE_REPLACE_INTERVAL_SECONDS = (5.0, 25.0)
+OTHER_FAULT_INTERVAL_SECONDS = (2.0, 6.0)
+# A replaced control counts as lost until its successor has had this time with a majority.
+SUCCESSOR_CATCH_UP_SECONDS = 4.0
+POLL_SECONDS = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,6 +79,12 @@
 LIMIT_KIND = "target-limit"
 # Some or all entries lose the path to all targets, drawn last for the same reason.
 PATH_KINDS = tuple(f"path-{fault}" for fault in PathFault)
+# A control is replaced by an empty one at a new address, drawn last for the same reason: the
+# successor starts before the control is stopped, after it was stopped, or after it was killed.
+REPLACE_KINDS = ("replace-ahead", "replace-stop", "replace-kill")
+# The last fault, right after a change was acknowledged: all controls or all processes are killed,
+# also with the loss of one control's disk, or a control is killed while another one is replaced.
+FINAL_KINDS = ("final-controls", "final-all", "final-disk", "final-join")
 
 
 def draw_faults(random: Random, seconds: float) -> list[Fault]:
@@ -78,9 +93,27 @@
     faults += _draw(random, seconds, ("target-bad",), TARGET_FAULT_INTERVAL_SECONDS)
     faults += _draw(random, seconds, (LIMIT_KIND,), LIMIT_INTERVAL_SECONDS)
     faults += _draw(random, seconds, PATH_KINDS, PATH_INTERVAL_SECONDS)
+    faults += _draw(random, seconds, REPLACE_KINDS, RARE_REPLACE_INTERVAL_SECONDS)
     return sorted(faults, key=lambda fault: fault.start_seconds)
 
 
+def draw_replacements(random: Random, seconds: float, controls: int) -> list[Fault]:
+    """Return faults that replace all controls one by one, and others within ``seconds``."""
+    faults, at = [], random.uniform(*OTHER_FAULT_INTERVAL_SECONDS)
+    for position in random.sample(range(controls), controls):
+        gap = round(random.uniform(0.3, 4.0), 2)
+        faults.append(Fault(round(at, 2), random.choice(REPLACE_KINDS), position, gap))
+        at += random.uniform(*REPLACE_INTERVAL_SECONDS)
+    faults += _draw(random, seconds, KINDS, OTHER_FAULT_INTERVAL_SECONDS)
+    return sorted(faults, key=lambda fault: fault.start_seconds)
+
+
+def draw_final_fault(random: Random) -> Fault:
+    """Return the fault that ends a run."""
+    (fault,) = _draw(random, 1.0, FINAL_KINDS, (0.6, 0.9))
+    return fault
+
+
 def _draw(
     random: Random, seconds: float, kinds: tuple[str, ...], interval: tuple[float, float]
 ) -> list[Fault]:
@@ -111,6 +144,8 @@
         self.targets = targets
         self.history = history
         self._disturbed_vms: set[str] = set()
+        self._fault_counts: Counter[str] = Counter()
+        self._control_count = len(site.controls)
         self._has_path_cut = False
         self._wiped_at = float("-inf")
 
@@ -129,6 +164,8 @@
             await self._disturb_target(fault, target)
         elif fault.kind in PATH_KINDS:
             await self._cut_paths(fault)
+        elif fault.kind in REPLACE_KINDS:
+            await self._replace(fault)
         elif fault.kind == "kill-controls":
             await self._disturb_vms(self.site.controls, fault, self._kill)
         elif fault.kind == "roll":
@@ -150,16 +187,24 @@
         """Inject a fault into those of some VMs that are not being disturbed already."""
         undisturbed = [vm for vm in vms if vm not in self._disturbed_vms]
         self._disturbed_vms.update(undisturbed)
-        self._record_disturbance(undisturbed)
+        self._record_disturbance(undisturbed, 1)
         try:
             await asyncio.gather(*(inject(vm, fault) for vm in undisturbed))
         finally:
-            self._record_disturbance(undisturbed)
+            self._record_disturbance(undisturbed, -1)
             self._disturbed_vms.difference_update(undisturbed)
 
-    def _record_disturbance(self, vms: list[str]) -> None:
+    def _record_disturbance(self, vms: list[str], change: int) -> None:
+        """Record that a fault of some VMs begins (1) or ends (-1)."""
         for vm in vms:
             self.history.record_disturbance(_get_time(), vm)
+            self._fault_counts[vm] += change
+        if any(vm not in self.site.entries for vm in vms):
+            self.history.record_core(_get_time(), self._has_majority())
+
+    def _has_majority(self) -> bool:
+        sound = sum(not self._fault_counts[vm] for vm in self.site.controls)
+        return 2 * sound > self._control_count
 
     async def _kill(self, vm: str, fault: Fault) -> None:
         self.site.send_signal(vm, signal.SIGKILL)
@@ -184,6 +229,91 @@
         await asyncio.sleep(CATCH_UP_SECONDS)
         self._wiped_at = _get_time()
 
+    async def _replace(self, fault: Fault) -> None:
+        """Replace a control by an empty one once no other disk is missing."""
+        while True:
+            vm = self.site.controls[fault.victim % len(self.site.controls)]
+            is_disk_missing = _get_time() - self._wiped_at < CATCH_UP_SECONDS
+            if not is_disk_missing and vm not in self._disturbed_vms:
+                break
+            await asyncio.sleep(POLL_SECONDS)
+        self._wiped_at = float("inf")
+        # The address is not used again, so that this fault never ends.
+        self._disturbed_vms.add(vm)
+        successor = ""
+        if fault.kind == "replace-ahead":
+            successor = await self._start_successor(vm)
+            await asyncio.sleep(fault.duration_seconds)
+        self._record_disturbance([vm], 1)
+        is_killed = fault.kind == "replace-kill"
+        self.site.send_signal(vm, signal.SIGKILL if is_killed else signal.SIGTERM)
+        await self.site.wait_for_exit(vm, STOP_GRACE_SECONDS)
+        self.site.remove_control(vm)
+        if not successor:
+            await asyncio.sleep(fault.duration_seconds / 2)
+            successor = await self._start_successor(vm)
+        self._change_settings()
+        await self._wait_for_catch_up()
+        self._change_settings()
+        self._end_catch_up(successor)
+        self._wiped_at = _get_time() - CATCH_UP_SECONDS
+
+    async def _start_successor(self, vm: str) -> str:
+        successor = await self.site.add_control(vm)
+        self._disturbed_vms.add(successor)
+        self._record_disturbance([successor], 1)
+        self._change_settings()
+        return successor
+
+    async def _wait_for_catch_up(self) -> None:
+        started_at = _get_time()
+        while _get_time() - started_at < SUCCESSOR_CATCH_UP_SECONDS:
+            await asyncio.sleep(POLL_SECONDS)
+            if not self._has_majority():
+                started_at = _get_time()
+
+    def _end_catch_up(self, successor: str) -> None:
+        """Count a new control as sound; the core is disturbed only by its start."""
+        had_majority = self._has_majority()
+        self._fault_counts[successor] -= 1
+        self.history.record_disturbance(_get_time(), successor)
+        self._disturbed_vms.discard(successor)
+        if self._has_majority() != had_majority:
+            self.history.record_core(_get_time(), self._has_majority())
+
+    def _change_settings(self) -> None:
+        """Let all settings name other seeds, and signal this to some running processes."""
+        for vm in self.site.vms:
+            self.site.write_settings(vm)
+            # A process that is still starting does not handle signals yet.
+            is_started = self.history.is_undisturbed(vm, _get_time() - STABLE_SECONDS)
+            if is_started and vm not in self._disturbed_vms and self.site.random.random() < 0.5:
+                self.site.send_signal(vm, signal.SIGHUP)
+
+    async def inject_final(self, fault: Fault) -> None:
+        """Inject the last fault and start everything again."""
+        controls = self.site.controls
+        victim = controls[fault.victim % len(controls)]
+        if fault.kind == "final-join":
+            removal = replace(fault, kind="replace-kill", duration_seconds=0.0)
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._replace(removal))
+                await asyncio.sleep(fault.duration_seconds / 2)
+                other = next(vm for vm in controls if vm != victim)
+                await self._disturb_vms([other], fault, self._kill)
+            return
+        vms = controls if fault.kind == "final-controls" else self.site.vms
+        self._record_disturbance(vms, 1)
+        for vm in vms:
+            self.site.send_signal(vm, signal.SIGKILL)
+        for vm in vms:
+            await self.site.wait_for_exit(vm, STOP_GRACE_SECONDS)
+        if fault.kind == "final-disk":
+            self.site.wipe_disk(victim)
+        for vm in vms:
+            self.site.start_process(vm)
+        self._record_disturbance(vms, -1)
+
     async def _stop(self, vm: str, fault: Fault) -> None:
         self.site.send_signal(vm, signal.SIGTERM)
         await self.site.wait_for_exit(vm, STOP_GRACE_SECONDS)
@@ -206,7 +336,8 @@
         # Each bit of the number selects an entry; at least one is selected.
         mask = 1 + fault.victim % ((1 << len(entries)) - 1)
         cut = [vm for number, vm in enumerate(entries) if mask >> number & 1]
-        started_at = _get_time()
+        # A control that is replaced meanwhile counts as disturbed.
+        controls, started_at = self.site.controls, _get_time()
         self._set_path_fault(cut, PathFault(fault.kind.removeprefix("path-")))
         await asyncio.sleep(MINIMUM_PATH_CUT_SECONDS + fault.duration_seconds)
         self._set_path_fault(cut, None)
@@ -214,7 +345,7 @@
             cut,
             started_at,
             _get_time(),
-            controls=self.site.controls,
+            controls=controls,
             others=[vm for vm in entries if vm not in cut],
         )
         self._has_path_cut = False
@@ -226,9 +357,9 @@
 
     async def _disturb_links(self, vm: str, fault: Fault) -> None:
         proxies = list(self.site.proxies[vm].values())
-        self._record_disturbance([vm])
+        self._record_disturbance([vm], 1)
         await _disturb_proxies(proxies, fault)
-        self._record_disturbance([vm])
+        self._record_disturbance([vm], -1)
 
     async def _disturb_target(self, fault: Fault, target: Target) -> None:
         if fault.kind == "target-bad":
--- a/soak/_history.py
+++ b/soak/_history.py
@@ -6,6 +6,10 @@
 # not reach the target, and a read this time after a version was acknowledged returns no older one.
 DRAIN_SECONDS = 2.5
 APPLY_SECONDS = 2.5
+# While controls are disturbed, but a majority is not, versions may take so much longer to apply.
+OUTER_SECONDS = 5.0
+# An entry that used a version handles no request sent this time later by an older one.
+STALE_READ_SECONDS = 0.25
 # From LIMIT_SETTLE_SECONDS after a target first named a limit, it receives in LIMIT_WINDOW_SECONDS
 # at most LIMIT_FACTOR times what the limit allows, and LIMIT_SLACK requests more, from the entries
 # that passed on such a response at least TOLD_SECONDS before. A disturbed entry does not count
@@ -30,13 +34,17 @@
 
 @dataclass(slots=True)
 class SentRequest:
-    """One request of a caller; its status is None while it is open and 0 without a response."""
+    """One request of a caller; its status is None while it is open and 0 without a response.
+
+    ``version`` is the version by whose own route it was sent, or 0 for a route of all versions.
+    """
 
     request_id: str
     is_safe: bool
     entry: str
     sent_at: float
     body: bytes = b""
+    version: int = 0
     status: int | None = None
     ended_at: float | None = None
 
@@ -87,6 +95,10 @@
     disturbed_at: dict[str, float] = field(default_factory=dict)
     # By VM, when each fault began and ended.
     disturbances: dict[str, list[float]] = field(default_factory=dict)
+    # When a control was disturbed, and whether a majority was undisturbed from then on.
+    core_states: list[tuple[float, bool]] = field(default_factory=list)
+    # By entry, when requests ran by the own route of a version in the lifetime of its process.
+    used_versions: dict[str, list[tuple[float, int]]] = field(default_factory=dict)
     violations: list[str] = field(default_factory=list)
 
     def report_violation(self, guarantee: str, description: str) -> None:
@@ -101,6 +113,21 @@
         """Record that a fault of a VM begins or ends."""
         self.disturbed_at[vm] = now
         self.disturbances.setdefault(vm, []).append(now)
+        self.used_versions.pop(vm, None)
+
+    def record_core(self, now: float, has_majority: bool) -> None:
+        """Record that a control's fault begins or ends."""
+        self.core_states.append((now, has_majority))
+
+    def has_majority(self, since: float, until: float) -> bool:
+        """Return whether a majority of controls was undisturbed all the time between two times."""
+        before = [state for at, state in self.core_states if at < since][-1:]
+        return all([*before, *(state for at, state in self.core_states if since <= at <= until)])
+
+    def is_core_stable(self, since: float, until: float) -> bool:
+        """Return whether no control was disturbed between two times, and a majority runs."""
+        is_calm = not any(since <= at <= until for at, _ in self.core_states)
+        return is_calm and self.has_majority(since, until)
 
     def was_undisturbed(self, vm: str, since: float, until: float) -> bool:
         """Return whether no fault of a VM was under way between two times.
@@ -186,6 +213,8 @@
         """Record the response to a request, and check that it belongs to an execution of it."""
         sent.status, sent.ended_at = status, now
         executions = self.executions.get(sent.request_id, [])
+        if sent.version and (status == 404 or 200 <= status < 300):
+            self._check_version_route(now, sent, is_found=status != 404)
         if 200 <= status < 300:
             is_own_response = any(execution.stamp == stamp for execution in executions)
             if not is_own_response or body != sent.request_id.encode():
@@ -197,6 +226,38 @@
                 "refused", f"{sent.request_id} ran on {executions[0].target} and received {status}"
             )
 
+    def _check_version_route(self, now: float, sent: SentRequest, *, is_found: bool) -> None:
+        """Check that an entry handled a request by no older version than it has to use."""
+        required = [
+            (version, f"used version {version} before")
+            for at, version in self.used_versions.get(sent.entry, [])
+            if at + STALE_READ_SECONDS < sent.sent_at
+        ]
+        stable_since = sent.sent_at - STABLE_SECONDS
+        if self.was_undisturbed(sent.entry, stable_since, now):
+            is_stable = self.is_core_stable(stable_since, now)
+            required += [
+                (version, f"version {version} was acknowledged {sent.sent_at - at:.2f} s before")
+                for at, version in self.acknowledged_versions
+                if (is_stable and at + APPLY_SECONDS < sent.sent_at)
+                or (
+                    at + APPLY_SECONDS + OUTER_SECONDS < sent.sent_at
+                    and self.has_majority(min(at, stable_since), now)
+                )
+            ]
+        if is_found:
+            self.used_versions.setdefault(sent.entry, []).append((now, sent.version))
+        newest, reason = max(required, default=(0, ""))
+        # A version that was sent may apply, and drop this route, before it is acknowledged.
+        is_refused = not is_found and sent.version == newest == max(self.documents, default=0)
+        if is_refused or (is_found and sent.version < newest):
+            action = "refused" if is_refused else "used"
+            self.report_violation(
+                "config",
+                f"{sent.entry} {action} the route of version {sent.version} for "
+                f"{sent.request_id}, though {reason}",
+            )
+
     def record_read(self, sent_at: float, version: int, content: bytes) -> None:
         """Check the version and content of a document whose read request was sent at a time."""
         due_versions = [
@@ -225,7 +286,7 @@
         """Check that callers of entries without a path to the targets were served all the same."""
         counts = {True: [0, 0], False: [0, 0]}
         for sent in self.sent.values():
-            if sent.ended_at is None:
+            if sent.ended_at is None or sent.version:
                 continue
             since, until = sent.sent_at - STABLE_SECONDS, sent.ended_at
             sound = sum(self.was_undisturbed(vm, since, until) for vm in controls)
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -101,6 +101,11 @@
         for connection in list(self._connections):
             connection.reset()
 
+    def drop_all_packets(self) -> None:
+        """Let connecting hang, as at an address that no machine has."""
+        for listener in self._server.sockets:
+            _attach_filter(listener, [(RETURN, 0, 0, DROP_PACKET)])
+
     def set_path_fault(self, source: str, fault: PathFault | None) -> None:
         """Inject a fault into all connections of a client address, or end it."""
         if fault is None:
@@ -190,6 +195,10 @@
         # The jump leads to the last instruction.
         program.append((JUMP_IF_EQUAL, len(sources) - index, 0, address))
     program += [(RETURN, 0, 0, KEEP_PACKET), (RETURN, 0, 0, DROP_PACKET)]
+    _attach_filter(listener, program)
+
+
+def _attach_filter(listener, program: list[tuple[int, int, int, int]]) -> None:
     code = ctypes.create_string_buffer(b"".join(struct.pack("HBBI", *item) for item in program))
     argument = struct.pack("HP", len(program), ctypes.addressof(code))
     listener.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, argument)
--- a/soak/_site.py
+++ b/soak/_site.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import os
 import shutil
@@ -10,6 +11,7 @@
 import subprocess
 import sys
 from pathlib import Path
+from random import Random
 
 from ._history import History
 from ._proxy import Proxy
@@ -24,6 +26,9 @@
 }
 COLUMNS = ["name", "host", "path_prefix", "kind", "timeout", "service", "max_attempts"]
 HOST = "h.example"
+# Settings name this many controls of the operator's list, which lags by at most the time below.
+SEED_COUNT = 3
+SEED_LAG_SECONDS = 3.0
 # Number of loopback networks ``127.N.0.0/16`` from which a run selects one by its process id.
 LOOPBACK_NETWORKS = 250
 
@@ -73,16 +78,26 @@
         Number of processes of each role.
     history : History
         Receives violations, such as processes that exit unexpectedly.
+    random : Random
+        Determines the seeds in the settings, and how far the operator's list lags.
     """
 
-    def __init__(self, folder: Path, *, controls: int, entries: int, history: History):
+    def __init__(
+        self, folder: Path, *, controls: int, entries: int, history: History, random: Random
+    ):
         self.folder = folder
         self.history = history
+        self.random = random
         # The ports for metrics are fixed, so concurrent soak runs need different addresses.
         network = 1 + os.getpid() % LOOPBACK_NETWORKS
         self.controls = [f"127.{network}.1.{number + 2}" for number in range(controls)]
         self.entries = [f"127.{network}.2.{number + 2}" for number in range(entries)]
         self.target_host = f"127.{network}.3.2"
+        self._control_lists = [(float("-inf"), self.controls)]
+        self._successors = (f"127.{network}.1.{controls + 2 + n}" for n in itertools.count())
+        self._zone_numbers = {
+            vm: number for vms in (self.controls, self.entries) for number, vm in enumerate(vms)
+        }
         # Proxies listen on these ports and forward to the real ones, on which processes listen.
         (
             self.peer_port,
@@ -104,25 +119,55 @@
         return [*self.controls, *self.entries]
 
     def list_control_addresses(self) -> list[str]:
-        """Return the addresses at which operators and targets call controls."""
-        return [f"{vm}:{self.call_port}" for vm in self.controls]
+        """Return the addresses at which operators and targets call controls.
+
+        Their list of the controls lags, so that it may lack new ones and name some that are gone.
+        """
+        seen_at = _get_time() - self.random.uniform(0.0, SEED_LAG_SECONDS)
+        listed = [controls for since, controls in self._control_lists if since <= seen_at]
+        return [f"{vm}:{self.call_port}" for vm in listed[-1]]
 
     async def start(self) -> None:
         """Start the proxies, then all processes."""
         for vm in self.controls:
-            await self._add_proxy(vm, "peer", self.peer_port, self._real_peer_port)
-            await self._add_proxy(vm, "call", self.call_port, self._real_call_port)
+            await self._add_control_proxies(vm)
         for vm in self.entries:
             await self._add_proxy(vm, "front", self.front_port, self._real_front_port)
         for vm in self.vms:
             self.start_process(vm)
         self._is_bootstrap = False
 
+    async def add_control(self, predecessor: str) -> str:
+        """Start an empty control at a new address, in the zone of the one that it replaces."""
+        vm = next(self._successors)
+        self._zone_numbers[vm] = self._zone_numbers[predecessor]
+        await self._add_control_proxies(vm)
+        self._set_controls([*self.controls, vm])
+        self.start_process(vm)
+        return vm
+
+    def remove_control(self, vm: str) -> None:
+        """Remove a control whose process is not running; connecting to it hangs or is refused."""
+        self._set_controls([item for item in self.controls if item != vm])
+        if self.random.random() < 0.5:
+            for proxy in self.proxies[vm].values():
+                proxy.drop_all_packets()
+
+    def _set_controls(self, controls: list[str]) -> None:
+        # A successor follows the control that it replaces.
+        self.controls = sorted(controls, key=self._zone_numbers.get)
+        self._control_lists.append((_get_time(), self.controls))
+
+    def write_settings(self, vm: str) -> Path:
+        """Write the settings file of a VM, which names seeds anew, and return its path."""
+        path = self.folder / f"{vm}.json"
+        path.write_text(json.dumps(self._create_settings(vm)))
+        return path
+
     def start_process(self, vm: str) -> None:
         """Start the process of a VM."""
         is_control = vm in self.controls
-        path = self.folder / f"{vm}.json"
-        path.write_text(json.dumps(self._create_settings(vm)))
+        path = self.write_settings(vm)
         with (self.folder / f"{vm}.log").open("a") as log:
             self.processes[vm] = subprocess.Popen(
                 [
@@ -190,16 +235,22 @@
     def _get_disk_path(self, vm: str) -> Path:
         return self.folder / f"disk-{vm}"
 
+    async def _add_control_proxies(self, vm: str) -> None:
+        await self._add_proxy(vm, "peer", self.peer_port, self._real_peer_port)
+        await self._add_proxy(vm, "call", self.call_port, self._real_call_port)
+
     async def _add_proxy(self, vm: str, name: str, port: int, real_port: int) -> None:
         proxy = Proxy(f"{vm}:{port}", f"{vm}:{real_port}")
         await proxy.start()
         self.proxies.setdefault(vm, {})[name] = proxy
 
     def _create_settings(self, vm: str) -> dict:
-        number = self.vms.index(vm)
+        seeds = [f"{item}:{self.call_port}" for item in self.controls]
+        if not self._is_bootstrap:
+            listed = self.list_control_addresses()
+            seeds = self.random.sample(listed, len(listed))
         listen = {"control": f"{vm}:{self._real_call_port}"}
         if vm in self.entries:
-            number = self.entries.index(vm)
             query_address = f"{vm}:{self.query_port}"
             listen = {
                 "front": f"{vm}:{self._real_front_port}",
@@ -209,15 +260,19 @@
         return {
             "node_name": vm,
             "ip": vm,
-            "zone": f"z{number % len(ZONES)}",
+            "zone": f"z{self._zone_numbers[vm] % len(ZONES)}",
             "zones": ZONES,
             "listen": listen,
             "internal_ports": [self.peer_port, self.peer_port],
             "peer_listen": f"{vm}:{self._real_peer_port}",
             # Proxies tell the entries apart by their address.
             "source_ip": vm,
-            "seeds": [f"{item}:{self.call_port}" for item in self.controls[:3]],
+            "seeds": seeds[:SEED_COUNT],
             "bootstrap": self._is_bootstrap,
             "data_dir": str(self._get_disk_path(vm)),
             "bounds": BOUNDS,
         }
+
+
+def _get_time() -> float:
+    return asyncio.get_running_loop().time()
--- a/soak/_traffic.py
+++ b/soak/_traffic.py
@@ -11,8 +11,12 @@
 
 DEADLINE_SECONDS = 2.0
 MEAN_PAUSE_SECONDS = 0.15
-CHANGE_INTERVAL_SECONDS = 1.2
+# Share of the lookups that use the own route of one of the last acknowledged versions.
+VERSION_SHARE = 0.5
+VERSION_COUNT = 3
 READ_INTERVAL_SECONDS = 0.7
+# Number of reads between two changes, by lot. After many reads, the newest version is due at all.
+READ_COUNTS = (1, 2, 2, 3, 6)
 # A request without a response this time after its deadline counts as unanswered.
 RESPONSE_GRACE_SECONDS = 3.0
 
@@ -40,19 +44,28 @@
                 await self.send(session)
                 await asyncio.sleep(self.random.uniform(0.0, 2 * MEAN_PAUSE_SECONDS))
 
-    async def send(self, session: ClientSession, vm: str = "", path: str = "") -> SentRequest:
-        """Send one request and record its outcome; with ``path`` it is a lookup of that path."""
+    async def send(
+        self, session: ClientSession, vm: str = "", version: int | None = None
+    ) -> SentRequest:
+        """Send one request and record its outcome.
+
+        With ``version`` it is a lookup by that version's own route, or with 0 by one that all
+        versions have.
+        """
         self._count += 1
         now = asyncio.get_running_loop().time()
-        is_safe = bool(path) or self.random.random() < 0.4
+        is_safe = version is not None or self.random.random() < 0.4
+        if is_safe and version is None and self.random.random() < VERSION_SHARE:
+            _, version = self.random.choice(self.history.acknowledged_versions[-VERSION_COUNT:])
+        version = version or 0
         request_id = f"q{self.number}-{self._count}"
         body = b"" if is_safe else f"order {request_id}".encode()
         sent = SentRequest(
-            request_id, is_safe, vm or self.random.choice(self.site.entries), now, body
+            request_id, is_safe, vm or self.random.choice(self.site.entries), now, body, version
         )
         self.history.sent[request_id] = sent
         method = session.get if is_safe else session.post
-        path = path or ("lists" if is_safe else "orders")
+        path = f"v{version}" if version else "lists" if is_safe else "orders"
         headers = {
             "Host": HOST,
             "Request-Id": request_id,
@@ -112,7 +125,7 @@
         async with ClientSession() as session:
             while True:
                 await self.put(session, self.version + self.random.randint(1, 4))
-                for _ in range(int(CHANGE_INTERVAL_SECONDS / READ_INTERVAL_SECONDS) + 1):
+                for _ in range(self.random.choice(READ_COUNTS)):
                     await asyncio.sleep(READ_INTERVAL_SECONDS)
                     await self.read(session)
 
@@ -132,18 +145,21 @@
                 return
             await asyncio.sleep(0.2)
 
-    async def read(self, session: ClientSession) -> int:
-        """Read the document and return its version, or 0 if no control returned it."""
+    async def read(self, session: ClientSession, address: str = "") -> int:
+        """Read the document at any control or a given one; return its version, or 0 without it."""
         sent_at = _get_time()
-        status, content = await self._call(session, "/v1/config/get")
+        status, content = await self._call(session, "/v1/config/get", address=address)
         if status != 200:
             return 0
         version = int(json.loads(content)["version"], 16)
         self.history.record_read(sent_at, version, content)
         return version
 
-    async def _call(self, session, path: str, content: bytes | None = None) -> tuple[int, bytes]:
-        url = f"http://{self.random.choice(self.site.list_control_addresses())}{path}"
+    async def _call(
+        self, session, path: str, content: bytes | None = None, address: str = ""
+    ) -> tuple[int, bytes]:
+        address = address or self.random.choice(self.site.list_control_addresses())
+        url = f"http://{address}{path}"
         method = session.get if content is None else session.post
         try:
             async with method(url, data=content, timeout=ClientTimeout(1.0)) as response:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,10 +7,19 @@
 import pytest
 
 from soak.__main__ import run_seed
-from soak._faults import KINDS, LIMIT_KIND, PATH_KINDS, draw_faults
+from soak._faults import (
+    FINAL_KINDS,
+    KINDS,
+    LIMIT_KIND,
+    PATH_KINDS,
+    REPLACE_KINDS,
+    draw_faults,
+    draw_final_fault,
+    draw_replacements,
+)
 from soak._history import Execution, History, SentRequest
 from soak._proxy import PathFault, Proxy, ProxyMode
-from soak._site import find_free_ports
+from soak._site import Site, find_free_ports
 
 SEEDS = Path(__file__).parents[1] / "soak" / "seeds.txt"
 CI_SEED, CI_SECONDS = 7, 6.0
@@ -165,6 +174,100 @@
         assert not history.violations
 
 
+def create_version_history(*, acknowledged_at: float = 0.0) -> History:
+    """Return a history in which version 5 follows version 3 and was acknowledged at a time."""
+    history = History()
+    history.documents |= {3: b"", 5: b""}
+    history.acknowledged_versions += [(acknowledged_at - 9.0, 3), (acknowledged_at, 5)]
+    return history
+
+
+def record_lookup(history: History, version: int, status: int, sent_at: float = 10.0) -> None:
+    sent = SentRequest("q", True, "e", sent_at, b"", version)
+    stamp = "stamp of t"
+    history.sent["q"], history.executions["q"] = sent, [Execution("t", sent_at, stamp)]
+    history.record_response(sent_at + 0.1, sent, status, stamp, b"q")
+
+
+class TestVersions:
+    """The check of the versions by which entries handle requests."""
+
+    @pytest.mark.parametrize(("version", "status"), [(3, 200), (5, 404)])
+    @pytest.mark.parametrize(("acknowledged_at", "is_violated"), [(7.4, True), (7.6, False)])
+    def test_request_is_handled_by_an_older_version(
+        self, version, status, acknowledged_at, is_violated
+    ):
+        history = create_version_history(acknowledged_at=acknowledged_at)
+        record_lookup(history, version, status)
+        assert list_violated_guarantees(history) == ["config"] * is_violated
+
+    @pytest.mark.parametrize(("version", "status"), [(3, 404), (5, 200), (5, 503), (3, 503)])
+    def test_request_is_handled_by_the_newest_version(self, version, status):
+        history = create_version_history()
+        record_lookup(history, version, status)
+        assert not history.violations
+
+    def test_version_that_was_only_sent_may_drop_a_route(self):
+        history = create_version_history()
+        history.documents[6] = b""
+        record_lookup(history, 5, 404)
+        assert not history.violations
+
+    def test_version_that_was_only_sent_does_not_restore_a_route(self):
+        history = create_version_history()
+        history.documents[6] = b""
+        record_lookup(history, 3, 200)
+        assert list_violated_guarantees(history) == ["config"]
+
+    @pytest.mark.parametrize("times", [[1.0], [1.0, 7.5], [10.05]])
+    def test_disturbed_entries_do_not_count(self, times):
+        history = create_version_history()
+        for at in times:
+            history.record_disturbance(at, "e")
+        record_lookup(history, 5, 404)
+        assert not history.violations
+
+    @pytest.mark.parametrize(("acknowledged_at", "is_violated"), [(2.4, True), (2.6, False)])
+    def test_disturbed_control_leaves_more_time(self, acknowledged_at, is_violated):
+        history = create_version_history(acknowledged_at=acknowledged_at)
+        history.record_core(8.0, has_majority=True)
+        record_lookup(history, 5, 404)
+        assert list_violated_guarantees(history) == ["config"] * is_violated
+
+    @pytest.mark.parametrize(
+        ("states", "is_violated"),
+        [
+            ([(6.0, False)], False),
+            ([(1.0, False), (8.0, True)], False),
+            ([(1.0, False), (6.0, True)], True),
+        ],
+    )
+    def test_time_without_a_majority_does_not_count(self, states, is_violated):
+        history = create_version_history()
+        for at, has_majority in states:
+            history.record_core(at, has_majority)
+        record_lookup(history, 5, 404)
+        assert list_violated_guarantees(history) == ["config"] * is_violated
+
+    @pytest.mark.parametrize(("version", "status"), [(3, 200), (5, 404)])
+    @pytest.mark.parametrize(("sent_at", "is_violated"), [(10.2, False), (10.4, True)])
+    def test_disturbed_entry_returns_to_an_older_version(
+        self, version, status, sent_at, is_violated
+    ):
+        history = create_version_history(acknowledged_at=9.0)
+        history.record_disturbance(9.5, "e")
+        record_lookup(history, 5, 200)
+        record_lookup(history, version, status, sent_at)
+        assert list_violated_guarantees(history) == ["config"] * is_violated
+
+    def test_restarted_entry_may_return_to_an_older_version(self):
+        history = create_version_history(acknowledged_at=9.0)
+        record_lookup(history, 5, 200)
+        history.record_disturbance(10.2, "e")
+        record_lookup(history, 5, 404, 10.5)
+        assert not history.violations
+
+
 def create_path_history(*, cut_served: int, at_cut: int, other_served: int = 100) -> History:
     """Return requests to entry ``e``, and requests to another entry that were all served."""
     history = History()
@@ -229,6 +332,13 @@
         history.check_path_cut(["e"], 0.0, 10.0, controls=CONTROLS, others=["f"])
         assert not history.violations
 
+    def test_lookups_by_the_route_of_a_version_do_not_count(self):
+        history = create_path_history(cut_served=0, at_cut=100)
+        for sent in history.sent.values():
+            sent.version = 5
+        history.check_path_cut(["e"], 0.0, 10.0, controls=CONTROLS, others=["f"])
+        assert not history.violations
+
     def test_cut_of_all_entries_compares_with_none(self):
         history = create_path_history(cut_served=0, at_cut=100, other_served=0)
         history.check_path_cut(["e"], 0.0, 10.0, controls=CONTROLS, others=["f"])
@@ -247,7 +357,34 @@
 
     def test_every_kind_is_drawn(self):
         drawn = {fault.kind for seed in range(50) for fault in draw_faults(Random(seed), 20.0)}
-        assert drawn == {*KINDS, LIMIT_KIND, *PATH_KINDS}
+        assert drawn == {*KINDS, LIMIT_KIND, *PATH_KINDS, *REPLACE_KINDS}
+
+    def test_every_final_kind_is_drawn(self):
+        assert {draw_final_fault(Random(seed)).kind for seed in range(50)} == {*FINAL_KINDS}
+
+    @pytest.mark.parametrize("controls", [3, 5])
+    def test_each_control_is_replaced_once(self, controls):
+        faults = [
+            fault
+            for fault in draw_replacements(Random(5), 20.0, controls)
+            if fault.kind in REPLACE_KINDS
+        ]
+        assert sorted(fault.victim for fault in faults) == list(range(controls))
+
+
+class TestSite:
+    def test_list_of_controls_lags(self, tmp_path):
+        assert asyncio.run(list_controls_after_removal(tmp_path, seconds=1.0)) == {2, 3}
+        assert asyncio.run(list_controls_after_removal(tmp_path, seconds=3.0)) == {2}
+
+
+async def list_controls_after_removal(folder: Path, *, seconds: float) -> set[int]:
+    """Return how many controls callers see some time after one of three was removed."""
+    site = Site(folder, controls=3, entries=1, history=History(), random=Random(5))
+    site.proxies = {vm: {} for vm in site.controls}
+    site.remove_control(site.controls[0])
+    await asyncio.sleep(seconds)
+    return {len(site.list_control_addresses()) for _ in range(100)}
 
 
 class TestProxy:
@@ -276,6 +413,20 @@
     def test_path_faults_concern_one_client_address(self, fault, old, new):
         assert asyncio.run(exchange_with_path_fault(fault)) == (old, new, "answer")
 
+    def test_connecting_hangs_once_all_packets_are_dropped(self):
+        with pytest.raises(TimeoutError):
+            asyncio.run(connect_without_packets())
+
+
+async def connect_without_packets() -> None:
+    proxy = Proxy("127.0.0.1:0", "127.0.0.1:1")
+    await proxy.start()
+    proxy.drop_all_packets()
+    try:
+        await asyncio.wait_for(asyncio.open_connection("127.0.0.1", proxy.port), 0.3)
+    finally:
+        proxy.stop()
+
 
 async def exchange_with_path_fault(fault: PathFault | None) -> tuple[str, str, str]:
     """Return what an old and a new connection of the address, and one of another, experience."""
