soak: reserve a loopback network that no other soak uses

Cause: a run derives its loopback network from its process id, modulo 250.

Ruled out: to take the first network with a free port for metrics, as processes bind it seconds later: two runs that started together took the same network.

Change: a run reserves a network, the first free one from its process id on, by a socket that it holds until it stops.

Evidence: test_network_of_another_soak_is_not_used reserves two networks.

--- a/soak/_site.py
+++ b/soak/_site.py
@@ -29,8 +29,10 @@
 # Settings name this many controls of the operator's list, which lags by at most the time below.
 SEED_COUNT = 3
 SEED_LAG_SECONDS = 3.0
-# Number of loopback networks ``127.N.0.0/16`` from which a run selects one by its process id.
+# Number of loopback networks ``127.N.0.0/16`` from which a run selects one, and the fixed port on
+# which controls expose their metrics.
 LOOPBACK_NETWORKS = 250
+METRICS_PORT = 9101
 
 
 def find_free_port() -> int:
@@ -49,6 +51,20 @@
         return [probe.getsockname()[1] for probe in probes]
 
 
+def reserve_network() -> tuple[int, socket.socket]:
+    """Return the number of a loopback network that no other soak uses, and a socket.
+
+    The network is reserved until the socket is closed, as processes bind their ports only later.
+    """
+    for number in range(os.getpid(), os.getpid() + LOOPBACK_NETWORKS):
+        network = 1 + number % LOOPBACK_NETWORKS
+        with contextlib.suppress(OSError):
+            # Processes that use this network without a reservation have this port.
+            socket.create_server((f"127.{network}.1.2", METRICS_PORT)).close()
+            return network, socket.create_server((f"127.{network}.0.1", METRICS_PORT))
+    raise OSError(f"port {METRICS_PORT} is in use on all {LOOPBACK_NETWORKS} loopback networks")
+
+
 def create_document(version: int) -> bytes:
     """Return a document of a version, with a route that only this version has."""
     rows = [
@@ -88,8 +104,7 @@
         self.folder = folder
         self.history = history
         self.random = random
-        # The ports for metrics are fixed, so concurrent soak runs need different addresses.
-        network = 1 + os.getpid() % LOOPBACK_NETWORKS
+        network, self._reservation = reserve_network()
         self.controls = [f"127.{network}.1.{number + 2}" for number in range(controls)]
         self.entries = [f"127.{network}.2.{number + 2}" for number in range(entries)]
         self.target_host = f"127.{network}.3.2"
@@ -224,6 +239,7 @@
 
     def stop(self) -> None:
         """Kill all processes and stop all proxies."""
+        self._reservation.close()
         for process in self.processes.values():
             if process.poll() is None:
                 process.kill()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -19,7 +19,7 @@
 )
 from soak._history import Execution, History, SentRequest
 from soak._proxy import PathFault, Proxy, ProxyMode
-from soak._site import Site, find_free_ports
+from soak._site import Site, find_free_ports, reserve_network
 
 SEEDS = Path(__file__).parents[1] / "soak" / "seeds.txt"
 CI_SEED, CI_SECONDS = 7, 6.0
@@ -350,6 +350,14 @@
     def test_ports_of_a_site_differ(self):
         assert len(set(find_free_ports(200))) == 200
 
+    # Processes of another soak would keep those of this one from binding their ports.
+    def test_network_of_another_soak_is_not_used(self):
+        network, reservation = reserve_network()
+        with reservation:
+            other_network, other_reservation = reserve_network()
+            other_reservation.close()
+        assert other_network != network
+
 
 class TestFaults:
     def test_seed_determines_the_faults(self):
