--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -23,6 +23,7 @@
 
 SEEDS = Path(__file__).parents[1] / "soak" / "seeds.txt"
 CI_SEED, CI_SECONDS = 7, 6.0
+REPLACEMENT_SEED, REPLACEMENT_SECONDS = 309, 10.0
 CONTROLS = ["c1", "c2", "c3"]
 
 
@@ -509,6 +510,13 @@
     def test_short_run_violates_no_guarantee(self, tmp_path):
         assert run_seed(CI_SEED, CI_SECONDS, folder=str(tmp_path))["broken"] == []
 
+    # Guards against controls that never become members, so that the configuration is lost.
+    def test_run_that_replaces_all_controls_violates_no_guarantee(self, tmp_path):
+        result = run_seed(
+            REPLACEMENT_SEED, REPLACEMENT_SECONDS, replace=True, folder=str(tmp_path)
+        )
+        assert result["broken"] == []
+
     def test_seeds_that_failed_before(self, tmp_path):
         for seed, seconds in read_seeds():
             assert run_seed(seed, seconds, folder=str(tmp_path / str(seed)))["broken"] == []
