soak: count controls as disturbed until they listen, longer after a final fault

Cause: the soak demanded newer versions 3 s after the processes of a fault were spawned. The users' rules leave twice that if a final fault took most of the core, and a process that still starts on a busy machine does not run yet.

Ruled out: to end the disturbance of each process only when it listens, as the older checks would become milder.

Change: for the check of versions alone, the core counts as disturbed until the controls that were started accept connections, at most for 10 s, and 3 s longer after the final fault.

TestInjector states the rest.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -41,6 +41,8 @@
 # A replaced control counts as lost until its successor has had this time with a majority.
 SUCCESSOR_CATCH_UP_SECONDS = 4.0
 POLL_SECONDS = 0.1
+# The core counts as disturbed until killed controls accept connections, but at most for this time.
+START_SECONDS = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -146,6 +148,7 @@
         self._disturbed_vms: set[str] = set()
         self._fault_counts: Counter[str] = Counter()
         self._control_count = len(site.controls)
+        self._start_watches: set[asyncio.Task] = set()
         self._has_path_cut = False
         self._wiped_at = float("-inf")
 
@@ -193,6 +196,7 @@
         finally:
             self._record_disturbance(undisturbed, -1)
             self._disturbed_vms.difference_update(undisturbed)
+            self._watch_start(undisturbed)
 
     def _record_disturbance(self, vms: list[str], change: int) -> None:
         """Record that a fault of some VMs begins (1) or ends (-1)."""
@@ -202,6 +206,25 @@
         if any(vm not in self.site.entries for vm in vms):
             self.history.record_core(_get_time(), self._has_majority())
 
+    def _watch_start(self, vms: list[str], extra_seconds: float = 0.0) -> None:
+        controls = [vm for vm in vms if vm in self.site.controls]
+        if controls:
+            self._start_watches.add(asyncio.create_task(self.watch_start(controls, extra_seconds)))
+
+    async def watch_start(self, controls: list[str], extra_seconds: float) -> None:
+        """Count the core as disturbed while controls start, and some seconds longer.
+
+        A start takes longer on a busy machine.
+        """
+        deadline = _get_time() + START_SECONDS
+        while _get_time() < deadline and not all(map(self.site.is_listening, controls)):
+            self.history.record_core(_get_time(), self._has_majority())
+            await asyncio.sleep(POLL_SECONDS)
+        deadline = _get_time() + extra_seconds
+        while _get_time() < deadline:
+            self.history.record_core(_get_time(), self._has_majority())
+            await asyncio.sleep(POLL_SECONDS)
+
     def _has_majority(self) -> bool:
         sound = sum(not self._fault_counts[vm] for vm in self.site.controls)
         return 2 * sound > self._control_count
@@ -301,7 +324,14 @@
                 await asyncio.sleep(fault.duration_seconds / 2)
                 other = next(vm for vm in controls if vm != victim)
                 await self._disturb_vms([other], fault, self._kill)
-            return
+        else:
+            await self._kill_together(fault, victim)
+        # After a last fault that took most controls, the rest has twice the usual time to recover.
+        self._watch_start(self.site.controls, STABLE_SECONDS)
+
+    async def _kill_together(self, fault: Fault, victim: str) -> None:
+        """Kill several VMs at once, possibly with the loss of one disk, and start them again."""
+        controls = self.site.controls
         vms = controls if fault.kind == "final-controls" else self.site.vms
         self._record_disturbance(vms, 1)
         for vm in vms:
--- a/soak/_site.py
+++ b/soak/_site.py
@@ -196,6 +196,11 @@
                 stderr=log,
             )
 
+    def is_listening(self, control: str) -> bool:
+        """Return whether the process of a control accepts connections."""
+        with socket.socket() as probe:
+            return probe.connect_ex((control, self._real_call_port)) == 0
+
     def send_signal(self, vm: str, number: signal.Signals) -> None:
         """Send a signal to the process of a VM if it is still running."""
         process = self.processes[vm]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,6 +13,7 @@
     LIMIT_KIND,
     PATH_KINDS,
     REPLACE_KINDS,
+    Injector,
     draw_faults,
     draw_final_fault,
     draw_replacements,
@@ -396,6 +397,28 @@
     return {len(site.list_control_addresses()) for _ in range(100)}
 
 
+class StartingSite:
+    """A site whose control accepts connections at the third check."""
+
+    def __init__(self):
+        self.controls, self.entries = ["c1"], []
+        self.checks = iter([False, False, True])
+
+    def is_listening(self, control: str) -> bool:
+        return next(self.checks)
+
+
+class TestInjector:
+    @pytest.mark.parametrize(("extra_seconds", "least"), [(0.0, 2), (0.5, 4)])
+    def test_core_is_disturbed_while_controls_start(self, extra_seconds, least):
+        history = History()
+        injector = Injector(StartingSite(), [], history)
+        asyncio.run(injector.watch_start(["c1"], extra_seconds))
+        times = [at for at, _ in history.core_states]
+        assert len(times) >= least
+        assert times[-1] - times[0] >= extra_seconds
+
+
 class TestProxy:
     @pytest.mark.parametrize(
         ("mode", "expected"),
