--- a/tarragonshelf/edge/_node.py
+++ b/tarragonshelf/edge/_node.py
@@ -66,8 +66,10 @@
     EdgeSettings,
     FollowHub,
     HubLost,
+    HubProbed,
     HubReceived,
     PermitAnswered,
+    ProbeHub,
     RetryDecided,
     SendToHub,
 )
@@ -82,6 +84,8 @@
 # Bounds of the Retry-After time: within it a target has probably finished a request.
 MINIMUM_RETRY_AFTER_SECONDS = 0.1
 MAXIMUM_RETRY_AFTER_SECONDS = 2.0
+# Without a current hub for this long an entry may lack a version that is in force elsewhere.
+OUTDATED_SECONDS = 1.0
 # Tokens of the entry's own retry budget when it loses its hub. Together with the retries that
 # hubs granted just before, all entries stay below the budget of the site.
 INITIAL_LOCAL_TOKENS = 0.4
@@ -169,6 +173,10 @@
         """The version of the catalogue in force; 0 is none."""
         return self.catalogue.version if self.catalogue else 0
 
+    def may_lack_version(self, now: float) -> bool:
+        """Return whether a newer catalogue may be in force that this entry has not received."""
+        return self.hubs.compute_outdated_seconds(now) >= OUTDATED_SECONDS
+
     def match(self, host: str, path: str) -> RouteMatch | None:
         """Return the route of a request; only call this with a catalogue in force."""
         return self._table.match(host, path)
@@ -226,6 +234,9 @@
             self._handle_hub_message(now, message.message)
             if self.is_ready != was_ready:
                 self._announce_state()
+        elif isinstance(message, HubProbed):
+            self.hubs.record_probe(now, message.address, is_current=message.is_current)
+            return [*self._choose_hub(now), *self.pop_pending_effects()]
         elif isinstance(message, PathDoubted | TargetConnected | TargetChecked):
             self.path.handle(now, message)
         return self.pop_pending_effects()
@@ -259,12 +270,16 @@
 
     def _choose_hub(self, now: float) -> list[Effect]:
         was_looking_up = self.hubs.is_looking_up
+        before = self.hubs.describe(now)
         address = self.hubs.choose(now)
+        if before["hub"] and before["hub"] != self.hubs.address:
+            self._pending_effects.append(EmitEvent("hub_left", before))
+        probes: list[Effect] = [ProbeHub(item) for item in self.hubs.start_probes(now)]
         if address is not None:
-            return [FollowHub(address)]
+            return [FollowHub(address), *probes]
         if was_looking_up and not self.hubs.is_looking_up:
-            return [SendToHub(self.create_subscription())]
-        return []
+            return [SendToHub(self.create_subscription()), *probes]
+        return probes
 
     def _handle_hub_message(self, now: float, message: Message) -> None:
         if isinstance(message, CatalogueCopy):
--- a/tarragonshelf/edge/tests/fakes.py
+++ b/tarragonshelf/edge/tests/fakes.py
@@ -9,13 +9,16 @@
 from random import Random
 
 from ...base import Effect, Message
+from ...catalogue import CatalogueStored, PutCatalogue, compress_content
 from ...edge import (
     EdgeNode,
     EdgeSettings,
     FollowHub,
     HubLost,
+    HubProbed,
     HubReceived,
     PermitAnswered,
+    ProbeHub,
     RetryDecided,
     SendToHub,
 )
@@ -67,6 +70,10 @@
 # whose bytes are not acknowledged.
 CONNECT_TIMEOUT_SECONDS = 0.35
 USER_TIMEOUT_SECONDS = 1.5
+# Time after which an entry gives up connecting to a hub.
+HUB_CONNECT_TIMEOUT_SECONDS = 1.0
+# Time in which a hub answers a probe.
+PROBE_SECONDS = 0.1
 # Time after which a connection that is being opened is reported as slow, and after which a check
 # of a target is given up.
 SLOW_CONNECT_SECONDS = 0.1
@@ -295,6 +302,29 @@
                 entry.hub = ""
                 self._execute(entry, entry.node.handle(self.now, lost))
 
+    def remove_hub(self, vm: str) -> None:
+        """Remove the VM of a hub for good after it was asked to stop."""
+        self.site.stop_gracefully(vm)
+        self.site.remove(vm)
+        self.stop_hubs(vm)
+
+    def start_put(self, version: int, report: Callable[[int], None]) -> None:
+        """Send a version to the leader, and report its number once it is acknowledged."""
+        leader = self.site.leader
+        if leader is None:
+            return
+        content = compress_content(str(version).encode())
+        call = self.site.call(leader, PutCatalogue(version, content))
+
+        def check() -> None:
+            reply = self.site.replies.get(call)
+            if isinstance(reply, CatalogueStored):
+                report(version)
+            elif reply is None:
+                self._after(STEP, check)
+
+        self._after(0.0, check)
+
     def start_hubs(self, *vms: str) -> None:
         """Start hubs from their disks."""
         for vm in vms:
@@ -378,6 +408,8 @@
         for effect in effects:
             if isinstance(effect, FollowHub):
                 self._follow(entry, effect.address.partition(":")[0])
+            elif isinstance(effect, ProbeHub):
+                self._probe_hub(entry, effect.address)
             elif isinstance(effect, SendToHub):
                 self._send_to_hub(entry, effect.message)
             elif isinstance(effect, RetryDecided):
@@ -403,11 +435,25 @@
         hub = self.site.hubs.get(vm)
         if entry.is_cut or hub is None or hub.node is None:
             lost = HubLost(f"{vm}:{PORT}")
-            self._after(0.35, lambda: self._execute(entry, entry.node.handle(self.now, lost)))
+            is_silent = entry.is_cut or hub is None or hub.is_gone
+            seconds = HUB_CONNECT_TIMEOUT_SECONDS if is_silent else REFUSE_SECONDS
+            self._after(seconds, lambda: self._execute(entry, entry.node.handle(self.now, lost)))
             return
         entry.hub, entry.number = vm, next(self.numbers)
         self._send_to_hub(entry, entry.node.create_subscription())
 
+    def _probe_hub(self, entry: FakeEntry, address: str) -> None:
+        hub = self.site.hubs.get(address.partition(":")[0])
+        is_silent = entry.is_cut or hub is None or hub.is_gone or hub.suspended_at is not None
+        if is_silent or hub.node is None:
+            seconds = HUB_CONNECT_TIMEOUT_SECONDS if is_silent else REFUSE_SECONDS
+            self._notify_later(entry, HubProbed(address, None), seconds)
+            return
+        is_current = hub.node.is_current(self.now)
+        news = HubReceived(address, hub.node.registrar.create_hub_news())
+        self._notify_later(entry, news, PROBE_SECONDS)
+        self._notify_later(entry, HubProbed(address, is_current), PROBE_SECONDS)
+
     def _disconnect(self, entry: FakeEntry) -> None:
         if entry.hub and self.site.hubs[entry.hub].node is not None:
             self.site.receive(entry.hub, SubscriberLost(entry.number))
--- a/tarragonshelf/hub/_node.py
+++ b/tarragonshelf/hub/_node.py
@@ -28,9 +28,12 @@
     CallReceived,
     EmitEvent,
     Join,
+    PeerCallEnded,
     PeerMessageReceived,
     Refused,
     RefusedReason,
+    Retire,
+    SeatRelease,
     StopRequested,
 )
 from ..throttling import RelayedPermitReply, RelayedPermitRequest
@@ -97,6 +100,8 @@
         Randomizes election time-outs.
     budget : RetryBudgetSettings, optional
         Retry budget of the whole site.
+    seeds : tuple of str, optional
+        Peer addresses of some hubs.
     hard_state, snapshot, entries
         Content of the data folder.
     """
@@ -144,7 +149,10 @@
         elif isinstance(message, SubscriberLost):
             if self.subscribers.remove(message.subscriber):
                 self._edges_changed = True
+        elif isinstance(message, PeerCallEnded):
+            self._handle_call_result(now, message)
         elif isinstance(message, StopRequested):
+            self._seat_release = SeatRelease(self.record.vm, now)
             self._process_effects(now, self.replica.transfer_leadership(now))
         return self._take_effects()
 
@@ -153,6 +161,14 @@
         self._process_effects(now, self.replica.tick(now))
         if self.replica.has_committed_in_term:
             self._maintain_voters(now)
+        if self._seat_release is not None:
+            self._effects += self._seat_release.create_requests(
+                now,
+                leader="" if self.replica.is_leader else self.leader_address,
+                has_seat=self.is_member and len(self.replica.membership.voters) > 1,
+            )
+        if self.needs_to_join(now):
+            self._effects += self.joins.create_requests(now, self.list_peers())
         self._answer_drains(now)
         for call in self._drains.pop_timed_out(now):
             detail = "no majority of the hubs confirmed in time"
@@ -183,6 +199,8 @@
             self._handle_announcement(now, call, message)
         elif isinstance(message, Join):
             self._join(now, call, message)
+        elif isinstance(message, Retire):
+            self._release_seat(now, call, message)
         else:
             detail = f"a hub does not answer {type(message).__name__}"
             self._reply(call, Refused(RefusedReason.UNKNOWN_NAME, detail=detail))
@@ -244,8 +262,9 @@
 
     def _gossip_to_peers(self, now: float) -> None:
         digest = TargetDigest(self.record.vm, self.targets.digest)
-        for address in self.list_peers():
-            if self.registrar.needs_hub_news(now, address):
-                self._effects.append(SendToPeer(address, self.registrar.create_hub_news()))
+        is_introducing = self.needs_to_join(now)
+        for address in self.list_contacts(now):
+            if self.registrar.needs_hub_news(now, address) or is_introducing:
+                self._effects.append(SendToPeer(address, self.registrar.create_peer_news(now)))
             self._effects.append(SendToPeer(address, self._create_heartbeat(now)))
             self._effects.append(SendToPeer(address, digest))
--- a/tarragonshelf/hub/_state.py
+++ b/tarragonshelf/hub/_state.py
@@ -52,6 +52,7 @@
         entries: tuple[LogEntry, ...] = (),
         timing: Timing = Timing(),
         budget: RetryBudgetSettings = NO_RETRY_BUDGET,
+        seeds: tuple[str, ...] = (),
     ):
         super().__init__(
             identity=f"{record.vm}/{incarnation}",
@@ -61,6 +62,9 @@
             snapshot=snapshot,
             entries=entries,
             timing=timing,
+            vm=record.vm,
+            address=record.address,
+            seeds=seeds,
         )
         self.record = record
         self.reader = reader
@@ -120,10 +124,32 @@
         return now - self.replica.last_leader_contact < LEADER_TIMEOUT_SECONDS
 
     def needs_to_join(self, now: float) -> bool:
-        """Return whether no leader replicates to this hub, so that it has to join."""
-        return not self.is_current(now)
+        """Return whether this hub has no contact with a leader, or is no member.
+
+        A leader that replicates to its address may take it for an incarnation whose disk is lost.
+        """
+        return not self.is_stopping and not (self.is_member and self.is_current(now))
+
+    @property
+    def is_stopping(self) -> bool:
+        """Whether the process was asked to stop."""
+        return self._seat_release is not None
+
+    @property
+    def can_stop(self) -> bool:
+        """Whether a process that was asked to stop may end."""
+        return self._seat_release is None or self._seat_release.is_finished
 
     def list_peers(self) -> list[str]:
         """Return the addresses of all other hubs."""
         members = {item.address for item in self.replica.membership.members}
         return sorted((members | self.registrar.list_addresses()) - {self.record.address})
+
+    def list_contacts(self, now: float) -> list[str]:
+        """Return the addresses of all other hubs, and of those that may know more of them.
+
+        Hubs that have never heard of this one send it nothing. So while it has no contact with a
+        leader it introduces itself to its seeds, which need not be members themselves.
+        """
+        contacts = self.joins.contacts if self.needs_to_join(now) else ()
+        return sorted({*self.list_peers(), *contacts})
--- a/tarragonshelf/hub/tests/fakes.py
+++ b/tarragonshelf/hub/tests/fakes.py
@@ -27,7 +27,15 @@
     create_first_membership,
 )
 from ...registry import TargetNews
-from ...replication import CallReceived, EmitEvent, Join, PeerMessageReceived, Reply
+from ...replication import (
+    CallPeer,
+    CallReceived,
+    EmitEvent,
+    PeerCallEnded,
+    PeerMessageReceived,
+    Reply,
+    StopRequested,
+)
 from ...storage import MessageFile, ReplicaStore
 from ...storage.tests.fakes import FakeFileSystem
 from ...transport import create_codec
@@ -35,6 +43,9 @@
 CODEC = create_codec()
 TICK = 0.05
 PORT = 7000
+# The platform kills a process this time after it was asked to stop.
+STOP_SECONDS = 6.0
+CALL_TIMEOUT_SECONDS = 0.5
 SAVES = (SaveHardState, SaveEntries, SaveSnapshot)
 REGIONS = {f"z{index}": f"r{index % 3}" for index in range(11)}
 
@@ -56,8 +67,12 @@
 class FakeHub:
     """One VM with its disk, and the hub process while it runs."""
 
-    def __init__(self, vm: str, data_centre: str):
+    def __init__(self, vm: str, data_centre: str, seeds: tuple[str, ...]):
         address = f"{vm}:{PORT}"
+        # VMs that the settings of this hub name.
+        self.seeds = seeds
+        # A VM that was removed does not even refuse connections.
+        self.is_gone = False
         self.record = HubRecord(vm, address, f"{vm}:80", data_centre)
         self.files = FakeFileSystem()
         self.node: HubNode | None = None
@@ -84,6 +99,9 @@
         self.pushed: list[tuple[str, int, object]] = []
         self.events: list[EmitEvent] = []
         self.seeds = tuple(f"vm{index}" for index in range(min(3, count)))
+        # Calls between hubs: those that end without a reply with the time, and those that wait.
+        self._end_calls: list[tuple[float, FakeHub, CallPeer, str]] = []
+        self._pending_peer_calls: dict[int, tuple[FakeHub, HubNode, CallPeer]] = {}
         self._in_flight: list[tuple[float, int, str, object]] = []
         self._number = 0
         self._calls = 0
@@ -93,9 +111,16 @@
             self.start(vm, is_first=True)
         self.advance(8.0)
 
-    def add(self, vm: str, data_centre: str) -> None:
-        """Add a VM with an empty disk."""
-        self.hubs[vm] = FakeHub(vm, data_centre)
+    def add(self, vm: str, data_centre: str, seeds: tuple[str, ...] = ()) -> None:
+        """Add a VM with an empty disk, whose settings name some seeds."""
+        self.hubs[vm] = FakeHub(vm, data_centre, seeds or self.seeds)
+
+    def remove(self, vm: str, *, is_planned: bool = False) -> None:
+        """Remove a VM for good; if planned, its process is asked to stop before."""
+        if is_planned:
+            self.stop_gracefully(vm)
+        self.stop(vm, loses_disk=True)
+        self.hubs[vm].is_gone = True
 
     def start(self, vm: str, *, is_first: bool = False) -> None:
         """Start a hub from the content of its disk."""
@@ -120,6 +145,7 @@
                 heartbeat_interval=0.3, election_timeout=1.0, initial_election_timeout=0.35
             ),
             budget=RetryBudgetSettings(ratio=0.2, slack=40.0, window=10.0),
+            seeds=tuple(f"{seed}:{PORT}" for seed in hub.seeds),
         )
         found = {name: file.load()[0] for name, file in hub.message_files.items()}
         messages = {name: item for name, item in found.items() if item is not None}
@@ -137,6 +163,15 @@
         if loses_disk:
             hub.files = FakeFileSystem()
 
+    def stop_gracefully(self, vm: str) -> None:
+        """Ask a hub's process to stop, and wait until it may end."""
+        hub = self.hubs[vm]
+        self._run(hub, StopRequested())
+        deadline = self.now + STOP_SECONDS
+        while not hub.node.can_stop and self.now < deadline:
+            self.advance(self.step)
+        self.stop(vm)
+
     def suspend(self, vm: str) -> None:
         """Suspend the VM of a hub."""
         self.hubs[vm].suspended_at = self.now
@@ -153,15 +188,12 @@
     def advance(self, seconds: float) -> None:
         """Advance the clock; deliver messages and run ticks."""
         end = self.now + seconds
-        joined_at = self.now
         while self.now < end:
             self.now += self.step
             self._deliver()
+            self._finish_peer_calls()
             for hub in list(self.hubs.values()):
                 self._run(hub, None)
-            if self.now - joined_at >= 0.5:
-                joined_at = self.now
-                self._send_joins()
 
     def call(self, vm: str, message) -> int:
         """Start a call at a hub and return its number."""
@@ -228,15 +260,31 @@
         self._number += 1
         return f"n{self._number}"
 
-    def _send_joins(self) -> None:
-        for hub in self.hubs.values():
-            if hub.node is None or not hub.node.needs_to_join(self.now):
-                continue
-            join = Join(hub.node.identity, hub.record.vm, hub.record.address)
-            for other in self.hubs.values():
-                is_blocked = (hub.record.vm, other.record.vm) in self.blocked_links
-                if other is not hub and other.node is not None and not is_blocked:
-                    self.call(other.record.vm, join)
+    def _call_peer(self, hub: FakeHub, effect: CallPeer) -> None:
+        """Call another hub, which answers unless it is not running or a link is blocked."""
+        other = self.hubs.get(effect.address.partition(":")[0])
+        is_blocked = other is None or self._is_blocked(hub.record.vm, other.record.vm)
+        if is_blocked or other.node is None or other.suspended_at is not None:
+            problem = f"{effect.address} did not answer"
+            self._end_calls.append((self.now + CALL_TIMEOUT_SECONDS, hub, effect, problem))
+            return
+        number = self.call(other.record.vm, effect.message)
+        self._pending_peer_calls[number] = (hub, hub.node, effect)
+
+    def _is_blocked(self, source: str, destination: str) -> bool:
+        links = {(source, destination), (destination, source)}
+        return bool(links & self.blocked_links)
+
+    def _finish_peer_calls(self) -> None:
+        due = [item for item in self._end_calls if item[0] <= self.now]
+        self._end_calls = [item for item in self._end_calls if item[0] > self.now]
+        for _, hub, effect, problem in due:
+            self._run(hub, PeerCallEnded(effect.address, effect.message, None, problem))
+        for number in [item for item in self._pending_peer_calls if item in self.replies]:
+            hub, node, effect = self._pending_peer_calls.pop(number)
+            if hub.node is node:
+                reply = self.replies[number]
+                self._run(hub, PeerCallEnded(effect.address, effect.message, reply))
 
     def _run(self, hub: FakeHub, message) -> None:
         if hub.node is None:
@@ -262,6 +310,8 @@
                 self._send(hub.record.vm, effect.address.partition(":")[0], effect.message)
             elif isinstance(effect, Reply):
                 self.replies[effect.call] = effect.message
+            elif isinstance(effect, CallPeer):
+                self._call_peer(hub, effect)
             elif isinstance(effect, EmitEvent):
                 self.events.append(effect)
             elif isinstance(effect, PushToSubscriber):
--- a/tarragonshelf/replication/__init__.py
+++ b/tarragonshelf/replication/__init__.py
@@ -7,28 +7,44 @@
 __getattr__ = create_lazy_getattr(
     __name__,
     {
-        "_admission": ("plan_admission", "plan_join", "plan_retirement"),
+        "_admission": (
+            "plan_admission",
+            "plan_join",
+            "plan_release",
+            "plan_removal",
+            "plan_retirement",
+        ),
+        "_join_requests": ("JoinRequests",),
         "_messages": (
+            "CallPeer",
             "CallReceived",
             "Done",
             "EmitEvent",
             "Join",
+            "PeerCallEnded",
             "PeerMessageReceived",
             "Refused",
             "RefusedReason",
             "Reply",
+            "Retire",
+            "SeatRelease",
+            "Retire",
             "StopRequested",
         ),
         "_node": ("ReplicatedNode",),
+        "_seat_release": ("SeatRelease",),
         "_pending_calls": ("PendingCalls", "PendingFollow"),
     },
 )
 
 __all__ = [
+    "CallPeer",
     "CallReceived",
     "Done",
     "EmitEvent",
     "Join",
+    "JoinRequests",
+    "PeerCallEnded",
     "PeerMessageReceived",
     "PendingCalls",
     "PendingFollow",
@@ -39,5 +55,7 @@
     "StopRequested",
     "plan_admission",
     "plan_join",
+    "plan_release",
+    "plan_removal",
     "plan_retirement",
 ]
--- a/tarragonshelf/replication/_node.py
+++ b/tarragonshelf/replication/_node.py
@@ -22,8 +22,10 @@
     Timing,
 )
 from ._admission import plan_join
-from ._messages import Done, EmitEvent, Join, Refused, RefusedReason, Reply
+from ._join_requests import JoinRequests
+from ._messages import Done, EmitEvent, Join, PeerCallEnded, Refused, RefusedReason, Reply, Retire
 from ._pending_calls import PendingCalls
+from ._seat_release import SeatRelease
 
 
 class ReplicatedNode(StateMachine):
@@ -41,6 +43,10 @@
         State restored from the data folder.
     timing : Timing
         Intervals and message limits of replication.
+    vm, address : str
+        VM of the replica, and the address at which others reach it.
+    seeds : tuple of str, optional
+        Addresses of some replicas, which are asked for membership.
     """
 
     def __init__(
@@ -53,6 +59,9 @@
         snapshot: Snapshot | None,
         entries: tuple[LogEntry, ...],
         timing: Timing,
+        vm: str,
+        address: str,
+        seeds: tuple[str, ...] = (),
     ):
         self.identity = identity
         self.codec = codec
@@ -63,6 +72,9 @@
             random=random,
             timing=timing,
         )
+        self.joins = JoinRequests(Join(identity, vm, address), seeds)
+        # Set once the process was asked to stop, if the role gives its seat back.
+        self._seat_release: SeatRelease | None = None
         self._pending_calls = PendingCalls()
         self._effects: list[Effect] = []
 
@@ -72,6 +84,11 @@
         member = self.replica.membership.get_member(self.replica.leader)
         return member.address if member else ""
 
+    @property
+    def is_member(self) -> bool:
+        """Whether this replica is a voter or a learner in the membership that it knows."""
+        return self.identity in self.replica.membership.identities
+
     # Operations of subclasses
 
     @abstractmethod
@@ -158,6 +175,12 @@
         else:
             self._propose_membership(now, call, plan_join(membership, message))
 
+    def _handle_call_result(self, now: float, ended: PeerCallEnded) -> None:
+        if isinstance(ended.request, Join):
+            self._effects += self.joins.handle_result(now, ended)
+        elif self._seat_release is not None and isinstance(ended.request, Retire):
+            self._effects += self._seat_release.handle_result(ended)
+
     def _reply(self, call: int, message: Message) -> None:
         self._effects.append(Reply(call, message))
 
--- a/tarragonshelf/site/_hub.py
+++ b/tarragonshelf/site/_hub.py
@@ -28,9 +28,10 @@
 )
 from ..registry import TargetEntry
 from ..replication import (
+    CallPeer,
     CallReceived,
     EmitEvent,
-    Join,
+    PeerCallEnded,
     PeerMessageReceived,
     Refused,
     RefusedReason,
@@ -57,9 +58,9 @@
 from ._process import read_time
 
 TICK_SECONDS = 0.05
-# Interval between rounds of join requests, and the time-out of each request.
-JOIN_INTERVAL_SECONDS = 0.5
-LEADERSHIP_TRANSFER_SECONDS = 1.0
+PEER_CALL_TIMEOUT_SECONDS = 0.5
+# The platform kills a process 6 s after it was asked to stop.
+MAXIMUM_STOP_SECONDS = 4.0
 # Targets and operators give up after 1 s without a response and try another control.
 SUBMIT_TIMEOUT_SECONDS = 0.95
 SUBMIT_ATTEMPT_TIMEOUT_SECONDS = 0.8
@@ -167,6 +168,7 @@
         self._subscribers: dict[int, Connection] = {}
         self._subscriber_numbers: dict[Connection, int] = {}
         self._disk_failed_at: float | None = None
+        self._peer_calls: set[asyncio.Task] = set()
 
     # Start and stop
 
@@ -186,13 +188,15 @@
         )
 
     async def stop(self) -> None:
-        """Transfer leadership if this hub leads, then stop."""
+        """Transfer leadership if this hub leads, give its seat back if possible, then stop."""
         self.logger.msg("control_stopping")
-        await self._transfer_leadership()
+        await self._prepare_stop()
         await super().stop()
 
     async def on_stop(self) -> None:
         """Close all connections."""
+        for task in self._peer_calls:
+            task.cancel()
         await self.api_server.stop()
         await self.server.stop()
         if self.settings.metrics_address:
@@ -203,6 +207,8 @@
     def reload(self, seeds: tuple[str, ...]) -> None:
         """Add the seeds that the settings file names now."""
         self.seeds = list(dict.fromkeys([*seeds, *self.seeds]))
+        if self.node is not None:
+            self.node.joins.add_seeds(self._list_seed_addresses())
         self.logger.msg("settings_reloaded", seeds=list(seeds))
 
     @Service.task
@@ -212,30 +218,30 @@
             self.log_budget.report_dropped()
             await asyncio.sleep(TICK_SECONDS)
 
-    @Service.task
-    async def _join(self) -> None:
-        """Request membership while the hub has no contact with a leader."""
-        while not self.should_stop:
-            await asyncio.sleep(JOIN_INTERVAL_SECONDS)
-            if self.node is None or not self.node.needs_to_join(read_time()):
-                continue
-            record = self.settings.record
-            request = Join(self.node.identity, record.vm, record.address)
-            for address in self._list_join_addresses():
-                await self._request_join(address, request)
-
-    def _list_join_addresses(self) -> list[str]:
-        port = self.settings.record.address.rpartition(":")[2]
-        seeds = [f"{seed}:{port}" for seed in self.seeds]
-        known = self.node.list_peers() if self.node else []
-        own = self.settings.record.address
-        return [item for item in dict.fromkeys([*known, *seeds]) if item != own]
+    def _call_peer(self, effect: CallPeer) -> None:
+        task = asyncio.get_running_loop().create_task(self._finish_peer_call(effect))
+        self._peer_calls.add(task)
+        task.add_done_callback(self._peer_calls.discard)
 
-    async def _request_join(self, address: str, request: Join) -> None:
+    async def _finish_peer_call(self, effect: CallPeer) -> None:
+        """Call another control, and pass the result to the node."""
+        reply, problem, outcome = None, "", "accepted"
         try:
-            await self.links.get(address).call(request, JOIN_INTERVAL_SECONDS)
+            reply = await self.links.get(effect.address).call(
+                effect.message, PEER_CALL_TIMEOUT_SECONDS
+            )
+            if isinstance(reply, Refused):
+                outcome = str(reply.reason)
         except (UnreachableError, CallTimeoutError) as error:
-            self._report("join_not_answered", hub=address, problem=str(error))
+            problem, outcome = str(error), "not-answered"
+        kind = ("kind", type(effect.message).__name__)
+        self.metrics.count("peer_calls_total", kind, ("outcome", outcome))
+        self._inbox.append(PeerCallEnded(effect.address, effect.message, reply, problem))
+        self._schedule_batch()
+
+    def _list_seed_addresses(self) -> tuple[str, ...]:
+        port = self.settings.record.address.rpartition(":")[2]
+        return tuple(f"{seed}:{port}" for seed in self.seeds)
 
     # Data folder
 
@@ -273,6 +279,7 @@
                 initial_election_timeout=INITIAL_ELECTION_TIMEOUT_SECONDS,
             ),
             budget=self.settings.budget,
+            seeds=self._list_seed_addresses(),
         )
         if previous is not None:
             # State that is kept only in memory stays valid when writes to disk fail.
@@ -399,6 +406,8 @@
                     self.outbox.add(connection, effect.message)
             elif isinstance(effect, Reply):
                 self._finish_call(effect.call, effect.message)
+            elif isinstance(effect, CallPeer):
+                self._call_peer(effect)
             elif isinstance(effect, EmitEvent):
                 self._report(effect.event, **effect.fields)
         self.outbox.send()
@@ -431,13 +440,15 @@
     async def submit(self, message: Message) -> Message | None:
         """Return the leader's reply to a command, or None if the time-out expired first.
 
-        Refusals other than ``INVALID`` are retried until then.
+        Refusals other than ``INVALID`` are retried until then, at the leader that they name.
         """
         deadline = read_time() + SUBMIT_TIMEOUT_SECONDS
+        named_leader = ""
         while (remaining := deadline - read_time()) > 0:
             reply = await self._submit_once(
-                message, min(remaining, SUBMIT_ATTEMPT_TIMEOUT_SECONDS)
+                message, min(remaining, SUBMIT_ATTEMPT_TIMEOUT_SECONDS), named_leader
             )
+            named_leader = reply.leader if isinstance(reply, Refused) else ""
             if reply is not None and not isinstance(reply, Refused):
                 return reply
             if isinstance(reply, Refused) and reply.reason == RefusedReason.INVALID:
@@ -445,26 +456,35 @@
             await asyncio.sleep(max(0.0, min(SUBMIT_RETRY_DELAY_SECONDS, deadline - read_time())))
         return None
 
-    async def _submit_once(self, message: Message, timeout: float) -> Message | None:
-        """Send a message once to the leader, which may be this hub."""
+    async def _submit_once(
+        self, message: Message, timeout: float, named_leader: str
+    ) -> Message | None:
+        """Send a message once to the leader, which may be this hub.
+
+        A hub that is no member yet knows only leaders that other hubs named.
+        """
         if self.node is None:
             return None
-        leader = self.node.leader_address
+        leader = named_leader or self.node.leader_address or self.node.joins.latest_leader
+        is_own = leader in ("", self.settings.record.address)
         try:
-            if self.node.replica.is_leader or not leader:
+            if self.node.replica.is_leader or is_own:
                 return await asyncio.wait_for(self._start_call(message), timeout)
             return await asyncio.wait_for(self.links.get(leader).call(message, timeout), timeout)
         except (UnreachableError, CallTimeoutError, TimeoutError):
             return None
 
-    async def _transfer_leadership(self) -> None:
-        if self.node is None or not self.node.replica.is_leader:
-            return
-        self._execute_effects(self.node.handle(read_time(), StopRequested()))
-        deadline = read_time() + LEADERSHIP_TRANSFER_SECONDS
-        while self.node.replica.is_leader and read_time() < deadline:
+    async def _prepare_stop(self) -> None:
+        """Let the node hand over what others need, while ticks and messages go on."""
+        self._inbox.append(StopRequested())
+        self._process_batch()
+        deadline = read_time() + MAXIMUM_STOP_SECONDS
+        while self.node is not None and not self._can_stop() and read_time() < deadline:
             await asyncio.sleep(TICK_SECONDS)
 
+    def _can_stop(self) -> bool:
+        return self.node.can_stop or self._disk_failed_at is not None
+
     # Logs and metrics
 
     def _report(self, event: str, **fields) -> None:
@@ -480,6 +500,8 @@
         replica = self.node.replica
         self.metrics.set("control_is_leader", int(replica.is_leader))
         self.metrics.set("control_is_current", int(self.node.is_current(read_time())))
+        self.metrics.set("control_is_member", int(self.node.is_member))
+        self.metrics.set("control_is_voter", int(replica.is_voter))
         self.metrics.set("control_term", replica.term)
         self.metrics.set("control_commit_index", replica.commit)
         self.metrics.set("catalogue_version", self.node.register.state.version)
