soak: count a successor's time to catch up from its start on a busy machine

Cause: the time of 4 s in which a new control catches up began when its process was spawned.

Ruled out: a fault of the product, as the new control could not ask to join before the next one was killed.

Change: at most the first of these seconds goes to the start; if the start takes longer, the remaining 3 s begin when the control and a majority accept connections, after 10 s at the latest.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -38,8 +38,10 @@
 REPLACE_INTERVAL_SECONDS = (4.0, 12.0)
 RARE_REPLACE_INTERVAL_SECONDS = (5.0, 25.0)
 OTHER_FAULT_INTERVAL_SECONDS = (2.0, 6.0)
-# A replaced control counts as lost until its successor has had this time with a majority.
+# A replaced control counts as lost until its successor has had this time with a majority, and the
+# rest of it after its start if that takes longer than the second time, as on a busy machine.
 SUCCESSOR_CATCH_UP_SECONDS = 4.0
+SUCCESSOR_START_SECONDS = 1.0
 POLL_SECONDS = 0.1
 # The core counts as disturbed until killed controls accept connections, but at most for this time.
 START_SECONDS = 10.0
@@ -276,7 +278,7 @@
             await asyncio.sleep(fault.duration_seconds / 2)
             successor = await self._start_successor(vm)
         self._change_settings()
-        await self._wait_for_catch_up()
+        await self.wait_for_catch_up(successor)
         self._change_settings()
         self._end_catch_up(successor)
         self._wiped_at = _get_time() - CATCH_UP_SECONDS
@@ -288,12 +290,22 @@
         self._change_settings()
         return successor
 
-    async def _wait_for_catch_up(self) -> None:
+    async def wait_for_catch_up(self, successor: str) -> None:
+        """Wait until a new control has had the time to become a member that has caught up."""
         started_at = _get_time()
+        deadline = started_at + START_SECONDS
         while _get_time() - started_at < SUCCESSOR_CATCH_UP_SECONDS:
             await asyncio.sleep(POLL_SECONDS)
+            now = _get_time()
             if not self._has_majority():
-                started_at = _get_time()
+                started_at, deadline = now, now + START_SECONDS
+            elif now < deadline and not self._is_started(successor):
+                started_at = max(started_at, now - SUCCESSOR_START_SECONDS)
+
+    def _is_started(self, successor: str) -> bool:
+        """Return whether a new control and a majority accept connections."""
+        listening = sum(self.site.is_listening(vm) for vm in self.site.controls)
+        return self.site.is_listening(successor) and 2 * listening > self._control_count
 
     def _end_catch_up(self, successor: str) -> None:
         """Count a new control as sound; the core is disturbed only by its start."""
