--- a/soak/_upgrade.py
+++ b/soak/_upgrade.py
@@ -112,17 +112,14 @@
         Build of all processes at first.
     """
 
-    def __init__(
-        self, folder: Path, *, controls: int, entries: int, history: History, build: Path
-    ):
-        super().__init__(folder, controls=controls, entries=entries, history=history)
+    def __init__(self, folder: Path, *, build: Path, **options):
+        super().__init__(folder, **options)
         self.builds = dict.fromkeys(self.vms, build)
 
     def start_process(self, vm: str) -> None:
         """Start the process of a VM from its build."""
         build = self.builds[vm]
-        path = self.folder / f"{vm}.json"
-        path.write_text(json.dumps(self._create_settings(vm)))
+        path = self.write_settings(vm)
         with (self.folder / f"{vm}.log").open("a") as log:
             log.write(json.dumps({"vm": vm, "event": "build_started", "build": build.name}) + "\n")
             log.flush()
@@ -173,10 +170,10 @@
         for build in builds:
             for vm in self.random.sample(self.site.vms, len(self.site.vms)):
                 self.site.builds[vm] = build
-                await self._disturb_vms([vm], Fault(0.0, "replace", 0, 0.0), self._replace)
+                await self._disturb_vms([vm], Fault(0.0, "upgrade", 0, 0.0), self._upgrade_one)
                 await asyncio.sleep(self.random.uniform(*self.pause_seconds))
 
-    async def _replace(self, vm: str, fault: Fault) -> None:
+    async def _upgrade_one(self, vm: str, fault: Fault) -> None:
         """Stop the process of a VM, start its new build, and wait until it is ready."""
         self.site.send_signal(vm, signal.SIGTERM)
         await self.site.wait_for_exit(vm, STOP_GRACE_SECONDS)
@@ -244,12 +241,15 @@
     def _create_site(self, folder: Path, **options) -> Site:
         return UpgradeSite(folder, build=self.upgrade.builds[0], **options)
 
-    async def _inject(self, faults: list[Fault]) -> None:
+    def _create_injector(self) -> Injector:
         upgrader = Upgrader(self.site, self.targets, self.history, Random(self.random.random()))
         upgrader.has_new_disks = self.upgrade.has_new_disks
+        return upgrader
+
+    async def _inject(self, injector: Injector, faults: list[Fault]) -> None:
         async with asyncio.TaskGroup() as group:
-            group.create_task(upgrader.inject(faults))
-            group.create_task(upgrader.upgrade(self.upgrade.builds[1:]))
+            group.create_task(injector.inject(faults))
+            group.create_task(injector.upgrade(self.upgrade.builds[1:]))
 
 
 def draw_upgrade_faults(
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -185,7 +185,12 @@
     def test_each_process_changes_to_each_build_before_the_next_one(self, tmp_path):
         history = History()
         site = UpgradeSite(
-            tmp_path, controls=2, entries=1, history=history, build=tmp_path / "old"
+            tmp_path,
+            controls=2,
+            entries=1,
+            history=history,
+            random=Random(2),
+            build=tmp_path / "old",
         )
         upgrader = Upgrader(site, [], history, Random(1))
         replaced = []
@@ -193,7 +198,7 @@
         async def replace(vm, fault):
             replaced.append((vm, site.builds[vm].name))
 
-        upgrader._replace = replace
+        upgrader._upgrade_one = replace
         upgrader.pause_seconds = (0.0, 0.0)
         asyncio.run(upgrader.upgrade((tmp_path / "new", tmp_path / "old")))
         assert sorted(replaced[:3]) == sorted((vm, "new") for vm in site.vms)
