soak: count the core as disturbed while the soak itself stands still

Cause: all messages between processes pass proxies of the soak's own process. If it gets no processor, all links are silent, which the checks did not know.

Change: a stall of over 0.5 s is counted and printed, takes the majority for its time, and lets the time in which a new control catches up begin anew.

Evidence: test_core_is_disturbed_while_the_soak_stands_still.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -67,6 +67,7 @@
             tasks += [changes, *(_create_task(item.run()) for item in self.callers)]
             tasks.append(_create_task(self._watch_processes()))
             injector = Injector(self.site, self.targets, self.history)
+            tasks.append(_create_task(injector.watch_stalls()))
             await injector.inject(faults)
             await self._check_recovery("faults")
             changes.cancel()
@@ -217,6 +218,7 @@
         ],
         "requests": soak.history.count_outcomes(),
         "versions": len(soak.history.acknowledged_versions),
+        "stalls": soak.history.stalls,
         "broken": soak.history.violations,
         "folder": str(path),
     }
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -45,6 +45,9 @@
 POLL_SECONDS = 0.1
 # The core counts as disturbed until killed controls accept connections, but at most for this time.
 START_SECONDS = 10.0
+# All messages pass proxies of this process. If it gets no processor for longer than this, they
+# are held up, and the core counts as disturbed.
+STALL_SECONDS = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -151,6 +154,7 @@
         self._fault_counts: Counter[str] = Counter()
         self._control_count = len(site.controls)
         self._start_watches: set[asyncio.Task] = set()
+        self._stalled_at = float("-inf")
         self._has_path_cut = False
         self._wiped_at = float("-inf")
 
@@ -297,11 +301,22 @@
         while _get_time() - started_at < SUCCESSOR_CATCH_UP_SECONDS:
             await asyncio.sleep(POLL_SECONDS)
             now = _get_time()
-            if not self._has_majority():
+            if not self._has_majority() or self._stalled_at > started_at:
                 started_at, deadline = now, now + START_SECONDS
             elif now < deadline and not self._is_started(successor):
                 started_at = max(started_at, now - SUCCESSOR_START_SECONDS)
 
+    async def watch_stalls(self) -> None:
+        """Record the times in which this process stands still, until cancelled."""
+        checked_at = _get_time()
+        while True:
+            await asyncio.sleep(POLL_SECONDS)
+            now = _get_time()
+            if now - checked_at > POLL_SECONDS + STALL_SECONDS:
+                self._stalled_at = now
+                self.history.record_stall(checked_at, now, self._has_majority())
+            checked_at = now
+
     def _is_started(self, successor: str) -> bool:
         """Return whether a new control and a majority accept connections."""
         listening = sum(self.site.is_listening(vm) for vm in self.site.controls)
--- a/soak/_history.py
+++ b/soak/_history.py
@@ -99,6 +99,8 @@
     core_states: list[tuple[float, bool]] = field(default_factory=list)
     # By entry, when requests ran by the own route of a version in the lifetime of its process.
     used_versions: dict[str, list[tuple[float, int]]] = field(default_factory=dict)
+    # Number of times at which the soak stood still.
+    stalls: int = 0
     violations: list[str] = field(default_factory=list)
 
     def report_violation(self, guarantee: str, description: str) -> None:
@@ -119,6 +121,12 @@
         """Record that a control's fault begins or ends."""
         self.core_states.append((now, has_majority))
 
+    def record_stall(self, since: float, until: float, has_majority: bool) -> None:
+        """Record that all messages between processes were held up between two times."""
+        self.stalls += 1
+        self.record_core(since, has_majority=False)
+        self.record_core(until, has_majority)
+
     def has_majority(self, since: float, until: float) -> bool:
         """Return whether a majority of controls was undisturbed all the time between two times."""
         before = [state for at, state in self.core_states if at < since][-1:]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -421,6 +421,22 @@
         assert len(times) >= least
         assert times[-1] - times[0] >= extra_seconds
 
+    def test_core_is_disturbed_while_the_soak_stands_still(self):
+        async def stand_still():
+            watch = asyncio.create_task(injector.watch_stalls())
+            await asyncio.sleep(0.15)
+            time.sleep(0.8)
+            await asyncio.sleep(0.15)
+            watch.cancel()
+
+        history = History()
+        injector = Injector(StartingSite(checks=0), [], history)
+        asyncio.run(stand_still())
+        assert history.stalls == 1
+        (since, has_majority), (until, had_majority) = history.core_states
+        assert until - since >= 0.6
+        assert (has_majority, had_majority) == (False, True)
+
     @pytest.mark.parametrize(("checks", "seconds"), [(0, 0.5), (8, 0.75)])
     def test_catch_up_lasts_longer_after_a_slow_start(self, monkeypatch, checks, seconds):
         monkeypatch.setattr(_faults, "SUCCESSOR_CATCH_UP_SECONDS", 0.5)
