--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -67,6 +67,7 @@
             tasks += [changes, *(_create_task(item.run()) for item in self.callers)]
             tasks.append(_create_task(self._watch_processes()))
             injector = self._create_injector()
+            tasks.append(_create_task(injector.watch_stalls()))
             await self._inject(injector, faults)
             await self._check_recovery("faults")
             if final_fault is not None:
@@ -232,6 +233,7 @@
         ],
         "requests": soak.history.count_outcomes(),
         "versions": len(soak.history.acknowledged_versions),
+        "stalls": soak.history.stalls,
         "broken": soak.history.violations,
         "folder": str(path),
     }
