--- a/tarragonshelf/site/tests/test_hub_service.py
+++ b/tarragonshelf/site/tests/test_hub_service.py
@@ -17,10 +17,10 @@
     compress_content,
 )
 from ...consensus import LogEntry, SaveEntries
-from ...hub import HubBeat, HubRecord, Subscribe
+from ...hub import HubBeat, HubRecord, Subscribe, SubscriberReceived
 from ...hub.tests.fakes import FakeReader
 from ...registry import TargetEntry, TargetNews, TargetState
-from ...replication import PeerCallEnded, Refused, RefusedReason
+from ...replication import PeerCallEnded, PeerMessageReceived, Refused, RefusedReason
 from ...storage import LocalFileSystem, encode_frame
 from ...transport import Frame
 from .. import _hub_disk
@@ -461,3 +461,22 @@
     return HubService(
         settings, reader=FakeReader(), request_handler=UnusedRequestHandler(), secret=b"s" * 16
     )
+
+
+class TestSenders:
+    """Hubs and entries both send records of targets; a hub takes less from an entry."""
+
+    @pytest.mark.parametrize("is_entry", [True, False])
+    def test_records_of_targets_are_told_apart_by_their_sender(self, tmp_path, is_entry):
+        async def test():
+            service = create_service(tmp_path)
+            connection = object()
+            news = TargetNews((TARGET,))
+            subscribe = Subscribe("e0", "e0:80", "z", 0, True, False)
+            messages = [subscribe, news] if is_entry else [news]
+            for message in messages:
+                service._receive(connection, Frame(message))
+            return service._inbox[-1], news
+
+        received, news = asyncio.run(test())
+        assert received == (SubscriberReceived(1, news) if is_entry else PeerMessageReceived(news))
