Limit the interval between probes of hubs before it is computed

Callers would see: an entry that ends after half an hour without any hub.

Cause: the interval is doubled with each failed probe, and only the result is limited. Hubs that are not forgotten (the followed one, and the last three) fail without end: 0.5 s times 2 to the power of 1024 is no float, so the tick fails with an OverflowError.

Ruled out: forgetting as a limit, since it never applies to the last three hubs.

Change: the number of doublings is limited.

Evidence: test_outage_may_last_for_hours failed before with "OverflowError: int too large to convert to float" (three hubs, three simulated hours without an answer) and passes after.

Conclusion: an entry outlasts an outage of any length.

--- a/tarragonshelf/edge/_hub_selector.py
+++ b/tarragonshelf/edge/_hub_selector.py
@@ -190,7 +190,8 @@
         return started
 
     def _is_probe_due(self, now: float, address: str, interval: float, maximum: float) -> bool:
-        interval = min(maximum, interval * 2 ** self._failures.get(address, 0))
+        doublings = min(self._failures.get(address, 0), FORGET_FAILURES)
+        interval = min(maximum, interval * 2**doublings)
         return (
             address not in self._probes
             and now - self._probed_at.get(address, float("-inf")) >= interval
