An entry forgets a hub only while it follows a current one

Callers would see: an entry that stays outdated after an outage, although controls run again.

Cause: a failed probe counts also while no hub is current. Some 15 s without a majority, or of a partition on the side of the entry, made it forget all hubs but three, also those that answered that they are not current. If these three were gone when the others were back, it asked nobody else until its settings named other hubs.

Ruled out: the back-off (at most 2 s during a search).

Change: failures lead to forgetting only while the entry has a current hub, which names the others.

Evidence: test_each_hub_is_found_again_after_a_long_outage failed in 4 of 10 cases before (five hubs, 60 s without a current one, then only one back) and passes after.

Conclusion: what an entry knows of hubs no longer depends on how long an outage lasts.

--- a/tarragonshelf/edge/_hub_selector.py
+++ b/tarragonshelf/edge/_hub_selector.py
@@ -34,7 +34,8 @@
 MAXIMUM_SEARCH_INTERVAL_SECONDS = 2.0
 # Probes that are under way at the same time.
 MAXIMUM_PROBES = 8
-# A hub is forgotten after this many failed probes in a row, unless only a few others are known.
+# With a current hub, another one is forgotten after this many failed probes in a row, unless only
+# a few are known.
 FORGET_FAILURES = 8
 MINIMUM_KNOWN_HUBS = 3
 
@@ -161,11 +162,12 @@
         self._failures[address] = self._failures.get(address, 0) + 1
         if is_current is None and address != self.address:
             self._failed_at[address] = now
-        if self._failures[address] >= FORGET_FAILURES and address != self.address:
+        # While no hub is current the failure may be on this side, or all may be back later.
+        if self._failures[address] >= FORGET_FAILURES and self.has_current_hub(now):
             self._forget(address)
 
     def _forget(self, address: str) -> None:
-        if len(self._records) > MINIMUM_KNOWN_HUBS:
+        if address != self.address and len(self._records) > MINIMUM_KNOWN_HUBS:
             self._records.pop(address, None)
             self._failures.pop(address, None)
 
