A control of the own interface joins although it holds the log of an earlier incarnation

Callers would see: a control that never becomes a voter again after its disk was lost.

Messages name the address of a replica, not its incarnation. The leader ignores its replies.

Ruled out: controls that an operator removed; the log that they hold names no replica of their VM, and they stay outside.

Change: a control that is no member asks to join while its membership has another incarnation of its VM.

The simulated fleet of this package can't show it: it delivers by incarnation, and joins through the leader directly.

Conclusion: mended for the requests to join; the simulated fleet still has both shortcuts.

--- a/tarragonshelf/control/_node.py
+++ b/tarragonshelf/control/_node.py
@@ -119,6 +119,19 @@
         """Whether this control holds any part of the replicated log."""
         return self.replica.log.last_index > 0
 
+    @property
+    def needs_to_join(self) -> bool:
+        """Whether this control is no member and was not removed.
+
+        The log may be meant for an earlier incarnation, which still holds the seat of this VM.
+        A control with a log of which no incarnation is a member was removed, and stays outside.
+        """
+        if not self.is_initialized:
+            return True
+        return not self.is_member and any(
+            item.vm == self.vm for item in self.replica.membership.members
+        )
+
     def describe(self, now: float) -> ControlStatus:
         """Return the status of this control."""
         replica, machine = self.replica, self.machine
@@ -159,8 +172,7 @@
         """Run what depends on time: elections, heartbeats, time-outs and admission of learners."""
         self._process_effects(now, self.replica.tick(now))
         self._answer_follow_calls(now)
-        # A control with a log that is not a member was removed and must not join again.
-        if not self.is_initialized:
+        if self.needs_to_join:
             self._effects += self.joins.create_requests(now, [])
         if self.replica.has_committed_in_term:
             self._admit_learners(now)
