soak: draining targets say so in their responses, some in nothing else

Cause: no soak run had a target whose responses say that it leaves.

History checks, for each entry that passed such a response on, that no request sent 2.5 s later through it runs there, unless the entry was disturbed since.

Evidence: three tests of the check.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -44,9 +44,13 @@
     duration_seconds: float
 
 
+# A target announces its drain if the fault lasts less than this; otherwise only its responses say
+# that it leaves. About half of the faults do.
+ANNOUNCED_DRAIN_SECONDS = 2.15
+
 # VMs are killed (also with a torn write, or all controls at once), wiped, stopped (entries one by
 # one for "roll"), suspended or reloaded. Their connections are delayed, silenced or reset.
-# Targets fail ("target-bad"), get faults of their connections ("target-cut") or drain.
+# Targets fail ("target-bad"), get faults of their connections ("target-cut") or leave.
 KINDS = (
     "kill",
     "kill-torn",
@@ -243,9 +247,10 @@
             await _disturb_proxies(
                 [target.proxy], Fault(fault.start_seconds, kind, 0, fault.duration_seconds)
             )
-        elif not any(item.is_draining for item in self.targets):
-            # At most one target drains in a run, and it does not return.
-            target.is_draining = True
+        elif not any(item.is_leaving for item in self.targets):
+            # At most one target leaves in a run, and it does not return. Some announce no drain.
+            target.is_leaving = True
+            target.is_draining = fault.duration_seconds < ANNOUNCED_DRAIN_SECONDS
             await asyncio.sleep(DRAIN_OBSERVATION_SECONDS)
 
 
--- a/soak/_history.py
+++ b/soak/_history.py
@@ -78,6 +78,8 @@
     executions: dict[str, list[Execution]] = field(default_factory=dict)
     # By target, when the announcement of its drain was acknowledged.
     drain_acknowledged_at: dict[str, float] = field(default_factory=dict)
+    # By target and entry, when the entry first passed on a response that says that it leaves.
+    departure_told_at: dict[tuple[str, str], float] = field(default_factory=dict)
     # Acknowledged versions with the time, and the content of all versions that were sent.
     acknowledged_versions: list[tuple[float, int]] = field(default_factory=list)
     documents: dict[int, bytes] = field(default_factory=dict)
@@ -125,6 +127,10 @@
         if target in self.limits:
             self.limits[target].told_at.setdefault(entry, now)
 
+    def record_departure(self, now: float, target: str, entry: str) -> None:
+        """Record that an entry passed on a response that says that a target leaves."""
+        self.departure_told_at.setdefault((target, entry), now)
+
     def record_arrival(self, now: float, target: str, request_id: str) -> None:
         """Record that a request reached a target, and check the limit that the target names."""
         period, sent = self.limits.get(target), self.sent.get(request_id)
@@ -180,6 +186,15 @@
                 f"{elapsed:.2f} s after its drain",
             )
 
+        told_at = self.departure_told_at.get((execution.target, sent.entry), float("inf"))
+        is_late = sent.sent_at > told_at + DRAIN_SECONDS
+        if is_late and self.was_undisturbed(sent.entry, told_at, now):
+            self.report_violation(
+                "drain",
+                f"{request_id} by {sent.entry} ran on {execution.target} {now - told_at:.2f} s "
+                "after it had passed on that the target leaves",
+            )
+
     def record_response(
         self, now: float, sent: SentRequest, status: int, stamp: str, body: bytes
     ) -> None:
--- a/soak/_targets.py
+++ b/soak/_targets.py
@@ -45,6 +45,8 @@
         self.response_seconds = 0.08
         self.proxy: Proxy | None = None
         self.is_draining = False
+        # Whether its responses say that it leaves; a target may say so without an announcement.
+        self.is_leaving = False
         self._sequence = 0
         self._server: asyncio.Server | None = None
 
@@ -95,15 +97,17 @@
             )
         now = asyncio.get_running_loop().time()
         self.history.record_arrival(now, self.name, request_id)
-        limit = {} if self.limit is None else {"Server-Limit": f"{self.limit:g}"}
+        state = {} if self.limit is None else {"Server-Limit": f"{self.limit:g}"}
+        if self.is_leaving:
+            state["Server-Leaving"] = "1"
         body = await request.read()
         if self.failure_mode == "full" and self.random.random() < FAILURE_SHARE:
             return web.Response(
-                status=503, headers={"Request-Id": request_id, "Not-Executed": "1", **limit}
+                status=503, headers={"Request-Id": request_id, "Not-Executed": "1", **state}
             )
         stamp = f"{self.name}.{request_id}.{self.random.getrandbits(32):08x}"
         self.history.record_execution(now, request_id, Execution(self.name, now, stamp), body)
-        headers = {"Request-Id": request_id, "Response-Stamp": stamp, **limit}
+        headers = {"Request-Id": request_id, "Response-Stamp": stamp, **state}
         if self.failure_mode and self.random.random() < FAILURE_SHARE:
             return await self._inject_failure(request, request_id, headers)
         await asyncio.sleep(self.response_seconds)
--- a/soak/_traffic.py
+++ b/soak/_traffic.py
@@ -66,8 +66,10 @@
                 content = await response.read()
                 stamp = response.headers.get("Response-Stamp", "")
                 self.history.record_response(_get_time(), sent, response.status, stamp, content)
+                target = stamp.partition(".")[0]
+                if "Server-Leaving" in response.headers:
+                    self.history.record_departure(_get_time(), target, sent.entry)
                 if "Server-Limit" in response.headers:
-                    target = stamp.partition(".")[0]
                     self.history.record_told(_get_time(), target, sent.entry)
         except TimeoutError:
             self._check_unanswered(sent)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -89,6 +89,27 @@
         record_execution(history)
         assert not history.violations
 
+    def test_request_after_the_entry_passed_on_that_the_target_leaves(self):
+        history = create_history()
+        history.record_departure(7.4, "t", "e")
+        history.record_departure(9.9, "t", "e")
+        record_execution(history)
+        assert list_violated_guarantees(history) == ["drain"]
+
+    @pytest.mark.parametrize(("at", "entry"), [(7.6, "e"), (1.0, "f")])
+    def test_request_soon_after_that_or_by_an_entry_that_was_not_told(self, at, entry):
+        history = create_history()
+        history.record_departure(at, "t", entry)
+        record_execution(history)
+        assert not history.violations
+
+    def test_request_by_an_entry_that_was_disturbed_since(self):
+        history = create_history()
+        history.record_departure(7.4, "t", "e")
+        history.record_disturbance(8.0, "e")
+        record_execution(history)
+        assert not history.violations
+
     def test_older_version_is_read(self):
         history = History()
         history.acknowledged_versions += [(1.0, 3), (2.0, 5)]
