A hub that stops hands its leadership to one that replies, again if it gets it back

Callers would see: no leader for 1.3 to 2.6 s after a planned stop, and seats that nobody lives in.

Cause: a leader hands over to the voter with the most up-to-date log, the first by name among equal ones: also to one that was just lost, or that is stopping as well. The latter handed it back, and the first ended while it led. None of them had a leader to ask, so all kept their seats.

Change: among voters with equal logs one that replied within 1.5 heartbeat intervals is drawn at random. A hub that is stopping hands over whenever it leads.

The leader still isn't told which hubs stop.

--- a/tarragonshelf/consensus/_replica.py
+++ b/tarragonshelf/consensus/_replica.py
@@ -128,10 +128,20 @@
         return self._take_effects()
 
     def transfer_leadership(self, now: float) -> list[Effect]:
-        """Transfer leadership to the voter with the most up-to-date log."""
+        """Transfer leadership to a voter with the most up-to-date log that replies.
+
+        Which of several is random, since some may be stopping as well. There is no effect while
+        a transfer is under way.
+        """
+
+        def compute_rank(name: str) -> tuple:
+            progress = self._progress[name]
+            is_silent = now - progress.last_contact > 1.5 * self.timing.heartbeat_interval
+            return (progress.match_index, not is_silent, self.random.random())
+
         others = [name for name in self._list_peers() if name in self.membership.voters]
-        if self.is_leader and others:
-            self._transfer_target = max(others, key=lambda name: self._progress[name].match_index)
+        if self.is_leader and others and not self._transfer_target:
+            self._transfer_target = max(others, key=compute_rank)
             self._reset_deadline(now)
             self._send_entries(self._transfer_target)
             self._complete_transfer()
--- a/tarragonshelf/hub/_node.py
+++ b/tarragonshelf/hub/_node.py
@@ -162,6 +162,9 @@
         if self.replica.has_committed_in_term:
             self._maintain_voters(now)
         if self._seat_release is not None:
+            # Another hub that stops may have handed its leadership to this one.
+            if self.replica.has_committed_in_term:
+                self._process_effects(now, self.replica.transfer_leadership(now))
             self._effects += self._seat_release.create_requests(
                 now,
                 leader="" if self.replica.is_leader else self.leader_address,
