A lost voter of three leaves before the learner that replaces it becomes a voter

Callers would see: no configuration for good after a control and then its successor were lost, although two of three live.

Cause: among three voters the learner was admitted first, as a fourth, and the lost voter removed after that. A learner that is lost as well is admitted all the same if it had caught up; two of four voters are no majority, so neither could be removed any more.

Change: plan_admission counts the learner among the voters that remain. The two voters that are left for that time need each other, as they did beside the lost one; if the lost one is back within it, it can't stand in for one of them, which the removal from four voters did allow.

Conclusion: mended for three voters; with five the order was this one already.

--- a/tarragonshelf/hub/tests/test_seats.py
+++ b/tarragonshelf/hub/tests/test_seats.py
@@ -5,6 +5,8 @@
 from ...replication import StopRequested
 from .fakes import STOP_SECONDS, FakeSite
 
+RECOVERY_SECONDS = 15.0
+
 
 def list_running(site: FakeSite) -> list[str]:
     return [vm for vm, hub in site.hubs.items() if hub.node is not None]
@@ -27,6 +29,23 @@
     return seconds_without_leader
 
 
+class TestSuccessor:
+    # A successor that was lost while it joined became a voter all the same: with the hub that it
+    # was to replace, two of four voters were lost, and no change was accepted any more.
+    @pytest.mark.parametrize("seed", range(6))
+    @pytest.mark.parametrize("seconds", [0.3, 0.6, 0.9, 1.2, 1.5, 1.8, 2.1, 2.5])
+    def test_changes_are_accepted_after_a_hub_and_its_successor_are_lost(self, seconds, seed):
+        site = FakeSite(3, seed=seed)
+        assert site.put(1)
+        site.remove(sorted(site.hubs)[seed % 3])
+        site.add("new", "z1", tuple(list_running(site)))
+        site.start("new")
+        site.advance(seconds)
+        site.remove("new")
+        site.advance(RECOVERY_SECONDS)
+        assert site.put(2)
+
+
 class TestStopTogether:
     # Of two hubs that stopped together each handed its leadership to the other: the first ended
     # while it led, and both kept their seats.
--- a/tarragonshelf/replication/_admission.py
+++ b/tarragonshelf/replication/_admission.py
@@ -12,8 +12,8 @@
 # Every VM with a disk holds a voter: a site has up to 11, and for a while their replacements.
 MAXIMUM_VOTERS = 15
 
-# An unresponsive voter is replaced only if at least this many voters remain. In a smaller set a
-# quorum may need it to come back.
+# An unresponsive voter is replaced only if at least this many voters remain, the learner that
+# replaces it included. In a smaller set a quorum may need it to come back.
 MINIMUM_REMAINING_VOTERS = 3
 
 
@@ -74,7 +74,7 @@
         if is_deferred(learner.identity):
             continue
         replaced = [item for item in _find_by_vm(membership, learner.vm) if item.voting]
-        if not replaced and len(membership.voters) > MINIMUM_REMAINING_VOTERS:
+        if not replaced and len(membership.voters) >= MINIMUM_REMAINING_VOTERS:
             found = (item for item in membership.members if item.identity in replaceable_voters)
             replaced = list(found)[:1]
         if replaced:
