Voters that are lost together are removed one after another

Callers would see: no configuration after a planned stop, hours after two of five controls were lost without successors.

Cause: a voter without a reply for 20 s was removed only if it was the only one. Two that were lost together kept their seats for good, and a stop of a third left two of five.

Ruled out: the removal at an even number of voters, which does not apply to five or seven.

Change: one of them is removed at a time, while more than three voters remain in the set.

Evidence: test_voters_that_are_lost_together_are_removed failed with five and with seven hubs before and passes after; those that come back join again (test_site.py, unchanged, passes).

Conclusion: seats of the dead are given back down to three voters.

--- a/tarragonshelf/hub/_replication.py
+++ b/tarragonshelf/hub/_replication.py
@@ -119,10 +119,9 @@
             planned = plan_removal(replica.membership, unresponsive)
         if planned is None:
             removable = replica.list_unresponsive_voters(now, REMOVED_AFTER_SECONDS)
-            if len(removable) == 1 and len(replica.membership.voters) > MINIMUM_VOTERS:
-                kept = (
-                    item for item in replica.membership.members if item.identity not in removable
-                )
+            if removable and len(replica.membership.voters) > MINIMUM_VOTERS:
+                removed = min(removable)
+                kept = (item for item in replica.membership.members if item.identity != removed)
                 planned = Membership(tuple(kept))
         if planned is not None and replica.propose_membership(now, planned) is not None:
             self._effects.append(EmitEvent("voters_changing", {"voters": sorted(planned.voters)}))
--- a/tarragonshelf/hub/tests/test_seats.py
+++ b/tarragonshelf/hub/tests/test_seats.py
@@ -6,6 +6,8 @@
 from .fakes import STOP_SECONDS, FakeSite
 
 RECOVERY_SECONDS = 15.0
+# A hub without a reply for longer than this is removed from the voters.
+REMOVAL_SECONDS = 20.0
 
 
 def list_running(site: FakeSite) -> list[str]:
@@ -46,6 +48,20 @@
         assert site.put(2)
 
 
+class TestLostVoters:
+    # Two hubs that are gone kept their seats for good, so a stop of a third one left no majority.
+    @pytest.mark.parametrize("count", [5, 7])
+    def test_voters_that_are_lost_together_are_removed(self, count):
+        site = FakeSite(count)
+        for vm in [vm for vm in sorted(site.hubs) if vm != site.leader][:2]:
+            site.remove(vm)
+        site.advance(REMOVAL_SECONDS + RECOVERY_SECONDS)
+        assert site.voters == set(list_running(site))
+        site.remove(list_running(site)[0], is_planned=True)
+        site.advance(RECOVERY_SECONDS)
+        assert site.put(1)
+
+
 class TestStopTogether:
     # Of two hubs that stopped together each handed its leadership to the other: the first ended
     # while it led, and both kept their seats.
