Failing test: the only voter of a site ends although its successor is joining

Callers would see: on a site of one control, nothing acknowledged is left after a planned replacement.

Cause: a hub that is the only voter is taken for one without others that could go on, so it ends at once, also while a learner is catching up.

Ruled out: the join itself (the successor is a learner before the stop).

Waiting alone doesn't mend it: with two voters the seat of the first is kept as well, and its end leaves one of two.

Evidence: fails on this code: "assert None == 'new'", no leader 15 s after the stop.

Conclusion: open; to decide whether sites of one control are to be supported.

--- a/tarragonshelf/hub/tests/test_seats.py
+++ b/tarragonshelf/hub/tests/test_seats.py
@@ -84,3 +84,18 @@
         site.advance(0.6)
         assert stop_together(site, (leader,)) < 1.0
         assert leader not in site.voters
+
+
+class TestSoleHub:
+    # The only voter ended at once although its successor was still joining, and everything that it
+    # had acknowledged was lost for good.
+    def test_only_voter_waits_until_its_successor_is_a_voter(self):
+        site = FakeSite(1)
+        assert site.put(1)
+        site.add("new", "z1", ("vm0",))
+        site.start("new")
+        site.advance(1.0)
+        site.remove("vm0", is_planned=True)
+        site.advance(RECOVERY_SECONDS)
+        assert site.leader == "new"
+        assert site.read().version == 1
