Failing test: a learner that is lost stays a member

Callers would see: each planned stop of a control takes 3 s longer than it has to.

Cause: only voters without a reply are removed. A learner that has not replied to the present leader is neither admitted nor removed, and plan_release takes it for one that is joining.

Ruled out: a learner that had caught up; it is admitted, and removed as a voter.

Conclusion: open. Voters are not affected.

--- a/tarragonshelf/hub/tests/test_seats.py
+++ b/tarragonshelf/hub/tests/test_seats.py
@@ -99,3 +99,21 @@
         site.advance(RECOVERY_SECONDS)
         assert site.leader == "new"
         assert site.read().version == 1
+
+
+class TestLostLearner:
+    # A hub that was lost before it replied to a new leader stayed a learner for good, so that each
+    # stop of a sound hub waited for its decision until the end of the time for it.
+    def test_learner_that_is_lost_is_removed(self):
+        site = FakeSite(3)
+        site.add("new", "z1", tuple(site.hubs))
+        site.start("new")
+        site.advance(0.3)
+        site.remove("new")
+        leader = site.leader
+        site.stop(leader)
+        site.advance(0.5)
+        site.start(leader)
+        site.advance(REMOVAL_SECONDS + RECOVERY_SECONDS)
+        members = site.hubs[site.leader].node.replica.membership.members
+        assert {item.vm for item in members} == set(list_running(site))
