--- a/tarragonshelf/consensus/_leader.py
+++ b/tarragonshelf/consensus/_leader.py
@@ -52,11 +52,15 @@
 
         The set is empty unless this replica has led for at least that time.
         """
+        return self.list_unresponsive(now, seconds) & self.membership.voters
+
+    def list_unresponsive(self, now: float, seconds: float) -> frozenset[str]:
+        """Return the members from which no reply arrived for ``seconds``, learners included."""
         if not self.is_leader or now - self._leading_since < seconds:
             return frozenset()
         return frozenset(
             name
-            for name in self.membership.voters - {self.identity}
+            for name in self.membership.identities - {self.identity}
             if name in self._progress and now - self._progress[name].last_contact > seconds
         )
 
--- a/tarragonshelf/hub/_replication.py
+++ b/tarragonshelf/hub/_replication.py
@@ -40,6 +40,8 @@
 REPLACEABLE_AFTER_SECONDS = 1.5
 # A replica that replied within this time counts as running when another one is about to stop.
 RESPONSIVE_SECONDS = 1.0
+# A learner that has not replied for this long is removed. If it comes back, it joins again.
+LOST_LEARNER_SECONDS = 3.0
 # A voter that has not replied for this long is removed without a replacement. If it comes back, it
 # joins again.
 REMOVED_AFTER_SECONDS = 20.0
@@ -117,12 +119,15 @@
         )
         if planned is None:
             planned = plan_removal(replica.membership, unresponsive)
+        lost = replica.list_unresponsive(now, LOST_LEARNER_SECONDS) - replica.membership.voters
+        if planned is None and lost:
+            members = replica.membership.members
+            planned = Membership(tuple(item for item in members if item.identity not in lost))
         if planned is None:
             removable = replica.list_unresponsive_voters(now, REMOVED_AFTER_SECONDS)
-            if len(removable) == 1 and len(replica.membership.voters) > MINIMUM_VOTERS:
-                kept = (
-                    item for item in replica.membership.members if item.identity not in removable
-                )
+            if removable and len(replica.membership.voters) > MINIMUM_VOTERS:
+                removed = min(removable)
+                kept = (item for item in replica.membership.members if item.identity != removed)
                 planned = Membership(tuple(kept))
         if planned is not None and replica.propose_membership(now, planned) is not None:
             self._effects.append(EmitEvent("voters_changing", {"voters": sorted(planned.voters)}))
--- /dev/null
+++ b/tarragonshelf/hub/tests/test_seats.py
@@ -0,0 +1,119 @@
+"""Seats of hubs that end, one shortly after another: the others go on without them."""
+
+import pytest
+
+from ...replication import StopRequested
+from .fakes import STOP_SECONDS, FakeSite
+
+RECOVERY_SECONDS = 15.0
+# A hub without a reply for longer than this is removed from the voters.
+REMOVAL_SECONDS = 20.0
+
+
+def list_running(site: FakeSite) -> list[str]:
+    return [vm for vm, hub in site.hubs.items() if hub.node is not None]
+
+
+def stop_together(site: FakeSite, vms: tuple[str, ...]) -> float:
+    """Ask some hubs to stop at the same time; return for how many seconds nobody led."""
+    for vm in vms:
+        site.receive(vm, StopRequested())
+    seconds_without_leader = 0.0
+    deadline = site.now + STOP_SECONDS
+    while site.now < deadline:
+        site.advance(site.step)
+        for vm in vms:
+            node = site.hubs[vm].node
+            if node is not None and node.can_stop:
+                site.stop(vm)
+        if site.leader is None:
+            seconds_without_leader += site.step
+    return seconds_without_leader
+
+
+class TestSuccessor:
+    # A successor that was lost while it joined became a voter all the same: with the hub that it
+    # was to replace, two of four voters were lost, and no change was accepted any more.
+    @pytest.mark.parametrize("seed", range(6))
+    @pytest.mark.parametrize("seconds", [0.3, 0.6, 0.9, 1.2, 1.5, 1.8, 2.1, 2.5])
+    def test_changes_are_accepted_after_a_hub_and_its_successor_are_lost(self, seconds, seed):
+        site = FakeSite(3, seed=seed)
+        assert site.put(1)
+        site.remove(sorted(site.hubs)[seed % 3])
+        site.add("new", "z1", tuple(list_running(site)))
+        site.start("new")
+        site.advance(seconds)
+        site.remove("new")
+        site.advance(RECOVERY_SECONDS)
+        assert site.put(2)
+
+
+class TestLostVoters:
+    # Two hubs that are gone kept their seats for good, so a stop of a third one left no majority.
+    @pytest.mark.parametrize("count", [5, 7])
+    def test_voters_that_are_lost_together_are_removed(self, count):
+        site = FakeSite(count)
+        for vm in [vm for vm in sorted(site.hubs) if vm != site.leader][:2]:
+            site.remove(vm)
+        site.advance(REMOVAL_SECONDS + RECOVERY_SECONDS)
+        assert site.voters == set(list_running(site))
+        site.remove(list_running(site)[0], is_planned=True)
+        site.advance(RECOVERY_SECONDS)
+        assert site.put(1)
+
+
+class TestStopTogether:
+    # Of two hubs that stopped together each handed its leadership to the other: the first ended
+    # while it led, and both kept their seats.
+    @pytest.mark.parametrize("seed", range(12))
+    def test_hubs_that_stop_together_leave_a_leader_and_no_empty_seat(self, seed):
+        site = FakeSite(5, seed=seed)
+        leader = site.leader
+        other = [vm for vm in sorted(site.hubs) if vm != leader][seed % 4]
+        assert stop_together(site, (leader, other)) < 1.0
+        assert site.voters == set(list_running(site))
+
+    # A leader that stopped handed over to a hub that was lost just before, although others lived.
+    @pytest.mark.parametrize("seed", range(6))
+    def test_leader_hands_over_to_a_hub_that_replies(self, seed):
+        site = FakeSite(5, seed=seed)
+        assert site.put(1)
+        leader = site.leader
+        site.stop(next(vm for vm in sorted(site.hubs) if vm != leader))
+        # Longer than the interval of heartbeats.
+        site.advance(0.6)
+        assert stop_together(site, (leader,)) < 1.0
+        assert leader not in site.voters
+
+
+class TestSoleHub:
+    # The only voter ended at once although its successor was still joining, and everything that it
+    # had acknowledged was lost for good.
+    def test_only_voter_waits_until_its_successor_is_a_voter(self):
+        site = FakeSite(1)
+        assert site.put(1)
+        site.add("new", "z1", ("vm0",))
+        site.start("new")
+        site.advance(1.0)
+        site.remove("vm0", is_planned=True)
+        site.advance(RECOVERY_SECONDS)
+        assert site.leader == "new"
+        assert site.read().version == 1
+
+
+class TestLostLearner:
+    # A hub that was lost before it replied to a new leader stayed a learner for good, so that each
+    # stop of a sound hub waited for its decision until the end of the time for it.
+    def test_learner_that_is_lost_is_removed(self):
+        site = FakeSite(3)
+        site.add("new", "z1", tuple(site.hubs))
+        site.start("new")
+        site.advance(0.3)
+        site.remove("new")
+        leader = site.leader
+        site.stop(leader)
+        site.advance(0.5)
+        site.start(leader)
+        site.advance(REMOVAL_SECONDS + RECOVERY_SECONDS)
+        members = site.hubs[site.leader].node.replica.membership.members
+        assert {item.vm for item in members} == set(list_running(site))
