A stop ends if the leader does not answer the request for its seat

An older build closes the connection on Retire, which carries its replication as well; the control repeated it for 3 s. Now it keeps its seat after two requests without an answer (a test fails without this).

--- a/tarragonshelf/replication/_seat_release.py
+++ b/tarragonshelf/replication/_seat_release.py
@@ -7,6 +7,8 @@
 # kills a process 6 s after it was asked to stop.
 RETIRE_INTERVAL_SECONDS = 0.25
 MAXIMUM_WAIT_SECONDS = 3.0
+# An older build closes the connection on this request, which also carries its replication.
+MAXIMUM_UNANSWERED = 2
 # Without a leader for this long nobody can take the seat.
 LEADER_WAIT_SECONDS = 1.0
 
@@ -31,6 +33,7 @@
         self._started_at = now
         self._asked_at = float("-inf")
         self._leader_seen_at = now
+        self._unanswered = 0
         self._outcome = ""
 
     @property
@@ -67,7 +70,12 @@
 
     def handle_result(self, ended: PeerCallEnded) -> list[Effect]:
         """Record the leader's reply; without a decision the request is repeated."""
-        if self._outcome or ended.reply is None:
+        if self._outcome:
+            return []
+        if ended.reply is None:
+            self._unanswered += 1
+            if self._unanswered >= MAXIMUM_UNANSWERED:
+                return self._finish("kept", ended.problem)
             return []
         if not isinstance(ended.reply, Refused):
             return self._finish("released")
--- a/tarragonshelf/replication/tests/test_seat_release.py
+++ b/tarragonshelf/replication/tests/test_seat_release.py
@@ -62,6 +62,15 @@
         assert release.is_finished
 
 
+    def test_ends_if_the_leader_does_not_answer(self):
+        release = SeatRelease("b", 0.0)
+        for now in (0.0, 0.5):
+            assert not release.is_finished
+            release.create_requests(now, leader=LEADER, has_seat=True)
+            release.handle_result(PeerCallEnded(LEADER, Retire("b"), None, "closed"))
+        assert release.is_finished
+
+
 class TestPlanRelease:
     def test_seat_is_released_while_three_voters_remain(self):
         planned = plan_release(create_membership("abcd"), "d", frozenset("abcd"))
