Targets that ask for a pause with a 503 get no requests from this entry until it ends

Cause: a target that turns a request away may now say for how many seconds it wants nothing from the VM that asked. Entries ignored this: the refusal counted as "full" for 0.2 s, then the target got requests again.

Ruled out: sharing pauses with other entries (the target speaks of one VM); a new message or refusal reason between entries (earlier builds close the connection on an unknown reason, so entries that relay say "limited"); a limit on requests in flight as slow start (no limit at all with 100 entries).

Change: RequestedPauses in throttling decides, without input and output, when a target may be used again. The balancer leaves paused targets out before any other choice: first attempts, retries, hedges, trials, relayed requests and permits. A permit that was awaited meanwhile is used elsewhere. Requests with only paused targets left are refused at once (reason "paused") with the time at which the first pause ends, spread. Entries return after a further random time, slowly if pauses follow each other. Values are bounded to 300 s; malformed ones are reported once. A new incarnation ends the pause. The head of a response counts even if its body is cut. Paused targets count as idle working ones for the floor. Events pause_requested, pause_ended, pause_malformed; metric targets_paused.

One step of the life cycle of real processes asks both entries for a pause.

Not covered: an answer that arrives after its request was given up; the soak draws no pauses yet.

--- a/tarragonshelf/edge/_node.py
+++ b/tarragonshelf/edge/_node.py
@@ -59,7 +59,14 @@
     TargetConnected,
 )
 from ..replication import EmitEvent
-from ..throttling import DeclaredLimits, LimitStatement, PermitReply, compute_idle_limit
+from ..throttling import (
+    DeclaredLimits,
+    LimitStatement,
+    PauseStatement,
+    PermitReply,
+    RequestedPauses,
+    compute_idle_limit,
+)
 from ._evidence import EvidenceProcessor
 from ._hub_selector import HubSelector
 from ._messages import (
@@ -114,6 +121,7 @@
         self.avoidance = GrayFailureDetector()
         self.suspects = SuspectRequests()
         self.limits = DeclaredLimits()
+        self.pauses = RequestedPauses(random)
         self.balancer = Balancer(
             topology=self.topology,
             targets=self.targets,
@@ -121,6 +129,7 @@
             limits=self.limits,
             random=random,
             floor_share=settings.floor_share,
+            pauses=self.pauses,
         )
         self.evidence = EvidenceProcessor(
             vm=settings.vm,
@@ -250,6 +259,8 @@
             self.budgets.clear_tokens()
         self.suspects.remove_expired(now)
         self.targets.remove_departed(now)
+        for target in self.pauses.pop_resumed(now):
+            self._emit_pause_end(target, "elapsed")
         self.path.tick(now)
         return [*self._choose_hub(now), *self.pop_pending_effects()]
 
@@ -328,6 +339,8 @@
             if before is None or before.started != entry.started:
                 self.avoidance.forget(entry.identity)
                 self.limits.forget(entry.identity)
+                if self.pauses.forget(entry.identity):
+                    self._emit_pause_end(entry.identity, "restarted")
             held = self.targets.get(entry.identity)
             fields = {
                 "target": held.identity,
@@ -428,6 +441,10 @@
 
     def compute_retry_after(self, now: float, service: str) -> float:
         """Return the seconds after which a refused caller should retry."""
+        usable = (item.identity for item in self.targets.list_usable(service))
+        pause = self.pauses.compute_retry_after(now, usable)
+        if pause:
+            return pause
         work = self._get_profile(service).work_seconds
         return max(MINIMUM_RETRY_AFTER_SECONDS, min(MAXIMUM_RETRY_AFTER_SECONDS, work))
 
@@ -444,6 +461,7 @@
         """
         name = target.identity
         self._emit_limited_attempt(now, request, name, kind)
+        self.pauses.record_attempt(now, name)
         standing = self.avoidance.get_standing(now, name)
         is_untried = standing != Standing.TRUSTED and not self.avoidance.is_on_trial(now, name)
         if is_untried and self.path.is_open:
@@ -520,6 +538,41 @@
             item = EvidenceItem(target.identity, EvidenceKind.LIMITED, rate=statement.rate)
         self.evidence.report(now, item)
 
+    def record_pause(
+        self, now: float, target: TargetEntry, statement: PauseStatement, *, sent_at: float
+    ) -> None:
+        """Record the pause that a response to a request sent at ``sent_at`` asks for.
+
+        A response of an earlier incarnation says nothing about the present one.
+        """
+        name = target.identity
+        held = self.targets.get(name)
+        if held is None or held.started != target.started:
+            return
+        if statement.problem:
+            if self.pauses.record_malformed(now, name):
+                fields = {"target": name, "problem": statement.problem}
+                self._pending_effects.append(EmitEvent("pause_malformed", fields))
+            return
+        pause = self.pauses.record(now, name, statement.seconds, sent_at=sent_at)
+        if pause is not None:
+            fields = {
+                "target": name,
+                "service": target.service,
+                "asked": round(pause.asked_seconds, 3),
+                "seconds": round(pause.seconds, 3),
+                "run": pause.run,
+            }
+            self._pending_effects.append(EmitEvent("pause_requested", fields))
+
+    def is_paused(self, now: float, target: TargetEntry) -> bool:
+        """Return whether no request may be sent to a target because it asked for a pause."""
+        return self.pauses.is_paused(now, target.identity)
+
+    def _emit_pause_end(self, target: str, cause: str) -> None:
+        fields = {"target": target, "cause": cause}
+        self._pending_effects.append(EmitEvent("pause_ended", fields))
+
     def _emit_limited_attempt(
         self, now: float, request: ForwardRequest, target: str, kind: AttemptKind
     ) -> None:
@@ -551,6 +604,7 @@
             "data_centre": target.data_centre,
             "version": self.version,
             "limit": self.limits.get_rate(target.identity),
+            "pause": round(self.pauses.compute_wait(now, target.identity), 3),
         }
 
     def record_misdirected(self, now: float, target: TargetEntry) -> None:
--- a/tarragonshelf/edge/tests/fakes.py
+++ b/tarragonshelf/edge/tests/fakes.py
@@ -54,7 +54,7 @@
     TargetChecked,
     TargetConnected,
 )
-from ...throttling import LimitStatement
+from ...throttling import LimitStatement, PauseStatement
 
 STEP = 0.01
 TICK_STEPS = 5
@@ -66,6 +66,8 @@
 LIMIT_SLACK = 5
 LIMIT_SETTLE_SECONDS = 3.0
 TOLD_SECONDS = 0.5
+# Requests that may reach a target during a pause, from TOLD_SECONDS after it was requested.
+PAUSE_SLACK = 2
 # Time after which an entry gives up opening a connection, and after which the kernel gives up one
 # whose bytes are not acknowledged.
 CONNECT_TIMEOUT_SECONDS = 0.35
@@ -117,6 +119,12 @@
     arrivals: list[Arrival] = field(default_factory=list)
     # When each entry first passed on a response that names the limit.
     told_at: dict[str, float] = field(default_factory=dict)
+    # Seconds for which the target wants no requests; it turns each one away.
+    pause: float | None = None
+    # When each entry was turned away, and when the requested pause ends.
+    pauses: dict[str, list[tuple[float, float]]] = field(default_factory=dict)
+    # Whether another target answers at its address.
+    is_replaced: bool = False
 
     def count_arrivals(self, start: float, end: float) -> int:
         """Return how many requests arrived in a span of time."""
@@ -335,6 +343,21 @@
         started = target.entry.started + 1000
         target.entry = replace(target.entry, started=started, sequence=0)
         target.told_at.clear()
+        target.pauses.clear()
+
+    def replace_target(self, target: FakeTarget) -> FakeTarget:
+        """End a target and start another one at its address."""
+        target.is_replaced = True
+        successor = create_target(len(self.targets))
+        successor.entry = replace(
+            successor.entry,
+            address=target.entry.address,
+            data_centre=target.entry.data_centre,
+            started=target.entry.started + 1000,
+        )
+        self.targets.append(successor)
+        self._announce(successor)
+        return successor
 
     def list_refusals(self, since: float) -> list[Outcome]:
         """Return the requests that were refused since a time."""
@@ -368,8 +391,30 @@
                 found.append(f"{name} got {got} from {start:.2f} s on; allowed {allowed:.0f}")
         return found
 
+    def find_pause_breaches(self, *, is_strict: bool = False) -> list[str]:
+        """Return the pauses in which an entry sent a target more requests than is allowed.
+
+        With ``is_strict`` the requests of disturbed entries count, too.
+        """
+        found = []
+        for target in self.targets:
+            for name, pauses in target.pauses.items():
+                if name in self.disturbed and not is_strict:
+                    continue
+                times = [item.at for item in target.arrivals if item.entry == name]
+                for at, until in pauses:
+                    got = sum(at + TOLD_SECONDS <= time < until for time in times)
+                    if got > PAUSE_SLACK:
+                        identity = target.entry.identity
+                        found.append(
+                            f"{identity} got {got} of {name} from {at:.2f} to {until:.2f}"
+                        )
+        return found
+
     def _announce(self, target: FakeTarget) -> None:
-        """Announce a target to any hub that runs, now and from time to time."""
+        """Announce a target to any hub that runs, now and from time to time, until it ends."""
+        if target.is_replaced:
+            return
         running = [vm for vm, hub in self.site.hubs.items() if hub.node is not None]
         target.entry = replace(target.entry, sequence=target.entry.sequence + 1)
         if running:
@@ -563,9 +608,19 @@
     def _deliver_attempt(
         self, entry: FakeEntry, machine: RequestMachine, number: int, target: FakeTarget
     ) -> None:
+        if target.is_replaced:
+            outcome = AttemptOutcome.MISDIRECTED
+            self._fail_later(entry, machine, number, outcome, REFUSE_SECONDS)
+            return
         told_at = target.told_at.get(entry.name, float("inf"))
         was_told = target.limit is not None and self.now - told_at >= TOLD_SECONDS
         target.arrivals.append(Arrival(self.now, entry.name, was_told))
+        if target.pause is not None:
+            pause = target.pause
+            self._after(
+                REFUSE_SECONDS, lambda: self._turn_away(entry, machine, number, target, pause)
+            )
+            return
         self.ran.add(machine.request.identity)
         self.deliveries[machine.request.identity] += 1
         seconds = self.random.expovariate(1 / MEAN_WORK_SECONDS)
@@ -594,6 +649,32 @@
 
         self._run_at(entry, handle)
 
+    def _turn_away(
+        self,
+        entry: FakeEntry,
+        machine: RequestMachine,
+        number: int,
+        target: FakeTarget,
+        seconds: float,
+    ) -> None:
+        """Refuse a request and ask for a pause."""
+        is_cut = entry.path_fault not in (None, PathFault.REFUSE)
+        if is_cut or entry.open_attempts.pop((machine, number), None) is None:
+            return
+        target.pauses.setdefault(entry.name, []).append((self.now, self.now + seconds))
+        entry.idle_connections[target.entry.identity] = self.now
+        limit = None if target.limit is None else LimitStatement(target.limit)
+        answer = TargetAnswer(503, (), b"")
+        outcome, pause = AttemptOutcome.REFUSED, PauseStatement(seconds)
+        ended = AttemptEnded(number, outcome, REFUSE_SECONDS, answer, limit, pause)
+
+        def handle() -> None:
+            if limit is not None:
+                target.told_at.setdefault(entry.name, self.now)
+            self._handle(entry, machine, ended)
+
+        self._run_at(entry, handle)
+
     # Relayed requests
 
     def _relay(self, entry: FakeEntry, machine: RequestMachine, attempt: RelayAttempt) -> None:
--- a/tarragonshelf/forwarding/_balancer.py
+++ b/tarragonshelf/forwarding/_balancer.py
@@ -7,7 +7,7 @@
 
 from ..avoidance import GrayFailureDetector, Standing
 from ..registry import TargetEntry, TargetRegistry
-from ..throttling import DeclaredLimits
+from ..throttling import DeclaredLimits, RequestedPauses
 from ._floor import TrafficFloor
 from ._messages import ForwardRequest, PermitNeeded, RefusalReason
 from ._profile import LatencyThresholds, ServiceProfile
@@ -82,6 +82,8 @@
     floor_share : float, optional
         Minimum share of the targets without recent proof of failure that must receive requests,
         from 0 to 1.
+    pauses : RequestedPauses, optional
+        Pauses that targets requested.
     """
 
     def __init__(
@@ -93,12 +95,14 @@
         limits: DeclaredLimits,
         random: Random,
         floor_share: float = 0.0,
+        pauses: RequestedPauses | None = None,
     ):
         self.floor = TrafficFloor(share=floor_share, avoidance=avoidance, random=random)
         self.topology = topology
         self.targets = targets
         self.avoidance = avoidance
         self.limits = limits
+        self.pauses = pauses or RequestedPauses(random)
         self.random = random
         self._outstanding: dict[str, int] = {}
         self._peer_load: dict[str, int] = {}
@@ -152,20 +156,29 @@
         candidates = [item for item in usable if item.identity not in tried]
         if not candidates:
             return RefusalReason.NO_TARGET
-        free = [item for item in candidates if self._has_room(now, request, profile, item)]
+        paused = frozenset(
+            item.identity for item in usable if self.pauses.is_paused(now, item.identity)
+        )
+        accepting = [item for item in candidates if item.identity not in paused]
+        if not accepting:
+            return RefusalReason.PAUSED
+        free = [item for item in accepting if self._has_room(now, request, profile, item)]
         if not free:
             return RefusalReason.ALL_FULL
         rates = {item.identity: self.limits.get_rate(item.identity) for item in free}
         limited = {name: rate for name, rate in rates.items() if rate is not None}
         open_targets = [item for item in free if not self.limits.is_closed(now, item.identity)]
-        trial_target = self.floor.choose_trial_target(now, request, usable, open_targets)
+        trial_target = self.floor.choose_trial_target(
+            now, request, usable, open_targets, paused=paused
+        )
         if trial_target is not None:
             ranked = [trial_target]
         else:
             # If all targets have a limit, closed ones are asked for, too: the leader then decides
             # when the caller should return.
             considered = open_targets if len(limited) < len(free) else free
-            avoided = self._list_avoided(now, usable, request.route.is_repeatable)
+            unpaused = tuple(item for item in usable if item.identity not in paused)
+            avoided = self._list_avoided(now, unpaused, request.route.is_repeatable)
             costs = {
                 item.identity: self._estimate_cost(now, request, profile, item, avoided)
                 for item in considered
--- a/tarragonshelf/forwarding/_floor.py
+++ b/tarragonshelf/forwarding/_floor.py
@@ -45,13 +45,20 @@
         request: ForwardRequest,
         usable: tuple[TargetEntry, ...],
         free: list[TargetEntry],
+        *,
+        paused: frozenset[str] = frozenset(),
     ) -> TargetEntry | None:
-        """Return the target for which this request is to be a trial, or None."""
+        """Return the target for which this request is to be a trial, or None.
+
+        ``paused`` are targets that asked for a pause.
+        """
         if self.failures.estimate_failure_share(now, request.service) <= MINIMUM_FAILURE_SHARE:
             return None
         names = {item.identity for item in free}
         candidates = [
-            item for item in self._list_trial_candidates(now, usable) if item.identity in names
+            item
+            for item in self._list_trial_candidates(now, usable, paused)
+            if item.identity in names
         ]
         if not candidates:
             return None
@@ -62,19 +69,23 @@
         return chosen if self.random.random() < share else None
 
     def _list_trial_candidates(
-        self, now: float, usable: tuple[TargetEntry, ...]
+        self, now: float, usable: tuple[TargetEntry, ...], paused: frozenset[str]
     ) -> list[TargetEntry]:
         """Return untrusted targets that may have recovered and must not all stay idle.
 
         Enough of them are returned that the targets in use are at least ``share`` of the working
-        ones, even if all idle targets have recovered.
+        ones, even if all idle targets have recovered. Paused targets count as working ones that
+        must stay idle.
         """
         in_use, idle = 0, []
         for item in usable:
+            if item.identity in paused:
+                continue
             if self.avoidance.is_stably_trusted(now, item.identity):
                 in_use += 1
             elif self.avoidance.get_idle_seconds(now, item.identity) > 0:
                 idle.append(item)
-        spare = int((1 - self.share) * (in_use + len(idle)))
+        working = in_use + len(idle) + sum(item.identity in paused for item in usable)
+        spare = max(0, int((1 - self.share) * working) - (working - in_use - len(idle)))
         idle.sort(key=lambda item: self.avoidance.get_failure_probability(now, item.identity))
         return idle[: max(0, len(idle) - spare)]
--- a/tarragonshelf/forwarding/_messages.py
+++ b/tarragonshelf/forwarding/_messages.py
@@ -9,7 +9,7 @@
 from ..catalogue import Route
 from ..registry import TargetEntry
 from ..relaying import DeclineReason, RelayRecord
-from ..throttling import LimitStatement
+from ..throttling import LimitStatement, PauseStatement
 from ._profile import LatencyThresholds
 
 # Statuses from this one on mean that the target failed.
@@ -108,6 +108,7 @@
     NO_ATTEMPT_LEFT = "no-attempt-left"
     HELD_BACK = "held-back"
     LIMITED = "limited"
+    PAUSED = "paused"
     NO_PATH = "no-path"
     OUTDATED = "outdated"
     STOPPING = "stopping"
@@ -124,7 +125,8 @@
 class AttemptEnded(Message):
     """An attempt ended; ``seconds`` is how long it took.
 
-    ``limit`` is what the response says about the target's limit, if anything.
+    ``limit`` is what the response says about the target's limit, ``pause`` the pause that it
+    requests, if anything.
     """
 
     number: int
@@ -132,6 +134,7 @@
     seconds: float = 0.0
     answer: TargetAnswer | None = None
     limit: LimitStatement | None = None
+    pause: PauseStatement | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -371,6 +374,16 @@
     ) -> None:
         """Record what a response to a request sent at ``sent_at`` says about a target's limit."""
 
+    @abstractmethod
+    def record_pause(
+        self, now: float, target: TargetEntry, statement: PauseStatement, *, sent_at: float
+    ) -> None:
+        """Record that a target wants no requests for some time, in reply to one of ``sent_at``."""
+
+    @abstractmethod
+    def is_paused(self, now: float, target: TargetEntry) -> bool:
+        """Return whether no request may be sent to a target because it asked for a pause."""
+
     @abstractmethod
     def record_success(self, request: ForwardRequest, seconds: float, size: int) -> None:
         """Record the response time in seconds and the bytes of request and response."""
--- a/tarragonshelf/forwarding/_request.py
+++ b/tarragonshelf/forwarding/_request.py
@@ -181,6 +181,9 @@
         needed, self._pending_permit = self._pending_permit, None
         for target in needed.targets:
             if target.identity == decided.target:
+                if self.context.is_paused(now, target):
+                    # It asked for a pause while the permit was awaited.
+                    return self._try_next(now, is_granted=True)
                 return self._start_attempt(now, target)
         self._denied.update(target.identity for target in needed.targets)
         if needed.has_alternative:
@@ -296,6 +299,8 @@
             self.context.record_slow_outcome(is_answered=is_answered)
         if ended.limit is not None:
             self.context.record_limit(now, target, ended.limit, sent_at=attempt.started_at)
+        if ended.pause is not None:
+            self.context.record_pause(now, target, ended.pause, sent_at=attempt.started_at)
         if ended.outcome == AttemptOutcome.ANSWERED:
             return self._handle_response(now, attempt, ended)
         self._record_failure(now, target, ended.outcome)
--- a/tarragonshelf/forwarding/tests/fakes.py
+++ b/tarragonshelf/forwarding/tests/fakes.py
@@ -52,13 +52,16 @@
         self.slow_outcomes: list[bool] = []
         self.quarantined: set[int] = set()
         self.limits: list[tuple[str, float | None]] = []
+        self.pauses: list[tuple[str, float]] = []
+        self.paused: set[str] = set()
         self.avoidance = GrayFailureDetector()
 
     def choose_target(self, now, request, tried):
         if self.relays and not request.is_relayed:
             relays = [item for item in self.relays if item.address not in tried]
             return relays[0] if relays else RefusalReason.NO_PATH
-        remaining = [item for item in self.targets if item.identity not in tried]
+        excluded = self.paused | tried
+        remaining = [item for item in self.targets if item.identity not in excluded]
         if not remaining:
             return RefusalReason.NO_TARGET
         if remaining[0].identity not in self.limited:
@@ -109,6 +112,12 @@
     def record_limit(self, now, target, statement, *, sent_at):
         self.limits.append((target.identity, statement.rate))
 
+    def record_pause(self, now, target, statement, *, sent_at):
+        self.pauses.append((target.identity, statement.seconds))
+
+    def is_paused(self, now, target):
+        return target.identity in self.paused
+
     def record_success(self, request, seconds, size):
         pass
 
--- a/tarragonshelf/forwarding/tests/test_balancer.py
+++ b/tarragonshelf/forwarding/tests/test_balancer.py
@@ -227,3 +227,69 @@
         second = fixture.choose(tried=asked)
         assert {item.identity for item in second.targets} == set(names) - asked
         assert not second.has_alternative
+
+
+class TestPausedTargets:
+    """A target that asked for a pause is not chosen for any kind of request."""
+
+    def pause(self, fixture: Fixture, *names: str, seconds: float = 5.0) -> None:
+        for name in names:
+            fixture.balancer.pauses.record(0.0, name, seconds, sent_at=0.0)
+
+    def test_paused_target_is_not_chosen(self):
+        fixture = Fixture(create_target("near"), create_target("far", data_centre="x"))
+        self.pause(fixture, "near")
+        assert {fixture.choose(now=1.0).identity for _ in range(20)} == {"far"}
+        assert fixture.choose(now=7.0).identity == "near"
+
+    def test_paused_target_is_not_chosen_even_if_the_others_fail(self):
+        fixture = Fixture(*(create_target(name) for name in "abc"))
+        self.pause(fixture, "a")
+        for name in "bc":
+            fixture.avoidance.record(0.0, EvidenceItem(name, EvidenceKind.BROKEN))
+        for is_repeatable in (True, False):
+            chosen = {
+                fixture.choose(now=0.1, is_repeatable=is_repeatable).identity for _ in range(20)
+            }
+            assert chosen <= {"b", "c"}
+
+    def test_request_is_refused_if_only_paused_targets_are_left(self):
+        fixture = Fixture(create_target("a"), create_target("b"))
+        self.pause(fixture, "a")
+        assert fixture.choose(now=1.0, tried=frozenset("b")) == RefusalReason.PAUSED
+        self.pause(fixture, "b")
+        assert fixture.choose(now=1.0) == RefusalReason.PAUSED
+
+    def test_no_permit_is_asked_for_a_paused_target(self):
+        fixture = Fixture(create_target("a"), create_target("b"))
+        for name in "ab":
+            fixture.limits.record(0.0, name, 2.0)
+        self.pause(fixture, "a")
+        needed = fixture.choose(now=1.0)
+        assert [item.identity for item in needed.targets] == ["b"]
+        assert (needed.service_rate, needed.has_alternative) == (2.0, False)
+
+    def test_paused_target_gets_no_trial(self):
+        fixture = Fixture(*(create_target(name) for name in "abcd"))
+        fixture.balancer.floor.share = 1.0
+        for number in range(20):
+            fixture.balancer.floor.failures.record_request(number / 10, "s")
+            fixture.balancer.floor.failures.record_failure(number / 10, "s")
+        for name in "ab":
+            fixture.avoidance.record(0.0, EvidenceItem(name, EvidenceKind.BROKEN))
+        self.pause(fixture, "a", seconds=20.0)
+        chosen = {fixture.choose(now=5.0).identity for _ in range(40)}
+        assert "a" not in chosen
+        assert "b" in chosen
+
+    def test_floor_is_kept_with_the_targets_that_are_not_paused(self):
+        fixture = Fixture(*(create_target(name) for name in "abcd"))
+        fixture.balancer.floor.share = 0.7
+        for number in range(20):
+            fixture.balancer.floor.failures.record_request(number / 10, "s")
+            fixture.balancer.floor.failures.record_failure(number / 10, "s")
+        fixture.avoidance.record(0.0, EvidenceItem("d", EvidenceKind.BROKEN))
+        # Three of four are in use, so the one that failed may stay idle.
+        assert "d" not in {fixture.choose(now=3.5).identity for _ in range(40)}
+        self.pause(fixture, "a", seconds=20.0)
+        assert "d" in {fixture.choose(now=3.5).identity for _ in range(40)}
--- a/tarragonshelf/forwarding/tests/test_floor.py
+++ b/tarragonshelf/forwarding/tests/test_floor.py
@@ -16,6 +16,7 @@
 from ...forwarding import Balancer, ForwardRequest, ServiceProfile, Topology
 from ...registry import TargetRegistry
 from ...throttling import DeclaredLimits
+from .._floor import TrafficFloor
 from .fakes import create_route, create_target
 
 FLOOR_SHARE = 0.7
@@ -186,3 +187,30 @@
         fleet.simulate()
         others = OTHER_LOST_SHARE * SIMULATION_SECONDS * REQUESTS_PER_SECOND
         assert len(fleet.lost) < 1.5 * others
+
+
+class TestPausedTargets:
+    """Paused targets cannot be tried, so the floor needs more of the others."""
+
+    def list_trials(self, paused: str) -> set[str]:
+        targets = tuple(create_target(name) for name in "abcdefghij")
+        avoidance = GrayFailureDetector()
+        for target in targets[4:]:
+            avoidance.record(0.0, EvidenceItem(target.identity, EvidenceKind.BROKEN))
+        floor = TrafficFloor(share=FLOOR_SHARE, avoidance=avoidance, random=Random(1))
+        trials = floor._list_trial_candidates(5.0, targets, frozenset(paused))
+        return {item.identity for item in trials}
+
+    def test_paused_target_is_no_candidate_and_is_replaced_by_another(self):
+        # Of ten targets four are trusted, so three of the six others are needed.
+        assert len(self.list_trials("")) == 3
+        # A paused target takes the place of one that may stay idle.
+        trials = self.list_trials("j")
+        assert len(trials) == 3
+        assert "j" not in trials
+        assert len(self.list_trials("a")) == 4
+        assert len(self.list_trials("ij")) == 3
+
+    def test_all_others_are_candidates_if_too_many_are_paused(self):
+        assert self.list_trials("abcde") == set("fghij")
+        assert self.list_trials("abcdefghij") == set()
--- a/tarragonshelf/forwarding/tests/test_request.py
+++ b/tarragonshelf/forwarding/tests/test_request.py
@@ -7,6 +7,7 @@
 from ...avoidance import EvidenceKind
 from ...forwarding import (
     Attempt,
+    AttemptEnded,
     AttemptOutcome,
     Cancel,
     PermitDecided,
@@ -17,8 +18,10 @@
     RespondWith,
     RetryGrantAnswered,
     SetTimer,
+    TargetAnswer,
     TimerFired,
 )
+from ...throttling import PauseStatement
 from .fakes import FakeContext, create_route, end, start
 
 ORDER = create_route(is_repeatable=False)
@@ -344,3 +347,56 @@
         machine, _ = start(FakeContext("a", limited={"a"}), ORDER)
         machine.abandon(0.02)
         assert machine.handle(0.05, PermitDecided("a")) == []
+
+
+class TestPauses:
+    """A target that asked for a pause gets no request, whatever was decided before."""
+
+    def test_requested_pause_is_recorded_with_its_target(self):
+        context = FakeContext("a", "b")
+        machine, _ = start(context, ORDER)
+        answer, pause = TargetAnswer(503, (), b""), PauseStatement(2.0)
+        ended = AttemptEnded(1, AttemptOutcome.REFUSED, 0.1, answer, pause=pause)
+        effects = machine.handle(0.1, ended)
+        assert context.pauses == [("a", 2.0)]
+        assert find_effect(effects, Attempt).target.identity == "b"
+
+    def test_pause_of_a_response_that_does_not_prove_a_refusal_is_recorded(self):
+        context = FakeContext("a")
+        machine, _ = start(context, ORDER)
+        answer, pause = TargetAnswer(503, (), b""), PauseStatement(2.0)
+        ended = AttemptEnded(1, AttemptOutcome.ANSWERED, 0.1, answer, pause=pause)
+        assert find_effect(machine.handle(0.1, ended), RespondWith).answer is answer
+        assert context.pauses == [("a", 2.0)]
+
+    # Guards against a permit that was asked for before the pause and granted after it.
+    @pytest.mark.parametrize("route", [ORDER, LOOKUP])
+    def test_permit_for_a_target_that_paused_meanwhile_is_not_used(self, route):
+        context = FakeContext("a", "b", limited={"a"})
+        machine, effects = start(context, route)
+        assert find_effect(effects, RequestPermit)
+        context.paused.add("a")
+        effects = machine.handle(0.05, PermitDecided("a"))
+        assert find_effect(effects, Attempt).target.identity == "b"
+
+    def test_permit_for_a_paused_target_without_another_one_ends_the_request(self):
+        context = FakeContext("a", limited={"a"})
+        machine, _ = start(context, ORDER)
+        context.paused.add("a")
+        refuse = find_effect(machine.handle(0.05, PermitDecided("a")), Refuse)
+        assert (refuse.has_run, refuse.retry_after) == (False, 0.3)
+
+    def test_grant_after_a_pause_is_used_at_another_target(self):
+        context = FakeContext("a", "b", "c")
+        context.spend_retry = lambda now, service: None
+        machine, _ = start(context, LOOKUP)
+        assert find_effect(end(machine, 1, AttemptOutcome.REFUSED), RequestRetryGrant)
+        context.paused.add("b")
+        effects = machine.handle(0.2, RetryGrantAnswered(True))
+        assert find_effect(effects, Attempt).target.identity == "c"
+
+    def test_hedged_request_is_not_sent_to_a_paused_target(self):
+        context = FakeContext("a", "b", "c")
+        machine, _ = start(context, LOOKUP)
+        context.paused.add("b")
+        assert find_effect(machine.handle(1.0, TimerFired()), Attempt).target.identity == "c"
--- a/tarragonshelf/platform/_entry_http.py
+++ b/tarragonshelf/platform/_entry_http.py
@@ -5,8 +5,8 @@
 from ..forwarding import AttemptOutcome, RefusalReason, Refuse, TargetAnswer
 from ..registry import TargetEntry
 from ..site import CallerFields, DiscoveryHandler, EdgeQueries, HttpDialect, RawHeaders
-from ..throttling import LimitStatement
-from ._values import format_seconds, read_decimal
+from ..throttling import LimitStatement, PauseStatement
+from ._values import format_seconds, read_decimal, read_delay
 
 REQUEST_ID_HEADER = b"request-id"
 DEADLINE_HEADER = b"deadline-ms"
@@ -17,6 +17,9 @@
 # Requests per second that the target accepts from all entries together, in each of its responses
 # while the limit is in force.
 LIMIT_HEADER = b"server-limit"
+# Seconds for which a target that turns a request away wants nothing from this VM.
+PAUSE_HEADER = b"retry-after"
+PAUSE_STATUS = 503
 MISDIRECTED_STATUS = 421
 # Used if no Keep-Alive header states a time-out. Targets close idle connections after some
 # seconds.
@@ -106,6 +109,16 @@
             return LimitStatement(None)
         return None
 
+    def read_pause(self, response: TargetAnswer) -> PauseStatement | None:
+        """Return the pause that a target requests with a 503 response, or None.
+
+        Another target at the address responds with 421 and requests none.
+        """
+        text = _get_header(response.headers, PAUSE_HEADER).strip()
+        if response.status != PAUSE_STATUS or not text:
+            return None
+        return PauseStatement(read_delay(text, "Retry-After"))
+
     def get_idle_seconds(self, headers: RawHeaders) -> float:
         """Return for how many seconds a connection may stay idle after a response."""
         for part in _get_header(headers, b"keep-alive").split(b","):
--- a/tarragonshelf/platform/_values.py
+++ b/tarragonshelf/platform/_values.py
@@ -7,6 +7,8 @@
 _DURATION = re.compile(r"^(\d+(?:\.\d+)?)(ms|s)$")
 _DECIMAL = re.compile(r"^\d+(?:\.\d+)?$")
 _VERSION = re.compile(r"^[0-9a-f]{8}$")
+# Longer delays are read as this one.
+MAXIMUM_DELAY_SECONDS = 1e9
 _ADDRESS = re.compile(r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")
 
 
@@ -63,6 +65,13 @@
     return value
 
 
+def read_delay(text: bytes, field_path: str) -> float:
+    """Return the seconds of a decimal number, at most ``MAXIMUM_DELAY_SECONDS``."""
+    if not _DECIMAL.match(text.decode("latin-1")):
+        raise MalformedError(f"{field_path}: {text[:100]!r} is not a decimal number of seconds")
+    return min(float(text), MAXIMUM_DELAY_SECONDS)
+
+
 def read_table(value: Any, field_path: str) -> dict:
     """Return a table."""
     if not isinstance(value, dict):
--- a/tarragonshelf/platform/tests/test_platform.py
+++ b/tarragonshelf/platform/tests/test_platform.py
@@ -7,7 +7,7 @@
 from ...catalogue import UnreadableCatalogueError, find_validation_errors
 from ...forwarding import AttemptOutcome, RefusalReason, Refuse, TargetAnswer
 from ...registry import TargetEntry, TargetState
-from ...throttling import LimitStatement
+from ...throttling import LimitStatement, PauseStatement
 from .._control import create_hub_settings
 from .._documents import DocumentReader
 from .._entry import create_edge_settings
@@ -245,6 +245,56 @@
             PlatformDialect().read_limit(response)
 
 
+class TestPauseHeader:
+    """A target that turns a request away says for how long it wants no other."""
+
+    def read(self, text: bytes, status: int = 503) -> PauseStatement | None:
+        headers = ((b"Not-Executed", b"1"), (b"Retry-After", text))
+        return PlatformDialect().read_pause(TargetAnswer(status, headers, b""))
+
+    @pytest.mark.parametrize(
+        ("text", "seconds"),
+        [(b"2", 2.0), (b"0.5", 0.5), (b" 1.25 ", 1.25), (b"0", 0.0), (b"007", 7.0)],
+    )
+    def test_pause_is_a_decimal_number_of_seconds(self, text, seconds):
+        assert self.read(text) == PauseStatement(seconds)
+
+    @pytest.mark.parametrize("text", [b"1000000001", b"9" * 400])
+    def test_absurdly_long_pause_is_bounded(self, text):
+        assert self.read(text) == PauseStatement(1e9)
+
+    @pytest.mark.parametrize("status", [200, 404, 421, 429, 500, 502, 504])
+    def test_only_503_requests_a_pause(self, status):
+        assert self.read(b"2", status) is None
+
+    def test_503_that_does_not_prove_a_refusal_requests_a_pause(self):
+        response = TargetAnswer(503, ((b"retry-after", b"2"),), b"")
+        assert PlatformDialect().read_pause(response) == PauseStatement(2.0)
+
+    @pytest.mark.parametrize("headers", [(), ((b"Retry-After", b" "),)])
+    def test_missing_value_requests_none(self, headers):
+        assert PlatformDialect().read_pause(TargetAnswer(503, headers, b"")) is None
+
+    @pytest.mark.parametrize(
+        "text",
+        [
+            b"Fri, 31 Dec 2027 23:59:59 GMT",
+            b"x",
+            b"-1",
+            b"1,5",
+            b"1e9",
+            b"inf",
+            b"nan",
+            b"1 2",
+            b"1s",
+            b"\xff",
+        ],
+    )
+    def test_malformed_value_is_rejected(self, text):
+        with pytest.raises(MalformedError, match="Retry-After"):
+            self.read(text)
+
+
 class TestSettings:
     def test_entry_settings(self):
         settings, addresses = create_edge_settings(SETTINGS)
--- a/tarragonshelf/queries/_explain.py
+++ b/tarragonshelf/queries/_explain.py
@@ -15,6 +15,8 @@
         "limit_declared",
         "limit_changed",
         "limit_lifted",
+        "pause_requested",
+        "pause_ended",
     }
 )
 REFUSAL_CAUSES = {
@@ -28,6 +30,8 @@
     "targets",
     "limited": "every target of service {service} that could take it names a request rate limit, "
     "and these limits were used up",
+    "paused": "every target of service {service} that could take it had asked this entry to send "
+    "nothing for some time",
     "no-path": "the entry could reach no target, and no other entry that could took the request",
     "stopping": "it was complete only after the entry had begun to stop",
     "deadline": "its time was up: the deadline of the caller or of the route had passed",
--- a/tarragonshelf/site/_caller_server.py
+++ b/tarragonshelf/site/_caller_server.py
@@ -224,9 +224,10 @@
         for item in self.node.targets.list_usable(service)[:MAXIMUM_LOGGED_TARGETS]:
             description = self.node.describe_target(now, item)
             limit = "" if description["limit"] is None else f" limit {description['limit']:g}/s"
+            pause = f" pause {description['pause']:g}s" if description["pause"] else ""
             descriptions.append(
                 f"{item.identity} {description['standing']} "
-                f"{description['held']}/{item.slots}{limit}"
+                f"{description['held']}/{item.slots}{limit}{pause}"
             )
         return ", ".join(descriptions)
 
--- a/tarragonshelf/site/_edge.py
+++ b/tarragonshelf/site/_edge.py
@@ -402,6 +402,7 @@
         self.metrics.set("relayed_under_way", self.relay_server.in_flight)
         self.metrics.set("targets_avoided", self.node.avoidance.count_avoided(now))
         self.metrics.set("targets_limited", len(self.node.limits.list_rates()))
+        self.metrics.set("targets_paused", len(self.node.pauses.list_paused(read_time())))
         for outcome, count in self.pool.connect_counts.items():
             self.metrics.set("target_connections", count, ("outcome", outcome))
         if self.node.catalogue is not None:
--- a/tarragonshelf/site/_exchange.py
+++ b/tarragonshelf/site/_exchange.py
@@ -18,11 +18,16 @@
 
 
 class ExchangeFailedError(Exception):
-    """A request was sent at least in part, and no valid response to it was received."""
+    """A request was sent at least in part, and no valid response to it was received.
 
-    def __init__(self, outcome: AttemptOutcome, reason: str):
+    ``head`` holds status and headers of an incomplete or unusable response to the request, if
+    there is one.
+    """
+
+    def __init__(self, outcome: AttemptOutcome, reason: str, head: TargetAnswer | None = None):
         super().__init__(reason)
         self.outcome = outcome
+        self.head = head
 
 
 class ResponseBufferQuota:
@@ -240,4 +245,16 @@
 
     def _fail(self, outcome: AttemptOutcome, reason: str) -> None:
         if self._pending_response is not None and not self._pending_response.done():
-            self._pending_response.set_exception(ExchangeFailedError(outcome, reason))
+            error = ExchangeFailedError(outcome, reason, self._get_own_head())
+            self._pending_response.set_exception(error)
+
+    def _get_own_head(self) -> TargetAnswer | None:
+        """Return status and headers of the response so far if it belongs to the request."""
+        head, request_id = self._response_head, self._request_id
+        if head is None or not self.dialect.is_response_to(
+            head.headers, head.status_code, request_id
+        ):
+            return None
+        if self._has_history and not self.dialect.names_request(head.headers, request_id):
+            return None
+        return TargetAnswer(head.status_code, tuple(head.headers.raw_items()), b"")
--- a/tarragonshelf/site/_forwarder.py
+++ b/tarragonshelf/site/_forwarder.py
@@ -29,7 +29,7 @@
     TargetAnswer,
     TimerFired,
 )
-from ..throttling import LimitStatement
+from ..throttling import LimitStatement, PauseStatement
 from ._exchange import ExchangeFailedError
 from ._interfaces import HttpDialect, RequestContent
 from ._pool import ConnectionPool
@@ -125,7 +125,9 @@
             self._report_failure(
                 execution, attempt, loop.time() - started_at, str(error.outcome), str(error)
             )
-            return AttemptEnded(attempt.number, error.outcome, loop.time() - started_at)
+            pause = None if error.head is None else self._read_pause(error.head)
+            seconds = loop.time() - started_at
+            return AttemptEnded(attempt.number, error.outcome, seconds, pause=pause)
         except asyncio.CancelledError:
             connection.close()
             raise
@@ -140,7 +142,8 @@
                 f"status {response.status}",
             )
         limit = self._read_limit(execution, attempt, response)
-        return AttemptEnded(attempt.number, outcome, loop.time() - started_at, response, limit)
+        seconds, pause = loop.time() - started_at, self._read_pause(response)
+        return AttemptEnded(attempt.number, outcome, seconds, response, limit, pause)
 
     async def send_to_relay(
         self, execution: "_RequestExecution", attempt: RelayAttempt
@@ -174,6 +177,13 @@
             )
             return None
 
+    def _read_pause(self, response: TargetAnswer) -> PauseStatement | None:
+        """Return the pause that a response requests; the entry reports malformed ones."""
+        try:
+            return self.dialect.read_pause(response)
+        except ValueError as error:
+            return PauseStatement(0.0, problem=str(error))
+
     def _report_failure(
         self,
         execution: "_RequestExecution",
--- a/tarragonshelf/site/_interfaces.py
+++ b/tarragonshelf/site/_interfaces.py
@@ -9,7 +9,7 @@
 from ..base import Message
 from ..forwarding import AttemptOutcome, RefusalReason, Refuse, TargetAnswer
 from ..registry import TargetEntry
-from ..throttling import LimitStatement
+from ..throttling import LimitStatement, PauseStatement
 
 RawHeaders = Iterable[tuple[bytes, bytes]]
 
@@ -84,6 +84,16 @@
             If the limit is malformed.
         """
 
+    @abstractmethod
+    def read_pause(self, response: TargetAnswer) -> PauseStatement | None:
+        """Return the pause that a response requests, or None if it requests none.
+
+        Raises
+        ------
+        ValueError
+            If the request is malformed.
+        """
+
     @abstractmethod
     def get_idle_seconds(self, headers: RawHeaders) -> float:
         """Return for how many seconds a connection may stay idle after a response."""
--- a/tarragonshelf/site/_relay_server.py
+++ b/tarragonshelf/site/_relay_server.py
@@ -23,6 +23,9 @@
 from ._interfaces import RequestContent
 from ._relay_client import send_with_body, split_body
 
+# Reasons that entries of earlier builds do not know, and what they are told in place of them.
+WIRE_REASONS = {RefusalReason.PAUSED: RefusalReason.LIMITED}
+
 
 @dataclass(slots=True)
 class _Incoming:
@@ -192,7 +195,7 @@
     if isinstance(result, Refuse):
         refusal = RelayRefusal(
             number,
-            str(result.reason),
+            str(WIRE_REASONS.get(result.reason, result.reason)),
             result.has_run,
             result.retry_after,
             usage.executions,
--- a/tarragonshelf/site/tests/test_caller_server.py
+++ b/tarragonshelf/site/tests/test_caller_server.py
@@ -21,6 +21,7 @@
 from ...hub.tests.fakes import FakeReader
 from ...platform._entry_http import PlatformDialect
 from ...registry import TargetEntry, TargetNews, TargetState
+from ...replication import EmitEvent
 from ...telemetry import Metrics
 from .._caller_server import CallerServer
 from .._forwarder import Forwarder
@@ -31,9 +32,16 @@
 class Fixture:
     """An entry's caller server in front of one target, both on loopback."""
 
-    def __init__(self, *, work_seconds: float = 0.0, target_headers: bytes = b""):
+    def __init__(
+        self,
+        *,
+        work_seconds: float = 0.0,
+        target_headers: bytes = b"",
+        target_status: bytes = b"200 OK",
+    ):
         self.work_seconds = work_seconds
         self.target_headers = target_headers
+        self.target_status = target_status
         self.received: list[bytes] = []
         self.interrupted = 0
         self.reports: list[str] = []
@@ -116,9 +124,15 @@
                         return
                     wait.cancel()
                 writer.write(
-                    b"HTTP/1.1 200 OK\r\nResponse-Stamp: s\r\nRequest-Id: %s\r\n"
+                    b"HTTP/1.1 %s\r\nResponse-Stamp: s\r\nRequest-Id: %s\r\n"
                     b"%sContent-Length: %d\r\n\r\n%s"
-                    % (request_id, self.target_headers, len(request_id), request_id)
+                    % (
+                        self.target_status,
+                        request_id,
+                        self.target_headers,
+                        len(request_id),
+                        request_id,
+                    )
                 )
         except (asyncio.IncompleteReadError, ConnectionError):
             return
@@ -354,3 +368,58 @@
         statuses, reports = run(test())
         assert statuses == [200, 200]
         assert "limit_malformed" in reports
+
+
+class TestPausedTarget:
+    def exchange(self, retry_after: bytes, *, target_headers: bytes = b"Not-Executed: 1\r\n"):
+        """Send three requests to a target that turns each away; return what was seen of them."""
+
+        async def test():
+            headers = target_headers + b"Retry-After: %s\r\n" % retry_after
+            options = {"target_headers": headers, "target_status": b"503 Service Unavailable"}
+            async with Fixture(**options) as fixture:
+                events = []
+                pop = fixture.node.pop_pending_effects
+                fixture.server.forwarder.flush = lambda: events.extend(
+                    item.event for item in pop() if isinstance(item, EmitEvent)
+                )
+                reader, writer = await fixture.connect()
+                responses = []
+                for number in range(3):
+                    writer.write(create_request(f"q{number}"))
+                    responses.append(await read_response(reader))
+                return responses, len(fixture.received), events
+
+        return run(test())
+
+    def test_requests_during_a_pause_are_refused_at_once_and_do_not_reach_the_target(self):
+        responses, received, events = self.exchange(b"30")
+        assert [item[0] for item in responses] == [503, 503, 503]
+        assert [item[1] for item in responses] == [b"no-target", b"paused", b"paused"]
+        assert all(29.0 <= float(item[2][b"retry-after"]) <= 60.0 for item in responses)
+        assert received == 1
+        assert events == ["pause_requested"]
+
+    def test_response_without_proof_of_a_refusal_is_passed_on_and_pauses_its_target(self):
+        responses, received, _ = self.exchange(b"30", target_headers=b"")
+        assert [item[1] for item in responses] == [b"q0", b"paused", b"paused"]
+        assert responses[0][2][b"retry-after"] == b"30"
+        assert received == 1
+
+    @pytest.mark.parametrize("value", [b"-1", b"soon", b"Fri, 31 Dec 2027 23:59:59 GMT"])
+    def test_malformed_pause_is_reported_once_and_pauses_nothing(self, value):
+        responses, received, events = self.exchange(value)
+        assert [item[0] for item in responses] == [503, 503, 503]
+        assert received == 3
+        assert events == ["pause_malformed"]
+
+    def test_pause_of_a_response_that_is_not_usable_holds(self):
+        headers = b"Content-Encoding: gzip\r\n"
+        responses, received, events = self.exchange(b"30", target_headers=headers)
+        assert [item[0] for item in responses] == [502, 503, 503]
+        assert (received, events) == (1, ["pause_requested", "target_avoided"])
+
+    def test_absurdly_long_pause_is_bounded(self):
+        responses, received, events = self.exchange(b"9" * 400)
+        assert all(float(item[2][b"retry-after"]) <= 1.5 * 304.0 for item in responses)
+        assert (received, events) == (1, ["pause_requested"])
--- a/tarragonshelf/site/tests/test_exchange.py
+++ b/tarragonshelf/site/tests/test_exchange.py
@@ -257,3 +257,66 @@
                 return [connection.is_open for connection in connections]
 
         assert run(test()) == [False, False, True]
+
+
+REFUSAL_HEAD = b"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRetry-After: 5\r\n"
+
+
+class TestHeadsOfFailedExchanges:
+    """A target that turns a request away says so in the head, whatever follows."""
+
+    @pytest.mark.parametrize(
+        ("response", "ending"),
+        [
+            (OWN_HEADERS + b"Content-Length: 9\r\n\r\nok", "close"),
+            (OWN_HEADERS + b"Content-Length: 9\r\n\r\nok", "reset"),
+            (b"Content-Length: 9\r\n\r\nok", "close"),
+            (OWN_HEADERS + b"Transfer-Encoding: chunked\r\n\r\nx!\r\n", "keep"),
+            (OWN_HEADERS + b"Content-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok", "keep"),
+        ],
+    )
+    def test_head_of_an_incomplete_refusal_is_kept(self, response, ending):
+        async def test():
+            async with ScriptedTarget(REFUSAL_HEAD + response, ending=ending) as target:
+                with pytest.raises(ExchangeFailedError) as failure:
+                    await exchange(target)
+                return failure.value
+
+        error = run(test())
+        assert error.outcome in (AttemptOutcome.BROKEN, AttemptOutcome.UNUSABLE)
+        assert PlatformDialect().read_pause(error.head).seconds == 5.0
+
+    def test_head_of_a_response_to_another_request_is_not_kept(self):
+        response = REFUSAL_HEAD + UNRELATED_HEADERS + b"Content-Length: 9\r\n\r\nok"
+
+        async def test():
+            async with ScriptedTarget(response, ending="close") as target:
+                with pytest.raises(ExchangeFailedError) as failure:
+                    await exchange(target)
+                return failure.value
+
+        assert run(test()).head is None
+
+    def test_head_that_names_no_request_is_not_kept_on_a_used_connection(self):
+        response = REFUSAL_HEAD + b"Content-Length: 9\r\n\r\nok"
+
+        async def test():
+            async with ScriptedTarget(COMPLETE_RESPONSE, response, ending="keep") as target:
+                connection, _ = await exchange(target)
+                task = asyncio.ensure_future(exchange(target, connection))
+                await asyncio.sleep(0.1)
+                connection.close()
+                with pytest.raises(ExchangeFailedError) as failure:
+                    await task
+                return failure.value
+
+        assert run(test()).head is None
+
+    def test_failed_exchange_without_a_response_has_no_head(self):
+        async def test():
+            async with ScriptedTarget(b"", ending="close") as target:
+                with pytest.raises(ExchangeFailedError) as failure:
+                    await exchange(target)
+                return failure.value
+
+        assert run(test()).head is None
--- a/tarragonshelf/site/tests/test_relay.py
+++ b/tarragonshelf/site/tests/test_relay.py
@@ -10,6 +10,7 @@
 from ...edge._path import MAXIMUM_RELAYED_BYTES
 from ...forwarding import (
     PermitDecided,
+    RefusalReason,
     RelayAttempt,
     RelayEnded,
     RelayOutcome,
@@ -20,6 +21,7 @@
 from ...registry import TargetEntry, TargetNews, TargetState
 from ...relaying import DeclineReason, PathDoubted, RelayRecord, TargetChecked
 from ...telemetry import create_clock
+from ...throttling import PauseStatement
 from ...transport import EDGE_PACKAGES, PeerLinks, PeerServer, create_codec
 from .._exchange import MAXIMUM_BUFFERED_BYTES, ResponseBufferQuota
 from .._forwarder import Forwarder
@@ -261,6 +263,21 @@
 
         asyncio.run(run())
 
+    def test_paused_targets_get_no_relayed_request_and_the_reason_is_known_to_earlier_builds(self):
+        async def run():
+            async with Fixture(Target()) as fixture:
+                now = asyncio.get_running_loop().time()
+                for target in fixture.node.targets.list_all():
+                    fixture.node.record_pause(now, target, PauseStatement(9.0), sent_at=now)
+                ended = await fixture.send(create_content())
+                assert ended.outcome == RelayOutcome.REFUSED
+                assert ended.refusal.reason == RefusalReason.LIMITED
+                assert not ended.refusal.has_run
+                assert ended.refusal.retry_after >= 8.0
+                assert fixture.target.received == []
+
+        asyncio.run(run())
+
 
 class TestDeclinedRequests:
     async def _get_decline(self, fixture: Fixture, **options) -> DeclineReason | None:
--- a/tarragonshelf/throttling/_messages.py
+++ b/tarragonshelf/throttling/_messages.py
@@ -1,4 +1,4 @@
-"""Declared limits, and the permits for requests to targets that declare one."""
+"""Declared limits, requested pauses, and the permits for requests to targets that declare one."""
 
 from dataclasses import dataclass
 
@@ -16,6 +16,17 @@
     rate: float | None
 
 
+@dataclass(frozen=True, slots=True)
+class PauseStatement:
+    """A target's request that this process sends it nothing for some seconds.
+
+    ``problem`` says why the request is malformed; ``seconds`` is 0 then.
+    """
+
+    seconds: float
+    problem: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class RateLimit(Message):
     """Limit of one target in requests per second, from all entries together."""
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -42,6 +42,7 @@
             ({"reason": "no-budget"}, "the budget for repeats was used up"),
             ({"reason": "no-target", "service": "s"}, "no target of service s was known"),
             ({"reason": "limited", "service": "s"}, "names a request rate limit"),
+            ({"reason": "paused", "service": "s"}, "asked this entry to send nothing"),
             ({"reason": "deadline", "has_run": True}, "its time was up"),
         ],
     )
--- a/tests/test_site_processes.py
+++ b/tests/test_site_processes.py
@@ -1,4 +1,4 @@
-"""Processes of a site on loopback addresses: serve, limit, lose a disk, reload, stop and drain."""
+"""Processes of a site on loopback: serve, limit, pause, lose a disk, reload, stop and drain."""
 
 import asyncio
 import json
@@ -39,13 +39,16 @@
 class FakeTarget:
     """A target that responds to orders after ``response_seconds`` and records their ids.
 
-    It names ``limit`` as the requests per second that it accepts, unless it is empty.
+    It names ``limit`` as the requests per second that it accepts, unless it is empty. Unless
+    ``pause`` is empty, it turns requests away and wants no others for so many seconds.
     """
 
     def __init__(self):
         self.orders: list[str] = []
         self.response_seconds = 0.0
         self.limit = ""
+        self.pause = ""
+        self.turned_away: list[str] = []
 
     async def start(self) -> str:
         self._server = await asyncio.get_running_loop().create_server(
@@ -59,6 +62,10 @@
 
     async def _serve(self, request):
         request_id = request.headers["Request-Id"]
+        if self.pause:
+            self.turned_away.append(request_id)
+            headers = {"Request-Id": request_id, "Not-Executed": "1", "Retry-After": self.pause}
+            return web.Response(status=503, headers=headers)
         self.orders.append(request_id)
         await asyncio.sleep(self.response_seconds)
         headers = {"Request-Id": request_id, "Response-Stamp": "s"}
@@ -174,6 +181,7 @@
         assert await site.send_order(session, ENTRIES[0], "q1") == (200, "q1")
         await check_directory(site, session)
         await check_shared_limit(site, session)
+        await check_pause(site, session)
         await check_lost_disk(site, session)
         await check_reload_and_shutdown(site, session)
         await check_drain(site, session, address)
@@ -230,6 +238,32 @@
     await wait_for(send_orders, 6 * [200])
 
 
+async def check_pause(site, session) -> None:
+    """Check that a target gets one request of each entry until its pause ends, and then all."""
+    site.target.pause = "2.5"
+    before = len(site.target.orders)
+    started_at = asyncio.get_running_loop().time()
+    answers = []
+    while asyncio.get_running_loop().time() < started_at + 2.0:
+        for vm in ENTRIES:
+            answers.append(await site.send_order(session, vm, f"paused-{vm}-{len(answers)}"))
+        await asyncio.sleep(0.1)
+    assert [item.split("-")[1] for item in site.target.turned_away] == list(ENTRIES)
+    assert len(answers) >= 10
+    assert set(answers) == {(503, "no-target"), (503, "paused")}
+    assert len(site.target.orders) == before
+    site.target.pause = ""
+
+    async def send_orders():
+        number = asyncio.get_running_loop().time()
+        return [
+            (await site.send_order(session, vm, f"resumed-{vm}-{number}"))[0] for vm in ENTRIES
+        ]
+
+    await wait_for(send_orders, [200, 200])
+    assert asyncio.get_running_loop().time() >= started_at + 2.5
+
+
 async def check_lost_disk(site, session) -> None:
     """Check that a control without its disk rejoins and that no acknowledged document is lost."""
     site.processes[CONTROLS[0]].kill()
