--- a/tarragonshelf/edge/tests/fakes.py
+++ b/tarragonshelf/edge/tests/fakes.py
@@ -54,7 +54,7 @@
     TargetChecked,
     TargetConnected,
 )
-from ...throttling import LimitStatement
+from ...throttling import LimitStatement, PauseStatement
 
 STEP = 0.01
 # Bound of the users' specification for targets whose responses say that they leave.
@@ -68,6 +68,8 @@
 LIMIT_SLACK = 5
 LIMIT_SETTLE_SECONDS = 3.0
 TOLD_SECONDS = 0.5
+# Requests that may reach a target during a pause, from TOLD_SECONDS after it was requested.
+PAUSE_SLACK = 2
 # Time after which an entry gives up opening a connection, and after which the kernel gives up one
 # whose bytes are not acknowledged.
 CONNECT_TIMEOUT_SECONDS = 0.35
@@ -127,7 +129,11 @@
     # Whether its responses say that it leaves, and when each entry first passed on such a one.
     is_leaving: bool = False
     departure_told_at: dict[str, float] = field(default_factory=dict)
-    # Whether another target has its address.
+    # Seconds for which the target wants no requests; it turns each one away.
+    pause: float | None = None
+    # When each entry was turned away, and when the requested pause ends.
+    pauses: dict[str, list[tuple[float, float]]] = field(default_factory=dict)
+    # Whether another target answers at its address.
     is_replaced: bool = False
 
     def count_arrivals(self, start: float, end: float) -> int:
@@ -359,13 +365,17 @@
         target.told_at.clear()
         target.is_leaving = False
         target.departure_told_at.clear()
+        target.pauses.clear()
 
     def replace_target(self, target: FakeTarget) -> FakeTarget:
-        """Let a target end, and start another one at its address."""
+        """End a target and start another one at its address."""
         target.is_replaced = True
         successor = create_target(len(self.targets))
         successor.entry = replace(
-            successor.entry, address=target.entry.address, started=target.entry.started + 1000
+            successor.entry,
+            address=target.entry.address,
+            data_centre=target.entry.data_centre,
+            started=target.entry.started + 1000,
         )
         self.targets.append(successor)
         self._announce(successor)
@@ -412,8 +422,28 @@
                 found.append(f"{name} got {got} from {start:.2f} s on; allowed {allowed:.0f}")
         return found
 
+    def find_pause_breaches(self, *, is_strict: bool = False) -> list[str]:
+        """Return the pauses in which an entry sent a target more requests than is allowed.
+
+        With ``is_strict`` the requests of disturbed entries count, too.
+        """
+        found = []
+        for target in self.targets:
+            for name, pauses in target.pauses.items():
+                if name in self.disturbed and not is_strict:
+                    continue
+                times = [item.at for item in target.arrivals if item.entry == name]
+                for at, until in pauses:
+                    got = sum(at + TOLD_SECONDS <= time < until for time in times)
+                    if got > PAUSE_SLACK:
+                        identity = target.entry.identity
+                        found.append(
+                            f"{identity} got {got} of {name} from {at:.2f} to {until:.2f}"
+                        )
+        return found
+
     def _announce(self, target: FakeTarget) -> None:
-        """Announce a target to any hub that runs, now and from time to time."""
+        """Announce a target to any hub that runs, now and from time to time, until it ends."""
         if target.is_replaced:
             return
         running = [vm for vm, hub in self.site.hubs.items() if hub.node is not None]
@@ -625,6 +655,12 @@
         told_at = target.told_at.get(entry.name, float("inf"))
         was_told = target.limit is not None and self.now - told_at >= TOLD_SECONDS
         target.arrivals.append(Arrival(self.now, entry.name, was_told, is_late))
+        if target.pause is not None:
+            pause = target.pause
+            self._after(
+                REFUSE_SECONDS, lambda: self._turn_away(entry, machine, number, target, pause)
+            )
+            return
         self.ran.add(machine.request.identity)
         self.deliveries[machine.request.identity] += 1
         seconds = self.random.expovariate(1 / MEAN_WORK_SECONDS)
@@ -662,6 +698,32 @@
 
         self._run_at(entry, handle)
 
+    def _turn_away(
+        self,
+        entry: FakeEntry,
+        machine: RequestMachine,
+        number: int,
+        target: FakeTarget,
+        seconds: float,
+    ) -> None:
+        """Refuse a request and ask for a pause."""
+        is_cut = entry.path_fault not in (None, PathFault.REFUSE)
+        if is_cut or entry.open_attempts.pop((machine, number), None) is None:
+            return
+        target.pauses.setdefault(entry.name, []).append((self.now, self.now + seconds))
+        entry.idle_connections[target.entry.identity] = self.now
+        limit = None if target.limit is None else LimitStatement(target.limit)
+        answer = TargetAnswer(503, (), b"")
+        outcome, pause = AttemptOutcome.REFUSED, PauseStatement(seconds)
+        ended = AttemptEnded(number, outcome, REFUSE_SECONDS, answer, limit, pause)
+
+        def handle() -> None:
+            if limit is not None:
+                target.told_at.setdefault(entry.name, self.now)
+            self._handle(entry, machine, ended)
+
+        self._run_at(entry, handle)
+
     # Relayed requests
 
     def _relay(self, entry: FakeEntry, machine: RequestMachine, attempt: RelayAttempt) -> None:
--- a/tarragonshelf/forwarding/_messages.py
+++ b/tarragonshelf/forwarding/_messages.py
@@ -9,7 +9,7 @@
 from ..catalogue import Route
 from ..registry import TargetEntry
 from ..relaying import DeclineReason, RelayRecord
-from ..throttling import LimitStatement
+from ..throttling import LimitStatement, PauseStatement
 from ._profile import LatencyThresholds
 
 # Statuses from this one on mean that the target failed.
@@ -110,6 +110,7 @@
     NO_ATTEMPT_LEFT = "no-attempt-left"
     HELD_BACK = "held-back"
     LIMITED = "limited"
+    PAUSED = "paused"
     NO_PATH = "no-path"
     OUTDATED = "outdated"
     STOPPING = "stopping"
@@ -126,8 +127,8 @@
 class AttemptEnded(Message):
     """An attempt ended; ``seconds`` is how long it took.
 
-    ``limit`` is what the response says about the target's limit, if anything. ``is_leaving`` is
-    whether it says that the target leaves.
+    ``limit`` is what the response says about the target's limit, ``pause`` the pause that it
+    requests, if anything. ``is_leaving`` is whether it says that the target leaves.
     """
 
     number: int
@@ -136,6 +137,7 @@
     answer: TargetAnswer | None = None
     limit: LimitStatement | None = None
     is_leaving: bool = False
+    pause: PauseStatement | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -378,6 +380,16 @@
     ) -> None:
         """Record what a response to a request sent at ``sent_at`` says about a target's limit."""
 
+    @abstractmethod
+    def record_pause(
+        self, now: float, target: TargetEntry, statement: PauseStatement, *, sent_at: float
+    ) -> None:
+        """Record that a target wants no requests for some time, in reply to one of ``sent_at``."""
+
+    @abstractmethod
+    def is_paused(self, now: float, target: TargetEntry) -> bool:
+        """Return whether no request may be sent to a target because it asked for a pause."""
+
     @abstractmethod
     def record_success(self, request: ForwardRequest, seconds: float, size: int) -> None:
         """Record the response time in seconds and the bytes of request and response."""
--- a/tarragonshelf/forwarding/_request.py
+++ b/tarragonshelf/forwarding/_request.py
@@ -186,8 +186,8 @@
         needed, self._pending_permit = self._pending_permit, None
         for target in needed.targets:
             if target.identity == decided.target:
-                if not self.context.is_usable(target):
-                    # It began to leave while the permit was awaited.
+                if not self.context.is_usable(target) or self.context.is_paused(now, target):
+                    # It began to leave, or asked for a pause, while the permit was awaited.
                     return self._try_next(now, is_granted=True)
                 return self._start_attempt(now, target)
         self._denied.update(target.identity for target in needed.targets)
@@ -308,6 +308,8 @@
             self.context.record_limit(now, target, ended.limit, sent_at=attempt.started_at)
         if ended.is_leaving:
             self.context.record_departure(now, target)
+        if ended.pause is not None:
+            self.context.record_pause(now, target, ended.pause, sent_at=attempt.started_at)
         if ended.outcome == AttemptOutcome.ANSWERED:
             return self._handle_response(now, attempt, ended)
         self._record_failure(now, target, ended.outcome)
--- a/tarragonshelf/replication/tests/test_seat_release.py
+++ b/tarragonshelf/replication/tests/test_seat_release.py
@@ -61,7 +61,6 @@
         release.create_requests(3.0, leader=LEADER, has_seat=True)
         assert release.is_finished
 
-
     def test_ends_if_the_leader_does_not_answer(self):
         release = SeatRelease("b", 0.0)
         for now in (0.0, 0.5):
--- a/tarragonshelf/site/_forwarder.py
+++ b/tarragonshelf/site/_forwarder.py
@@ -30,7 +30,7 @@
     TargetAnswer,
     TimerFired,
 )
-from ..throttling import LimitStatement
+from ..throttling import LimitStatement, PauseStatement
 from ._exchange import ExchangeFailedError
 from ._interfaces import HttpDialect, RequestContent
 from ._pool import ConnectionPool
@@ -136,7 +136,9 @@
             self._report_failure(
                 execution, attempt, loop.time() - started_at, str(error.outcome), str(error)
             )
-            return AttemptEnded(attempt.number, error.outcome, loop.time() - started_at)
+            pause = None if error.head is None else self._read_pause(error.head)
+            seconds = loop.time() - started_at
+            return AttemptEnded(attempt.number, error.outcome, seconds, pause=pause)
         except asyncio.CancelledError:
             connection.close()
             raise
@@ -151,9 +153,16 @@
                 f"status {response.status}",
             )
         limit = self._read_limit(execution, attempt, response)
+        pause = self._read_pause(response)
         is_leaving = self._read_departure(execution, response, target.identity)
         return AttemptEnded(
-            attempt.number, outcome, loop.time() - started_at, response, limit, is_leaving
+            attempt.number,
+            outcome,
+            loop.time() - started_at,
+            response,
+            limit,
+            pause=pause,
+            is_leaving=is_leaving,
         )
 
     async def send_to_relay(
@@ -205,6 +214,13 @@
             )
             return False
 
+    def _read_pause(self, response: TargetAnswer) -> PauseStatement | None:
+        """Return the pause that a response requests; the entry reports malformed ones."""
+        try:
+            return self.dialect.read_pause(response)
+        except ValueError as error:
+            return PauseStatement(0.0, problem=str(error))
+
     def _report_failure(
         self,
         execution: "_RequestExecution",
