--- a/tarragonshelf/queries/_explain.py
+++ b/tarragonshelf/queries/_explain.py
@@ -34,8 +34,8 @@
     "paused": "every target of service {service} that could take it had asked this entry to send "
     "nothing for some time",
     "no-path": "the entry could reach no target, and no other entry that could took the request",
-    "outdated": "the entry knew no route for it, and had no current hub that would have told it of "
-    "a newer version",
+    "outdated": "the entry knew no route for it, and had no current hub that would have told it "
+    "of a newer version",
     "stopping": "it was complete only after the entry had begun to stop",
     "deadline": "its time was up: the deadline of the caller or of the route had passed",
 }
