--- a/tarragonshelf/replication/_seat_release.py
+++ b/tarragonshelf/replication/_seat_release.py
@@ -6,19 +6,17 @@
 # Interval between requests, and the longest time that a stop waits for its seat. The platform
 # kills a process 6 s after it was asked to stop.
 RETIRE_INTERVAL_SECONDS = 0.25
-MAXIMUM_WAIT_SECONDS = 3.0
+MAXIMUM_WAIT_SECONDS = 4.0
 # An older build closes the connection on this request, which also carries its replication.
 MAXIMUM_UNANSWERED = 2
-# Without a leader for this long nobody can take the seat.
-LEADER_WAIT_SECONDS = 1.0
 
 
 class SeatRelease:
     """Asks the leader to remove the own replica from the voters, until that is decided.
 
     A replica that ends while it holds a seat makes the others one failure poorer until it is
-    back or found lost. If others are lost or joining at that moment, the seat may be one of the
-    last that live, so the process goes on for a while.
+    back or found lost. If others are lost or joining at that moment, or there is no leader, the
+    seat may be one of the last that live, so the process goes on for a while.
 
     Parameters
     ----------
@@ -32,7 +30,6 @@
         self.vm = vm
         self._started_at = now
         self._asked_at = float("-inf")
-        self._leader_seen_at = now
         self._unanswered = 0
         self._outcome = ""
 
@@ -55,14 +52,10 @@
         """
         if self._outcome:
             return []
-        if leader:
-            self._leader_seen_at = now
         if not has_seat:
             return self._finish("none")
         if now - self._started_at >= MAXIMUM_WAIT_SECONDS:
             return self._finish("kept", "not decided in time")
-        if now - self._leader_seen_at >= LEADER_WAIT_SECONDS:
-            return self._finish("kept", "no leader")
         if not leader or now - self._asked_at < RETIRE_INTERVAL_SECONDS:
             return []
         self._asked_at = now
--- a/tarragonshelf/site/_hub.py
+++ b/tarragonshelf/site/_hub.py
@@ -67,7 +67,7 @@
 TICK_SECONDS = 0.05
 PEER_CALL_TIMEOUT_SECONDS = 0.5
 # The platform kills a process 6 s after it was asked to stop.
-MAXIMUM_STOP_SECONDS = 4.0
+MAXIMUM_STOP_SECONDS = 4.5
 # Targets and operators give up after 1 s without a response and try another control.
 SUBMIT_TIMEOUT_SECONDS = 0.95
 SUBMIT_ATTEMPT_TIMEOUT_SECONDS = 0.8
