A stop asks only a leader that it has contact with, and gives up after three requests

Cause: two requests without an answer ended the wait, also those to a leader that was just lost, which is the moment at which the seat is needed. Ruled out: no limit at all, as an older leader closes the connection, and with it the replication, at each request.

--- a/tarragonshelf/hub/_node.py
+++ b/tarragonshelf/hub/_node.py
@@ -168,9 +168,10 @@
             # Another hub that stops may have handed its leadership to this one.
             if self.replica.has_committed_in_term:
                 self._process_effects(now, self.replica.transfer_leadership(now))
+            has_leader = not self.replica.is_leader and self.is_current(now)
             self._effects += self._seat_release.create_requests(
                 now,
-                leader="" if self.replica.is_leader else self.leader_address,
+                leader=self.leader_address if has_leader else "",
                 has_seat=self.is_member and len(self.replica.membership.voters) > 1,
             )
         if self.needs_to_join(now):
--- a/tarragonshelf/hub/tests/test_seats.py
+++ b/tarragonshelf/hub/tests/test_seats.py
@@ -117,3 +117,26 @@
         site.advance(REMOVAL_SECONDS + RECOVERY_SECONDS)
         members = site.hubs[site.leader].node.replica.membership.members
         assert {item.vm for item in members} == set(list_running(site))
+
+
+class TestStopWithoutLeader:
+    # Soak 201: a hub that was asked to stop just after the leader was lost ended at once, while
+    # the successor of another one was joining; one of three voters was left, for good.
+    @pytest.mark.parametrize("seed", range(4))
+    def test_hub_that_is_asked_to_stop_waits_until_there_is_a_leader_again(self, seed):
+        site = FakeSite(3, seed=seed)
+        assert site.put(1)
+        leader = site.leader
+        stopping, other = (vm for vm in site.hubs if vm != leader)
+        site.stop(leader)
+        site.advance(0.1)
+        site.receive(stopping, StopRequested())
+        site.advance(1.5)
+        assert not site.hubs[stopping].node.can_stop
+        site.start(leader)
+        site.advance(3.0)
+        assert site.hubs[stopping].node.can_stop
+        site.stop(stopping)
+        site.advance(RECOVERY_SECONDS)
+        assert site.leader in (leader, other)
+        assert site.put(2)
--- a/tarragonshelf/replication/_seat_release.py
+++ b/tarragonshelf/replication/_seat_release.py
@@ -5,10 +5,11 @@
 
 # Interval between requests, and the longest time that a stop waits for its seat. The platform
 # kills a process 6 s after it was asked to stop.
-RETIRE_INTERVAL_SECONDS = 0.25
+RETIRE_INTERVAL_SECONDS = 0.5
 MAXIMUM_WAIT_SECONDS = 4.0
 # An older build closes the connection on this request, which also carries its replication.
-MAXIMUM_UNANSWERED = 2
+# A leader that was just lost does not answer either, but only until that is noticed.
+MAXIMUM_UNANSWERED = 3
 
 
 class SeatRelease:
@@ -46,7 +47,7 @@
         now : float
             The time in seconds.
         leader : str
-            Address of another replica that leads, or an empty string without one.
+            Address of another replica that leads, or an empty string without contact with one.
         has_seat : bool
             Whether the replica is a member, and others could go on without it.
         """
