--- a/tarragonshelf/edge/tests/fakes.py
+++ b/tarragonshelf/edge/tests/fakes.py
@@ -715,7 +715,7 @@
         limit = None if target.limit is None else LimitStatement(target.limit)
         answer = TargetAnswer(503, (), b"")
         outcome, pause = AttemptOutcome.REFUSED, PauseStatement(seconds)
-        ended = AttemptEnded(number, outcome, REFUSE_SECONDS, answer, limit, pause)
+        ended = AttemptEnded(number, outcome, REFUSE_SECONDS, answer, limit, pause=pause)
 
         def handle() -> None:
             if limit is not None:
