One class for calls to peers in the background

Both control processes had written the same task set, call and error handling; PeerCalls in transport serves both, and they only turn its result into an event. No change of behaviour.

--- a/tarragonshelf/daemons/_control.py
+++ b/tarragonshelf/daemons/_control.py
@@ -29,12 +29,11 @@
     create_unknown_reporter,
 )
 from ..transport import (
-    CallTimeoutError,
     Connection,
     Frame,
+    PeerCalls,
     PeerLinks,
     PeerServer,
-    UnreachableError,
 )
 
 TICK_INTERVAL_SECONDS = 0.02
@@ -71,6 +70,9 @@
                 self.metrics, LogRateLimiter(self.logger).write
             ),
         )
+        self.peer_calls = PeerCalls(
+            self.links, timeout=PEER_CALL_TIMEOUT_SECONDS, on_end=self._finish_peer_call
+        )
         self.server = PeerServer(
             vm=settings.vm,
             secret=secret,
@@ -88,7 +90,6 @@
         self._is_batch_scheduled = False
         self._pending_calls: dict[int, tuple[Connection, int]] = {}
         self._last_number = 0
-        self._peer_calls: set[asyncio.Task] = set()
 
     async def on_start(self) -> None:
         """Restore the state from the data folder and start listening."""
@@ -105,8 +106,7 @@
     async def on_stop(self) -> None:
         """Transfer leadership if this control is the leader, then stop."""
         await self._transfer_leadership()
-        for task in self._peer_calls:
-            task.cancel()
+        self.peer_calls.close()
         await self.server.stop()
         await self.administration.stop()
         self.links.close()
@@ -118,21 +118,10 @@
             self._process_batch(is_tick=True)
             await asyncio.sleep(TICK_INTERVAL_SECONDS)
 
-    def _call_peer(self, effect: CallPeer) -> None:
-        task = asyncio.get_running_loop().create_task(self._finish_peer_call(effect))
-        self._peer_calls.add(task)
-        task.add_done_callback(self._peer_calls.discard)
-
-    async def _finish_peer_call(self, effect: CallPeer) -> None:
-        """Call another control, and pass the result to the node."""
-        reply, problem = None, ""
-        try:
-            reply = await self.links.get(effect.address).call(
-                effect.message, PEER_CALL_TIMEOUT_SECONDS
-            )
-        except (UnreachableError, CallTimeoutError) as error:
-            problem = str(error)
-        self._handle_event(PeerCallEnded(effect.address, effect.message, reply, problem))
+    def _finish_peer_call(
+        self, address: str, request: Message, reply: Message | None, problem: str
+    ) -> None:
+        self._handle_event(PeerCallEnded(address, request, reply, problem))
 
     def _restore(self) -> ControlNode:
         settings = self.settings
@@ -207,7 +196,7 @@
             elif isinstance(effect, Reply):
                 self._reply(effect)
             elif isinstance(effect, CallPeer):
-                self._call_peer(effect)
+                self.peer_calls.start(effect.address, effect.message)
             elif isinstance(effect, EmitEvent):
                 self._report(effect.event, **effect.fields)
 
--- a/tarragonshelf/site/_hub.py
+++ b/tarragonshelf/site/_hub.py
@@ -54,6 +54,7 @@
     Connection,
     Frame,
     MessageBatcher,
+    PeerCalls,
     PeerLinks,
     PeerServer,
     UnreachableError,
@@ -148,6 +149,9 @@
             codec=create_codec(SITE_PACKAGES),
             report_unknown=create_unknown_reporter(self.metrics, self._report),
         )
+        self.peer_calls = PeerCalls(
+            self.links, timeout=PEER_CALL_TIMEOUT_SECONDS, on_end=self._finish_peer_call
+        )
         self.outbox = MessageBatcher(self.links.frames, self.clock)
         self.server = PeerServer(
             vm=settings.record.vm,
@@ -176,7 +180,6 @@
         self._subscribers: dict[int, Connection] = {}
         self._subscriber_numbers: dict[Connection, int] = {}
         self._disk_failed_at: float | None = None
-        self._peer_calls: set[asyncio.Task] = set()
 
     # Start and stop
 
@@ -203,8 +206,7 @@
 
     async def on_stop(self) -> None:
         """Close all connections."""
-        for task in self._peer_calls:
-            task.cancel()
+        self.peer_calls.close()
         await self.api_server.stop()
         await self.server.stop()
         if self.settings.metrics_address:
@@ -226,25 +228,15 @@
             self.log_budget.report_dropped()
             await asyncio.sleep(TICK_SECONDS)
 
-    def _call_peer(self, effect: CallPeer) -> None:
-        task = asyncio.get_running_loop().create_task(self._finish_peer_call(effect))
-        self._peer_calls.add(task)
-        task.add_done_callback(self._peer_calls.discard)
-
-    async def _finish_peer_call(self, effect: CallPeer) -> None:
-        """Call another control, and pass the result to the node."""
-        reply, problem, outcome = None, "", "accepted"
-        try:
-            reply = await self.links.get(effect.address).call(
-                effect.message, PEER_CALL_TIMEOUT_SECONDS
-            )
-            if isinstance(reply, Refused):
-                outcome = str(reply.reason)
-        except (UnreachableError, CallTimeoutError) as error:
-            problem, outcome = str(error), "not-answered"
-        kind = ("kind", type(effect.message).__name__)
+    def _finish_peer_call(
+        self, address: str, request: Message, reply: Message | None, problem: str
+    ) -> None:
+        outcome = "not-answered" if reply is None else "accepted"
+        if isinstance(reply, Refused):
+            outcome = str(reply.reason)
+        kind = ("kind", type(request).__name__)
         self.metrics.count("peer_calls_total", kind, ("outcome", outcome))
-        self._inbox.append(PeerCallEnded(effect.address, effect.message, reply, problem))
+        self._inbox.append(PeerCallEnded(address, request, reply, problem))
         self._schedule_batch()
 
     def _list_seed_addresses(self) -> tuple[str, ...]:
@@ -421,7 +413,7 @@
             elif isinstance(effect, Reply):
                 self._finish_call(effect.call, effect.message)
             elif isinstance(effect, CallPeer):
-                self._call_peer(effect)
+                self.peer_calls.start(effect.address, effect.message)
             elif isinstance(effect, EmitEvent):
                 self._report(effect.event, **effect.fields)
         self.outbox.send()
--- a/tarragonshelf/transport/__init__.py
+++ b/tarragonshelf/transport/__init__.py
@@ -14,6 +14,7 @@
 from ._frames import Frame, FrameCodec, UnknownMessage
 from ._handshake import Challenge, Proof, Welcome, compute_proof
 from ._links import PeerLinks
+from ._peer_calls import PeerCalls
 
 __all__ = [
     "EDGE_PACKAGES",
@@ -25,6 +26,7 @@
     "FrameCodec",
     "Link",
     "MessageBatcher",
+    "PeerCalls",
     "PeerLinks",
     "PeerServer",
     "Proof",
