--- a/tarragonshelf/consensus/_messages.py
+++ b/tarragonshelf/consensus/_messages.py
@@ -1,5 +1,6 @@
 """Messages, records and effects of log replication."""
 
+from collections.abc import Collection
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -36,6 +37,10 @@
         """Return the member with an identity, or None."""
         return next((item for item in self.members if item.identity == identity), None)
 
+    def exclude(self, identities: Collection[str]) -> "Membership":
+        """Return the membership without the members that have these identities."""
+        return Membership(tuple(item for item in self.members if item.identity not in identities))
+
     def is_quorum(self, identities: set[str]) -> bool:
         """Return whether the identities include a majority of the voters."""
         voters = self.voters
--- a/tarragonshelf/hub/_replication.py
+++ b/tarragonshelf/hub/_replication.py
@@ -19,6 +19,7 @@
     Send,
 )
 from ..replication import (
+    MINIMUM_REMAINING_VOTERS,
     Done,
     EmitEvent,
     Refused,
@@ -45,7 +46,6 @@
 # A voter that has not replied for this long is removed without a replacement. If it comes back, it
 # joins again.
 REMOVED_AFTER_SECONDS = 20.0
-MINIMUM_VOTERS = 3
 SNAPSHOT_INTERVAL_ENTRIES = 60
 
 
@@ -121,14 +121,11 @@
             planned = plan_removal(replica.membership, unresponsive)
         lost = replica.list_unresponsive(now, LOST_LEARNER_SECONDS) - replica.membership.voters
         if planned is None and lost:
-            members = replica.membership.members
-            planned = Membership(tuple(item for item in members if item.identity not in lost))
+            planned = replica.membership.exclude(lost)
         if planned is None:
             removable = replica.list_unresponsive_voters(now, REMOVED_AFTER_SECONDS)
-            if removable and len(replica.membership.voters) > MINIMUM_VOTERS:
-                removed = min(removable)
-                kept = (item for item in replica.membership.members if item.identity != removed)
-                planned = Membership(tuple(kept))
+            if removable and len(replica.membership.voters) > MINIMUM_REMAINING_VOTERS:
+                planned = replica.membership.exclude([min(removable)])
         if planned is not None and replica.propose_membership(now, planned) is not None:
             self._effects.append(EmitEvent("voters_changing", {"voters": sorted(planned.voters)}))
 
--- a/tarragonshelf/replication/__init__.py
+++ b/tarragonshelf/replication/__init__.py
@@ -8,6 +8,7 @@
     __name__,
     {
         "_admission": (
+            "MINIMUM_REMAINING_VOTERS",
             "plan_admission",
             "plan_join",
             "plan_release",
@@ -38,6 +39,7 @@
 )
 
 __all__ = [
+    "MINIMUM_REMAINING_VOTERS",
     "CallPeer",
     "CallReceived",
     "Done",
--- a/tarragonshelf/replication/_admission.py
+++ b/tarragonshelf/replication/_admission.py
@@ -37,7 +37,7 @@
     if not _find_by_vm(membership, vm):
         detail = f"VM {vm!r} holds no replica"
         return Error(Refused(RefusedReason.UNKNOWN_NAME, detail=detail))
-    remaining = Membership(tuple(item for item in membership.members if item.vm != vm))
+    remaining = _exclude_vm(membership, vm)
     if not remaining.voters:
         detail = f"VM {vm!r} holds the last voter"
         return Error(Refused(RefusedReason.UNKNOWN_NAME, detail=detail))
@@ -78,7 +78,7 @@
             found = (item for item in membership.members if item.identity in replaceable_voters)
             replaced = list(found)[:1]
         if replaced:
-            return Membership(tuple(item for item in membership.members if item not in replaced))
+            return membership.exclude([item.identity for item in replaced])
         admitted = replace(learner, voting=True)
         members = (admitted if item == learner else item for item in membership.members)
         return Membership(tuple(members))
@@ -94,10 +94,12 @@
     voters = len(membership.voters)
     if voters <= MINIMUM_REMAINING_VOTERS or voters % 2:
         return None
-    for member in membership.members:
-        if member.voting and member.identity in unresponsive:
-            return Membership(tuple(item for item in membership.members if item != member))
-    return None
+    lost = [
+        item.identity
+        for item in membership.members
+        if item.voting and item.identity in unresponsive
+    ]
+    return membership.exclude(lost[:1]) if lost else None
 
 
 def plan_release(
@@ -114,7 +116,7 @@
     responsive : frozenset of str
         Identities of the replicas that reply.
     """
-    remaining = Membership(tuple(item for item in membership.members if item.vm != vm))
+    remaining = _exclude_vm(membership, vm)
     is_quorum_responsive = remaining.is_quorum(responsive & remaining.voters)
     if len(remaining.voters) >= MINIMUM_REMAINING_VOTERS and is_quorum_responsive:
         return Ok(remaining)
@@ -125,5 +127,9 @@
     return Error(Refused(RefusedReason.BUSY, detail=detail))
 
 
+def _exclude_vm(membership: Membership, vm: str) -> Membership:
+    return membership.exclude([item.identity for item in _find_by_vm(membership, vm)])
+
+
 def _find_by_vm(membership: Membership, vm: str) -> list[Member]:
     return [member for member in membership.members if member.vm == vm]
