--- a/tarragonshelf/site/_caller_server.py
+++ b/tarragonshelf/site/_caller_server.py
@@ -246,27 +246,26 @@
 
     def _reject_unrouted(self, now: float, path: str, request_id: bytes) -> web.Response:
         """Reject a request without a route, or refuse it if a newer catalogue may have one."""
-        node = self.node
-        may_lack_version = node.may_lack_version(now)
-        response = self._reject(
-            503 if may_lack_version else 404,
-            RefusalReason.OUTDATED if may_lack_version else "no-route",
-            request=request_id.decode("latin-1"),
-            version=node.version,
-            path=path,
-            **node.hubs.describe(now),
-        )
-        if not may_lack_version:
-            return response
-        refuse = Refuse(
-            RefusalReason.OUTDATED, has_run=False, retry_after=OUTDATED_RETRY_AFTER_SECONDS
-        )
+        fields = {
+            "request": request_id.decode("latin-1"),
+            "version": self.node.version,
+            "path": path,
+            **self.node.hubs.describe(now),
+        }
+        if not self.node.may_lack_version(now):
+            return self._reject(404, "no-route", **fields)
+        reason = RefusalReason.OUTDATED
+        self._record_rejection(503, reason, **fields)
+        refuse = Refuse(reason, has_run=False, retry_after=OUTDATED_RETRY_AFTER_SECONDS)
         return self.dialect.create_refusal(refuse, request_id)
 
     def _reject(self, status: int, reason: str, **fields) -> web.Response:
+        self._record_rejection(status, reason, **fields)
+        return self.dialect.create_error(status, reason)
+
+    def _record_rejection(self, status: int, reason: str, **fields) -> None:
         self.metrics.count("requests_total", ("route", ""), ("outcome", reason))
         self.report("request_rejected", status=status, reason=reason, **fields)
-        return self.dialect.create_error(status, reason)
 
 
 def _is_idle(connection: web.RequestHandler) -> bool:
