--- a/tarragonshelf/hub/tests/test_seats.py
+++ b/tarragonshelf/hub/tests/test_seats.py
@@ -140,3 +140,22 @@
         site.advance(RECOVERY_SECONDS)
         assert site.leader in (leader, other)
         assert site.put(2)
+
+
+class TestRemovedHub:
+    # A request to join that a hub sent before it was removed may arrive after that: the hub must
+    # not get its seat back, as it is gone.
+    @pytest.mark.parametrize("is_planned", [True, False])
+    def test_late_request_of_a_removed_hub_gives_it_no_seat(self, is_planned):
+        site = FakeSite(5)
+        removed = next(vm for vm in site.hubs if vm != site.leader)
+        join = site.hubs[removed].node.joins.join
+        site.remove(removed, is_planned=is_planned)
+        site.advance(REMOVAL_SECONDS + 2.0)
+        assert removed not in site.voters
+        site.call(site.leader, join)
+        for _ in range(200):
+            site.advance(0.1)
+            assert removed not in site.voters
+        members = site.hubs[site.leader].node.replica.membership.members
+        assert {item.vm for item in members} == set(list_running(site))
