--- a/review/3/check.py
+++ b/review/3/check.py
@@ -1,4 +1,4 @@
-"""Clients send bodies within the limit of the configuration, some at the same time."""
+"""A backend leaves at a control that has just lost its disk."""
 
 import asyncio
 import os
@@ -10,92 +10,89 @@
 
 from stand_ins import Case, run_case
 
+DRAIN_SECONDS = 2.5
+# The backend serves for ``drain`` after the confirmation and a little longer, at times many
+# seconds, and then exits.
+SERVING_SECONDS = 9.0
 ZONES = {"z0": "r0", "z1": "r0", "z2": "r1"}
-ROUTES = [["r-orders", "/orders/", "unsafe", "10s", "5s", "orders", 2]]
-# What the settings of the machines name, and what the configuration names.
-MEMORY_MB = int(os.environ.get("MEMORY_MB", "300"))
-MAXIMUM_BODY_BYTES = 67_108_864
-BODY_BYTES = int(os.environ.get("BODY_MB", "60")) << 20
-UPLOADS = int(os.environ.get("UPLOADS", "3"))
-UPLOAD_TIMES = 3
-CLIENTS = 24
-MAXIMUM_LOST = 3
-RESTART_SECONDS = 1.0
-CALM_SECONDS = 4.0
+ROUTES = [
+    ["r-orders", "/orders/", "unsafe", "2500ms", "1000ms", "orders", 2],
+    ["r-lists", "/lists/", "safe", "2500ms", "1000ms", "lists", 2],
+]
+CLIENTS = 6
+CONTROL = "control-3"
+OUTAGE_SECONDS = 3.0
+# After the start of a control, machines are in touch again once this time has passed.
+STABLE_WINDOW_SECONDS = 3.0
+LEAVE_DELAY_SECONDS = float(os.environ.get("LEAVE_DELAY", "0.5"))
 
 
 async def send_orders(case: Case, number: int, answers: list) -> None:
-    """Send one order after another to the first entry on a connection that is kept."""
-    client = case.create_client("z0")
-    address = case.platform.get_front("entry-1")
+    """Send one order after another."""
+    client = case.create_client(f"z{number % 3}")
     while True:
         path = f"/orders/{number}/{len(answers)}"
-        answer = await client.send_kept(address, "POST", path, body=b"ring", deadline_ms=10000)
+        answer = await client.send("POST", path, body=b"ring" * 20, deadline_ms=2500)
         answers.append(answer)
         case.record.note(
             f"client {number} sent {answer.request_id} to {answer.address}: {answer.status}"
             f" after {answer.seconds:.3f} s {answer.problem}",
             answer.sent_at,
         )
-        await asyncio.sleep(0.05 if answer.status else 0.5)
-
-
-async def upload(case: Case, number: int) -> None:
-    """Send an order with a long body to the first entry."""
-    client = case.create_client("z0")
-    address = case.platform.get_front("entry-1")
-    answer = await client.send_kept(
-        address, "POST", f"/orders/long/{number}", body=b"o" * BODY_BYTES, deadline_ms=10000
-    )
-    case.record.note(
-        f"a body of {BODY_BYTES} bytes was sent as {answer.request_id} to {answer.address}:"
-        f" {answer.status} after {answer.seconds:.3f} s {answer.problem}",
-        answer.sent_at,
-        show=True,
-    )
-
-
-async def limit_memory(case: Case, name: str, kills: list[float], peak: list[float]) -> None:
-    """Kill a process that uses more than its memory, as the platform does, and start it again."""
-    while True:
-        used = case.platform.measure_memory_mb(name)
-        peak.append(used)
-        if used > MEMORY_MB:
-            kills.append(time.monotonic())
-            case.record.note(f"{name} uses {used:.0f} MB of {MEMORY_MB} MB", show=True)
-            case.platform.kill(name)
-            await asyncio.sleep(RESTART_SECONDS)
-            case.platform.start(name)
-        await asyncio.sleep(0.01)
+        await asyncio.sleep(0.1)
 
 
 async def play(case: Case) -> bool:
-    """Return whether requests that were passed on end without an answer on kept connections."""
-    backends = await case.start_backends("orders", ["z0", "z1", "z2"] * 2, work_seconds=0.5)
+    """Return whether requests reach the backend later than ``drain`` after the confirmation."""
+    await case.start_backends("lists", ["z0", "z1", "z2"], work_seconds=0.1)
+    backends = await case.start_backends("orders", ["z0", "z1", "z2"], work_seconds=0.2)
     await case.begin(ROUTES)
     answers: list = []
-    kills: list[float] = []
-    peak: list[float] = []
-    tasks = [asyncio.create_task(send_orders(case, n, answers)) for n in range(CLIENTS)]
-    for name in case.platform.machines:
-        if name.startswith("entry"):
-            tasks.append(asyncio.create_task(limit_memory(case, name, kills, peak)))
-    await asyncio.sleep(CALM_SECONDS)
-    for number in range(UPLOAD_TIMES if case.has_trouble else 0):
-        await asyncio.gather(*(upload(case, UPLOADS * number + n) for n in range(UPLOADS)))
-        await asyncio.sleep(5.0)
-    await asyncio.sleep(CALM_SECONDS)
-    for task in tasks:
+    clients = [asyncio.create_task(send_orders(case, n, answers)) for n in range(CLIENTS)]
+    await asyncio.sleep(6.0)
+    leaving = backends[2]
+    control = case.platform.get_control(CONTROL)
+    in_touch_at = 0.0
+    if case.has_trouble:
+        case.platform.kill(CONTROL)
+        case.platform.wipe(CONTROL)
+        await asyncio.sleep(OUTAGE_SECONDS)
+        case.platform.start(CONTROL)
+        in_touch_at = time.monotonic() + STABLE_WINDOW_SECONDS
+        while not case.platform.is_listening(control):
+            await asyncio.sleep(0.02)
+        await asyncio.sleep(LEAVE_DELAY_SECONDS)
+    else:
+        await asyncio.sleep(OUTAGE_SECONDS)
+    # Its planned shutdown: this backend does not say that it drains, it leaves.
+    leaving.stop_announcing()
+    begun = time.monotonic()
+    confirmed = await leaving.leave(control)
+    if confirmed is None:
+        raise RuntimeError("no control confirmed that the backend leaves")
+    node, confirmed_at = confirmed
+    case.record.note(
+        f"{node} confirmed after {confirmed_at - begun:.3f} s that {leaving.name} leaves",
+        confirmed_at,
+        show=True,
+    )
+    await asyncio.sleep(SERVING_SECONDS)
+    leaving.crash()
+    ended_at = time.monotonic()
+    case.record.note(f"{leaving.name} exits", ended_at)
+    await asyncio.sleep(3.0)
+    for task in clients:
         task.cancel()
-    passed_on = {item.request_id for backend in backends for item in backend.exchanges}
-    lost = [item for item in answers if not item.status and item.request_id in passed_on]
+    late_after = max(confirmed_at + DRAIN_SECONDS, in_touch_at)
+    arrived = {item.request_id for item in leaving.exchanges if item.at > late_after}
+    late = [item for item in answers if item.request_id in arrived and item.sent_at > late_after]
+    cut = [item for item in late if item.status != 200]
     case.record.note(
-        f"{len(answers)} orders; {len(lost)} were passed on to a backend and their connection was"
-        f" closed without an answer ({MAXIMUM_LOST} allowed); {len(kills)} times a process used"
-        f" more than its memory; at most {max(peak):.0f} MB",
+        f"{len(late)} requests that were sent later than {DRAIN_SECONDS} s after the confirmation"
+        f" reached {leaving.name}, {len(cut)} of them failed; without excuse: 0 may",
         show=True,
     )
-    return len(lost) > MAXIMUM_LOST
+    return bool(late)
 
 
 if __name__ == "__main__":
