--- a/review/stand_ins/platform.py
+++ b/review/stand_ins/platform.py
@@ -122,6 +122,11 @@
         """Return the address of the control interface of a machine."""
         return f"{self._hosts[name]}:{self._control_port}"
 
+    def get_metrics(self, name: str) -> str:
+        """Return the address of the metrics of a machine."""
+        port = METRICS_PORTS[name.startswith("control")]
+        return f"{self._hosts[name]}:{port}"
+
     def list_directories(self) -> list[str]:
         """Return the addresses that say where to connect."""
         return [
