--- a/review/3/check.py
+++ b/review/3/check.py
@@ -14,6 +14,8 @@
 # The backend serves for ``drain`` after the confirmation and a little longer, at times many
 # seconds, and then exits.
 SERVING_SECONDS = 9.0
+# Without the disruption, all else is the same.
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ZONES = {"z0": "r0", "z1": "r0", "z2": "r1"}
 ROUTES = [
     ["r-orders", "/orders/", "unsafe", "2500ms", "1000ms", "orders", 2],
@@ -53,7 +55,7 @@
     leaving = backends[2]
     control = case.platform.get_control(CONTROL)
     in_touch_at = 0.0
-    if case.has_trouble:
+    if HAS_TROUBLE:
         case.platform.kill(CONTROL)
         case.platform.wipe(CONTROL)
         await asyncio.sleep(OUTAGE_SECONDS)
@@ -102,4 +104,5 @@
         controls=["z0", "z1", "z2"],
         entries=["z0", "z1", "z2"],
         zones=ZONES,
+        has_trouble=HAS_TROUBLE,
     )
--- a/review/stand_ins/case.py
+++ b/review/stand_ins/case.py
@@ -19,12 +19,11 @@
 
 @dataclass(slots=True)
 class Case:
-    """The parts of a case; ``has_trouble`` is False for the run without the disruption."""
+    """The parts of a case."""
 
     platform: Platform
     record: Record
     random: Random
-    has_trouble: bool
     backends: list[Backend] = field(default_factory=list)
     clients: list[Client] = field(default_factory=list)
 
@@ -85,18 +84,18 @@
     controls: list[str],
     entries: list[str],
     zones: dict[str, str],
+    has_trouble: bool,
 ) -> None:
     """Play a case and exit with 1 if its rule was broken, 0 if it held, 2 if it did not run."""
-    sys.exit(asyncio.run(_run(Path(folder), play, controls, entries, zones)))
+    sys.exit(asyncio.run(_run(Path(folder), play, controls, entries, zones, has_trouble)))
 
 
-async def _run(folder: Path, play, controls, entries, zones) -> int:
+async def _run(folder: Path, play, controls, entries, zones, has_trouble) -> int:
     record = Record(folder)
     platform = Platform(controls, entries, zones, record)
     seed = int(os.environ.get("SEED", "0")) or Random().getrandbits(30)
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.note(f"seed {seed}, disruption {'on' if has_trouble else 'off'}", show=True)
-    case = Case(platform, record, Random(seed), has_trouble)
+    case = Case(platform, record, Random(seed))
     try:
         platform.start_all()
         is_broken = await asyncio.wait_for(play(case), MAXIMUM_SECONDS)
