Log the departures that targets announce and what a hub held of them

Cause: a hub that confirmed a leave logged nothing of it, so its logs could not tell a leave that nobody else had heard of from one that the others had ignored. Ruled out: the entries' logs, which show that they go on but not what the hub did. Change: departure_announced with the record held, departure_confirmed with the hubs that stored it. Conclusion: next the cause is read from these lines.

--- a/tarragonshelf/hub/_drains.py
+++ b/tarragonshelf/hub/_drains.py
@@ -17,6 +17,16 @@
 RETENTION_SECONDS = 3.0
 
 
+@dataclass(frozen=True, slots=True)
+class ConfirmedDrain:
+    """A call whose update is stored by enough hubs, and after which time it was."""
+
+    call: int
+    target: str
+    hubs: tuple[str, ...]
+    seconds: float
+
+
 @dataclass(slots=True)
 class _Drain:
     news: TargetNews
@@ -61,7 +71,7 @@
 
     def pop_confirmed(
         self, now: float, *, voters: frozenset[str], alive: frozenset[str]
-    ) -> list[int]:
+    ) -> list[ConfirmedDrain]:
         """Return and remove the calls whose update is confirmed by enough hubs.
 
         Parameters
@@ -73,16 +83,18 @@
         alive : frozenset of str
             VMs of the hubs that are alive.
         """
-        calls = []
+        confirmed = []
         for drain in self._drains.values():
             has_majority = len(voters & drain.confirmed) * 2 > len(voters)
             has_all = (
                 alive <= drain.confirmed or now - drain.started_at >= ALL_HUBS_TIMEOUT_SECONDS
             )
             if drain.call is not None and has_majority and has_all:
-                calls.append(drain.call)
+                target, hubs = drain.news.targets[0].identity, tuple(sorted(drain.confirmed))
+                seconds = now - drain.started_at
+                confirmed.append(ConfirmedDrain(drain.call, target, hubs, seconds))
                 drain.call = None
-        return calls
+        return confirmed
 
     def pop_timed_out(self, now: float) -> list[int]:
         """Return and remove the calls that timed out, and drop expired updates."""
--- a/tarragonshelf/hub/_targets.py
+++ b/tarragonshelf/hub/_targets.py
@@ -4,6 +4,7 @@
 
 from ..registry import (
     TargetDigest,
+    TargetEntry,
     TargetNews,
     TargetNewsReceived,
     TargetState,
@@ -27,6 +28,8 @@
     """Handles announcements of targets and reconciles targets with the other hubs."""
 
     def _handle_announcement(self, now: float, call: int, message: AnnounceTarget) -> None:
+        if message.target.state != TargetState.READY:
+            self._emit_departure(message.target)
         entry = self.registrar.complete_entry(now, message.target, self.targets)
         is_new = entry is not None and self._merge_target(now, entry)
         is_leaving = message.target.state != TargetState.READY
@@ -54,12 +57,30 @@
         self._effects += (SendToPeer(address, news) for address in self.list_peers())
         self._answer_drains(now)
 
+    def _emit_departure(self, announced: TargetEntry) -> None:
+        """Emit an event that tells what a target announced and what this hub holds of it."""
+        held = self.targets.get(announced.identity)
+        fields = {
+            "target": announced.identity,
+            "state": announced.state,
+            "started": announced.started,
+            "held": held.state if held else "unknown",
+            "held_started": held.started if held else 0,
+        }
+        self._effects.append(EmitEvent("departure_announced", fields))
+
     def _answer_drains(self, now: float) -> None:
         membership = self.replica.membership
         voters = frozenset(item.vm for item in membership.members if item.voting)
         alive = self.registrar.list_alive(now)
-        for call in self._drains.pop_confirmed(now, voters=voters, alive=alive):
-            self._reply(call, AnnounceReply(self.record.announcements))
+        for drain in self._drains.pop_confirmed(now, voters=voters, alive=alive):
+            fields = {
+                "target": drain.target,
+                "hubs": list(drain.hubs),
+                "seconds": round(drain.seconds, 3),
+            }
+            self._effects.append(EmitEvent("departure_confirmed", fields))
+            self._reply(drain.call, AnnounceReply(self.record.announcements))
         for vm, news in self._drains.list_resends(now, alive):
             self._effects.append(SendToPeer(self.registrar.find_address(vm), news))
 
