A leave is confirmed only once a majority has stored it, also if the hub does not know the target

Cause: what a hub has not heard of was taken for what does not exist. A leave of an unknown target was confirmed at once and told to nobody; a leave of another incarnation than the one held was stored with the address of the one held, and hubs that knew the right address ignored it but confirmed it. Evidence: departure_announced of the confirming control says held unknown, and no departure_confirmed follows (2 ms). Ruled out: that the other hubs or entries ignored the news of an unknown target; none was sent. Change: the registry keeps a departure without an address; a later record of the same incarnation adds the address and stays departed, a later incarnation replaces it. The hub replicates each departure and answers after a majority has stored it. Without a start it is passed on as it came: each hub finds the incarnation that it holds and tells the others. A hub that is told of a departed target as ready answers with what it knows. What is saved and sent to new entries is decided by a revision of the registry.

--- a/tarragonshelf/hub/_entries.py
+++ b/tarragonshelf/hub/_entries.py
@@ -140,8 +140,9 @@
 
         After a restart of the hub all its entries request them at the same time.
         """
-        if self._full_target_news is None or self._full_target_news_digest != self.targets.digest:
-            self._full_target_news_digest = self.targets.digest
+        revision = self.targets.revision
+        if self._full_target_news is None or self._full_target_news_revision != revision:
+            self._full_target_news_revision = revision
             self._full_target_news = TargetNews(self.targets.list_all(), is_whole=True)
         return self._full_target_news
 
--- a/tarragonshelf/hub/_node.py
+++ b/tarragonshelf/hub/_node.py
@@ -122,7 +122,7 @@
             for entry in messages[TARGETS_FILE].targets:
                 if self.targets.merge(now, entry):
                     self.registrar.record_announcement(now, entry.identity)
-        self._saved_digest = self.targets.digest
+        self._saved_revision = self.targets.revision
 
     def adopt_volatile_state(self, previous: "HubNode") -> None:
         """Take over state of the previous node after its replica was restarted from disk.
--- a/tarragonshelf/hub/_registrar.py
+++ b/tarragonshelf/hub/_registrar.py
@@ -146,24 +146,6 @@
         """Record that a target is assumed to be alive, which restarts its time-out."""
         self._last_announcement_at[identity] = now
 
-    def complete_entry(
-        self, now: float, entry: TargetEntry, registry: TargetRegistry
-    ) -> TargetEntry | None:
-        """Return the announced target with missing fields added.
-
-        Returns None for an unknown target that leaves, as such an announcement is incomplete.
-        """
-        held = registry.get(entry.identity)
-        self._last_announcement_at[entry.identity] = now
-        if entry.state != TargetState.LEFT:
-            return replace(entry, registrar=self.own.vm)
-        if held is None:
-            return None
-        started = entry.started or held.started
-        return replace(
-            held, started=started, state=TargetState.LEFT, sequence=max(entry.sequence, 0)
-        )
-
     def expire_targets(self, now: float, registry: TargetRegistry) -> list[TargetEntry]:
         """Mark targets of this hub that timed out as left, and return them."""
         timed_out = [
--- a/tarragonshelf/hub/_state.py
+++ b/tarragonshelf/hub/_state.py
@@ -10,7 +10,13 @@
 )
 from ..consensus import HardState, LogEntry, Snapshot, Timing
 from ..forwarding import RetryBudgetSettings
-from ..registry import TargetEntry, TargetNews, TargetRegistry, TargetState
+from ..registry import (
+    TargetEntry,
+    TargetNews,
+    TargetRegistry,
+    TargetState,
+    complete_departure,
+)
 from ..replication import ReplicatedNode
 from ..throttling import DeclaredLimits, PermitAllocator
 from ._batches import EvidenceBatch, TargetBatch
@@ -96,8 +102,8 @@
         # The newest catalogue committed on this hub; it is saved to disk and outlasts a restart.
         self._saved_catalogue = CatalogueCopy(0)
         self._full_target_news: TargetNews | None = None
-        self._full_target_news_digest = 0
-        self._saved_digest = self.targets.digest
+        self._full_target_news_revision = 0
+        self._saved_revision = self.targets.revision
         self._saved_at = 0.0
         self._edges_changed = False
         self._edges_pushed_at = 0.0
@@ -108,7 +114,8 @@
         The limit of an earlier incarnation, or of a target that left, is forgotten.
         """
         before = self.targets.get(entry.identity)
-        if not self.targets.merge(now, entry):
+        entry = complete_departure(entry, before)
+        if entry is None or not self.targets.merge(now, entry):
             return False
         is_same = before is not None and before.started == entry.started
         if not is_same or entry.state == TargetState.LEFT:
--- a/tarragonshelf/hub/_targets.py
+++ b/tarragonshelf/hub/_targets.py
@@ -28,32 +28,31 @@
     """Handles announcements of targets and reconciles targets with the other hubs."""
 
     def _handle_announcement(self, now: float, call: int, message: AnnounceTarget) -> None:
-        if message.target.state != TargetState.READY:
-            self._emit_departure(message.target)
-        entry = self.registrar.complete_entry(now, message.target, self.targets)
-        is_new = entry is not None and self._merge_target(now, entry)
-        is_leaving = message.target.state != TargetState.READY
-        if entry is None:
-            # An unknown target leaves: no entry sends requests to it, so nothing is replicated.
-            self._reply(call, AnnounceReply(self.record.announcements))
-            return
+        announced = message.target
+        is_leaving = announced.state != TargetState.READY
+        if is_leaving:
+            self._emit_departure(announced)
+        self.registrar.record_announcement(now, announced.identity)
+        entry = announced
+        if announced.state != TargetState.LEFT:
+            entry = replace(announced, registrar=self.record.vm)
+        is_new = self._merge_target(now, entry)
+        held = self.targets.get(announced.identity)
         if is_new:
-            held = self.targets.get(entry.identity)
-            self._effects.append(
-                EmitEvent(
-                    "target_changed",
-                    {"target": held.identity, "state": held.state, "service": held.service},
-                )
-            )
+            self._emit_target_change(held)
         if not is_leaving:
             if is_new:
-                self._broadcast_changes([self.targets.get(entry.identity)])
-            address = self.registrar.choose_announcement_address(now, entry.data_centre)
+                self._broadcast_changes([held])
+            address = self.registrar.choose_announcement_address(now, announced.data_centre)
             self._reply(call, AnnounceReply(address))
             return
         self._save_targets(now)
-        news = self._drains.add(now, call, TargetNews((self.targets.get(entry.identity),)))
-        self._effects += self.subscribers.push_all(TargetNews(news.targets))
+        # Other hubs may know the target, or a later incarnation of it, even if this one does not:
+        # without a start each of them has to find the incarnation.
+        records = (held,) if held is not None else ()
+        unresolved = (announced,) if announced.is_unresolved else ()
+        news = self._drains.add(now, call, TargetNews((*records, *unresolved)))
+        self._effects += self.subscribers.push_all(TargetNews(records))
         self._effects += (SendToPeer(address, news) for address in self.list_peers())
         self._answer_drains(now)
 
@@ -69,6 +68,10 @@
         }
         self._effects.append(EmitEvent("departure_announced", fields))
 
+    def _emit_target_change(self, entry: TargetEntry) -> None:
+        fields = {"target": entry.identity, "state": entry.state, "service": entry.service}
+        self._effects.append(EmitEvent("target_changed", fields))
+
     def _answer_drains(self, now: float) -> None:
         membership = self.replica.membership
         voters = frozenset(item.vm for item in membership.members if item.voting)
@@ -92,6 +95,10 @@
         elif held:
             for entry in held:
                 self._targets_for_entries.add_target(entry)
+        # The sender lacks what these records say: that a target which it takes for ready left, or
+        # which incarnation a departure without a start concerns.
+        lacking = [item for item in news.targets if self._is_outdated(item)]
+        self._broadcast_changes([self.targets.get(item.identity) for item in lacking])
         if news.number:
             self._save_targets(now)
             sender = self.registrar.find_address(news.sender)
@@ -99,6 +106,13 @@
                 received = TargetNewsReceived(news.number, self.record.vm)
                 self._effects.append(SendToPeer(sender, received))
 
+    def _is_outdated(self, entry: TargetEntry) -> bool:
+        """Return whether a record lacks that the target left, which this hub knows."""
+        held = self.targets.get(entry.identity)
+        if held is None or held.state != TargetState.LEFT or entry.started > held.started:
+            return False
+        return entry.is_usable or entry.is_unresolved
+
     def _handle_departures(self, now: float, news: TargetNews) -> None:
         """Mark targets that told an entry in a response that they leave.
 
@@ -112,12 +126,7 @@
                 continue
             entry = replace(held, state=TargetState.DRAINING)
             if self._merge_target(now, entry):
-                fields = {
-                    "target": entry.identity,
-                    "state": entry.state,
-                    "service": entry.service,
-                }
-                self._effects.append(EmitEvent("target_changed", fields))
+                self._emit_target_change(entry)
                 self._broadcast_changes([entry])
 
     def _compare_digests(self, digest: TargetDigest) -> None:
@@ -139,9 +148,9 @@
 
     def _save_targets(self, now: float) -> None:
         """Save the targets to disk, so that an acknowledged drain outlasts a restart."""
-        if self.targets.digest == self._saved_digest:
+        if self.targets.revision == self._saved_revision:
             return
-        self._saved_digest, self._saved_at = self.targets.digest, now
+        self._saved_revision, self._saved_at = self.targets.revision, now
         news = TargetNews(self.targets.list_all(), is_whole=True)
         self._effects.append(SaveMessage(TARGETS_FILE, news))
 
--- a/tarragonshelf/registry/_messages.py
+++ b/tarragonshelf/registry/_messages.py
@@ -47,6 +47,11 @@
         """Whether new requests may be sent to it."""
         return self.state == TargetState.READY and bool(self.address)
 
+    @property
+    def is_unresolved(self) -> bool:
+        """Whether it is a departure without a start, which tells no incarnation."""
+        return self.state == TargetState.LEFT and not self.started and not self.address
+
 
 @dataclass(frozen=True, slots=True)
 class TargetNews(Message):
--- a/tarragonshelf/registry/_registry.py
+++ b/tarragonshelf/registry/_registry.py
@@ -1,5 +1,6 @@
 """Registry of the targets that one process knows."""
 
+from dataclasses import replace
 from zlib import crc32
 
 from ._messages import TargetEntry, TargetState
@@ -17,6 +18,9 @@
     A later incarnation of an identity replaces an earlier one, and so does a later incarnation
     at the same address. Within one incarnation the state of higher rank wins, so that draining
     and leaving are final, and within one state the higher sequence number.
+
+    A target that leaves announces no address. If it was unknown, its record has none until another
+    record of the same incarnation adds it; the target stays departed.
     """
 
     def __init__(self):
@@ -27,6 +31,12 @@
         self._warm_until: dict[str, float] = {}
         self._known_at: dict[str, float] = {}
         self._digest: int | None = None
+        self._revision = 0
+
+    @property
+    def revision(self) -> int:
+        """A number that grows with each change."""
+        return self._revision
 
     @property
     def digest(self) -> int:
@@ -81,6 +91,8 @@
         else:
             merged = entry
         merged = self._resolve_address_conflict(now, merged)
+        if known is not None and known.address != merged.address:
+            self._release_address(known)
         self._by_identity[merged.identity] = merged
         if merged.state == TargetState.LEFT:
             self._left_at.setdefault(merged.identity, now)
@@ -93,8 +105,7 @@
             self._known_at[merged.identity] = now
         if known is not None and _get_routing_state(known) == _get_routing_state(merged):
             return False
-        self._by_service.clear()
-        self._digest = None
+        self._record_change()
         return True
 
     def remove_departed(self, now: float) -> None:
@@ -105,10 +116,17 @@
             entry = self._by_identity.pop(identity)
             self._warm_until.pop(identity, None)
             self._known_at.pop(identity, None)
-            if self._by_address.get(entry.address) == identity:
-                del self._by_address[entry.address]
-            self._by_service.clear()
-            self._digest = None
+            self._release_address(entry)
+            self._record_change()
+
+    def _record_change(self) -> None:
+        self._by_service.clear()
+        self._digest = None
+        self._revision += 1
+
+    def _release_address(self, entry: TargetEntry) -> None:
+        if self._by_address.get(entry.address) == entry.identity:
+            del self._by_address[entry.address]
 
     def _resolve_address_conflict(self, now: float, entry: TargetEntry) -> TargetEntry:
         """Mark the earlier of two incarnations at one address as left.
@@ -129,6 +147,19 @@
         return _mark_left(entry)
 
 
+def complete_departure(entry: TargetEntry, known: TargetEntry | None) -> TargetEntry | None:
+    """Return a record with the fields that the known one adds, if it is a departure.
+
+    A departure without a start concerns the incarnation that is known. Returns None if there is
+    none.
+    """
+    if entry.state != TargetState.LEFT or entry.address:
+        return entry
+    if known is not None and (entry.is_unresolved or entry.started == known.started):
+        return replace(known, state=TargetState.LEFT, sequence=entry.sequence)
+    return None if entry.is_unresolved else entry
+
+
 def _mark_left(entry: TargetEntry) -> TargetEntry:
     return TargetEntry(
         entry.identity,
@@ -146,6 +177,8 @@
 def _merge_entries(known: TargetEntry, entry: TargetEntry) -> TargetEntry:
     if entry.started != known.started:
         return entry if entry.started > known.started else known
+    if not known.address and entry.address:
+        return replace(entry, state=max(known.state, entry.state, key=lambda item: item.rank))
     if entry.address and (entry.address, entry.service) != (known.address, known.service):
         # An incarnation never changes its address or service: this record has another source.
         return known
