Keep a limit that a hub hears of before it hears of the target

Cause: the first record of a target made a hub forget its limit, as if an earlier incarnation were known. Evidence: test_new_subscriber_receives_the_known_limits failed once the order of messages in the simulated site changed: the limit had come over one hub, the record later over another. Change: only a record of another incarnation, or a departure, ends the limit. Measured: that test failed before and passes; hub and registry tests pass.

--- a/tarragonshelf/hub/_state.py
+++ b/tarragonshelf/hub/_state.py
@@ -117,8 +117,8 @@
         entry = complete_departure(entry, before)
         if entry is None or not self.targets.merge(now, entry):
             return False
-        is_same = before is not None and before.started == entry.started
-        if not is_same or entry.state == TargetState.LEFT:
+        is_restarted = before is not None and before.started != entry.started
+        if is_restarted or entry.state == TargetState.LEFT:
             self.limits.forget(entry.identity)
         return True
 
