A hub that was away learns at once what its peers know, and waits for all of them

Seen by callers: entries that follow a control which has just lost its disk know only the targets that called it since, for 10 s and more; a leave confirmed there could miss a control that it had not heard of. Cause: a hub sends its list of hubs to a peer once in 10 s, also to one that lost it, and without the peer's address no registry is compared; a first difference was taken for news under way; only hubs that were heard of counted as alive while a leave waited. Evidence: the simulated site, 0.2 s after a wiped hub is back: a leave is confirmed while vm4 holds the target as ready (TestAnyOrder, 'wipe' of vm3); 8 s later its registry still differs from the others. Change: a list of hubs without the receiver makes its own due for the sender; at the first comparison since its start a hub asks for the whole registry; members that it has not heard of count as alive. Before: TestHubWithoutDisk failed for 3, 5 and 11 hubs. After: it passes; the bound is catch_up, 4 s.

--- a/tarragonshelf/hub/_node.py
+++ b/tarragonshelf/hub/_node.py
@@ -237,6 +237,9 @@
         elif isinstance(message, HubBusy):
             self.loads.record_busy(message)
         elif isinstance(message, HubNews):
+            if message.hubs and all(item.vm != self.record.vm for item in message.hubs):
+                # The sender has just started, or was away, and does not know this hub.
+                self.registrar.request_hub_news(message.hubs[0].address)
             if self.registrar.merge_hubs(now, message.hubs):
                 news = self.registrar.create_hub_news()
                 self._effects.append(SaveMessage(HUBS_FILE, news))
--- a/tarragonshelf/hub/_registrar.py
+++ b/tarragonshelf/hub/_registrar.py
@@ -100,6 +100,10 @@
         self._hub_news_sent_at[address] = now
         return True
 
+    def request_hub_news(self, address: str) -> None:
+        """Make the list of hubs due for a peer."""
+        self._hub_news_sent_at.pop(address, None)
+
     def is_alive(self, now: float, vm: str) -> bool:
         """Return whether a hub is this one, or sent a heartbeat or became known recently."""
         last_heartbeat_at = self._last_heartbeat_at.get(vm, float("-inf"))
@@ -113,6 +117,10 @@
         """Return the VMs of this hub and of all other hubs that are alive."""
         return frozenset(vm for vm in self._hubs if self.is_alive(now, vm))
 
+    def knows(self, vm: str) -> bool:
+        """Return whether a hub has been heard of."""
+        return vm in self._hubs
+
     def list_unresponsive(self, now: float) -> list[str]:
         """Return the VMs of known hubs that are not alive."""
         return [vm for vm in self._hubs if not self.is_alive(now, vm)]
--- a/tarragonshelf/hub/_targets.py
+++ b/tarragonshelf/hub/_targets.py
@@ -73,9 +73,11 @@
         self._effects.append(EmitEvent("target_changed", fields))
 
     def _answer_drains(self, now: float) -> None:
-        membership = self.replica.membership
-        voters = frozenset(item.vm for item in membership.members if item.voting)
-        alive = self.registrar.list_alive(now)
+        members = self.replica.membership.members
+        voters = frozenset(item.vm for item in members if item.voting)
+        # A hub that has just started has not heard of all others yet. They may be alive.
+        unheard = {item.vm: item.address for item in members if not self.registrar.knows(item.vm)}
+        alive = self.registrar.list_alive(now) | unheard.keys()
         for drain in self._drains.pop_confirmed(now, voters=voters, alive=alive):
             fields = {
                 "target": drain.target,
@@ -85,7 +87,8 @@
             self._effects.append(EmitEvent("departure_confirmed", fields))
             self._reply(drain.call, AnnounceReply(self.record.announcements))
         for vm, news in self._drains.list_resends(now, alive):
-            self._effects.append(SendToPeer(self.registrar.find_address(vm), news))
+            address = unheard.get(vm) or self.registrar.find_address(vm)
+            self._effects.append(SendToPeer(address, news))
 
     def _handle_target_news(self, now: float, news: TargetNews) -> None:
         changed = [item for item in news.targets if self._merge_target(now, item)]
@@ -139,8 +142,10 @@
         if digest.digest == self.targets.digest:
             self._mismatch_counts[digest.vm] = 0
             return
-        # A single mismatch is mostly caused by an update that is still in transit.
-        self._mismatch_counts[digest.vm] = self._mismatch_counts.get(digest.vm, 0) + 1
+        # A single mismatch is mostly caused by an update that is still in transit. At the first
+        # comparison since its start a hub may lack what happened while it was away.
+        first = MISMATCH_THRESHOLD - 1
+        self._mismatch_counts[digest.vm] = self._mismatch_counts.get(digest.vm, first) + 1
         if self._mismatch_counts[digest.vm] >= MISMATCH_THRESHOLD:
             self._mismatch_counts[digest.vm] = 0
             wanted = TargetDigest(self.record.vm, self.targets.digest, wants_all=True)
--- a/tarragonshelf/hub/tests/test_leaving.py
+++ b/tarragonshelf/hub/tests/test_leaving.py
@@ -15,6 +15,8 @@
 RESTARTED = replace(TARGET, started=2000, address="10.0.0.2:80")
 # A target calls the next hub after this time without a reply.
 REPLY_SECONDS = 1.0
+# Bound of the users' specification for a VM that lost its disk.
+CATCH_UP_SECONDS = 4.0
 # A record of a departed target is gone after this time.
 REMOVED_SECONDS = 130.0
 
@@ -126,6 +128,24 @@
         assert isinstance(site.replies[number], Refused)
 
 
+class TestHubWithoutDisk:
+    # Guards against a hub that tells entries of few targets until it has heard of its peers.
+    @pytest.mark.parametrize("hubs", [3, 5, 11])
+    def test_hub_knows_its_peers_and_their_targets_in_time(self, hubs):
+        site = FakeSite(hubs)
+        assert announce(site, TARGET, "vm0")
+        site.advance(2.0)
+        site.stop("vm1", loses_disk=True)
+        site.advance(3.0)
+        site.start("vm1")
+        site.advance(CATCH_UP_SECONDS)
+        node = site.hubs["vm1"].node
+        assert node.registrar.list_addresses() == {
+            item.record.address for item in site.hubs.values()
+        }
+        assert node.targets.list_usable("s")
+
+
 ABSENCES = st.lists(
     st.tuples(st.sampled_from(["stop", "wipe", "isolate"]), st.integers(0, 4)),
     min_size=1,
