Departed targets are left out of the digest that hubs compare

Cause: each hub removes a departed target 120 s after it heard of it itself. Hubs that heard at other times differed then, sent each other their registries, and so began the time anew: such a record never went. Evidence: a wiped hub that learns of a departure 60 s later; after 9 minutes all hubs still hold it. Change: only ready and draining targets count in the digest. What a hub lacks of departures it gets with the first comparison after its start, or in answer to news of the target as ready.

--- a/tarragonshelf/hub/tests/test_leaving.py
+++ b/tarragonshelf/hub/tests/test_leaving.py
@@ -48,6 +48,11 @@
     ]
 
 
+def list_digests(site: FakeSite) -> set[int]:
+    """Return the distinct digests of the hubs' registries."""
+    return {hub.node.targets.digest for hub in site.hubs.values() if hub.node is not None}
+
+
 def create_site(held: str, *, hubs: int = 3, seed: int = 0) -> tuple[FakeSite, TargetEntry]:
     """Return a site whose hub ``vm1`` was away, and the incarnation that the others know.
 
@@ -83,6 +88,7 @@
         assert list_users(site) == []
         site.advance(8.0)
         assert list_users(site) == []
+        assert len(list_digests(site)) == 1
 
     # Guards against an order of merging in which a leave without an address is lost.
     def test_record_that_comes_later_does_not_bring_the_target_back(self, held):
@@ -127,6 +133,17 @@
         site.advance(REPLY_SECONDS)
         assert isinstance(site.replies[number], Refused)
 
+    # Guards against records that hubs return to each other after their time.
+    def test_record_is_removed_although_hubs_heard_of_it_at_different_times(self):
+        site = FakeSite(3)
+        assert announce(site, TARGET, "vm0")
+        assert announce(site, create_leave(TARGET), "vm0")
+        site.stop("vm2", loses_disk=True)
+        site.advance(60.0)
+        site.start("vm2")
+        site.advance(4 * REMOVED_SECONDS)
+        assert all(not hub.node.targets.list_all() for hub in site.hubs.values())
+
 
 class TestHubWithoutDisk:
     # Guards against a hub that tells entries of few targets until it has heard of its peers.
--- a/tarragonshelf/registry/_registry.py
+++ b/tarragonshelf/registry/_registry.py
@@ -40,10 +40,16 @@
 
     @property
     def digest(self) -> int:
-        """A checksum of the identity, incarnation, state and address of every target."""
+        """A checksum of the identity, incarnation, state and address of every target.
+
+        Departed targets are left out: processes learn of a departure at different times, and
+        would otherwise return the records to each other after the retention.
+        """
         if self._digest is None:
             self._digest = 0
             for item in self._by_identity.values():
+                if item.state == TargetState.LEFT:
+                    continue
                 text = f"{item.identity} {item.started} {item.state} {item.address}"
                 self._digest ^= crc32(text.encode())
         return self._digest
