Targets are taken for gone only by who hears them, and until they are heard again

A target that no control heard for 30 s was lost in the same way, and one that crashed with its control was never given up if that control did not come back. Cause: a hub acted on a claim that it alone held. It restored from its disk that it hears a target; the later record of its neighbour differs in nothing that the digest covered; and being gone was final. Ruled out: not to give up targets at all, as a crashed one would stay; to wait longer, as the claim on disk does not become truer. Change: an expired target is marked as such, and a later heartbeat of the same incarnation refutes it; a hub that still hears it tells the others. The digest covers the registrar. A hub acts on its claims while it has contact with the others, once a majority of the voters held the same ones. A hub that is told that it hears a target starts the time-out, and so does the home hub for a registrar that is gone.

--- a/tarragonshelf/hub/_node.py
+++ b/tarragonshelf/hub/_node.py
@@ -180,7 +180,7 @@
         for call in self._drains.pop_timed_out(now):
             detail = "no majority of the hubs confirmed in time"
             self._reply(call, Refused(RefusedReason.BUSY, detail=detail))
-        self._broadcast_changes(self.registrar.expire_targets(now, self.targets))
+        self._expire_targets(now)
         self.targets.remove_departed(now)
         if now - self._saved_at >= SAVE_INTERVAL_SECONDS:
             self._save_targets(now)
--- a/tarragonshelf/hub/_registrar.py
+++ b/tarragonshelf/hub/_registrar.py
@@ -14,8 +14,10 @@
 HUB_RETENTION_SECONDS = 60.0
 # The list of known hubs is sent to each peer at this interval.
 HUB_NEWS_INTERVAL_SECONDS = 10.0
+# Targets whose hub is gone are looked for at this interval.
+ORPHAN_INTERVAL_SECONDS = 5.0
 # Targets announce themselves at least every few seconds. A target without an announcement for
-# this long is marked as left.
+# this long is marked as gone, until it announces itself again.
 TARGET_TIMEOUT_SECONDS = 30.0
 
 
@@ -39,6 +41,7 @@
         self._heard_at: dict[str, float] = {}
         self._hub_news_sent_at: dict[str, float] = {}
         self._last_announcement_at: dict[str, float] = {}
+        self._orphans_sought_at = 0.0
 
     # Hubs
 
@@ -154,8 +157,14 @@
         """Record that a target is assumed to be alive, which restarts its time-out."""
         self._last_announcement_at[identity] = now
 
+    def watch(self, now: float, entry: TargetEntry) -> None:
+        """Start the time-out of a target that this hub is responsible for, if it has none yet."""
+        if self._is_responsible(now, entry):
+            self._last_announcement_at.setdefault(entry.identity, now)
+
     def expire_targets(self, now: float, registry: TargetRegistry) -> list[TargetEntry]:
-        """Mark targets of this hub that timed out as left, and return them."""
+        """Mark targets of this hub that timed out as gone, and return them."""
+        self._watch_orphans(now, registry)
         timed_out = [
             identity
             for identity, at in self._last_announcement_at.items()
@@ -165,9 +174,30 @@
         for identity in timed_out:
             del self._last_announcement_at[identity]
             held = registry.get(identity)
-            if held is None or held.registrar != self.own.vm or held.state == TargetState.LEFT:
+            if held is None or not self._is_responsible(now, held):
                 continue
-            entry = replace(held, state=TargetState.LEFT)
+            is_ready = held.state == TargetState.READY
+            entry = replace(held, state=TargetState.LEFT, is_expired=is_ready)
             if registry.merge(now, entry):
                 expired.append(entry)
         return expired
+
+    def _is_responsible(self, now: float, entry: TargetEntry) -> bool:
+        """Return whether this hub has to find out if a target is gone.
+
+        It hears the target; or the hub that did is gone, and this one is the home of the target.
+        """
+        if entry.state == TargetState.LEFT:
+            return False
+        if entry.registrar == self.own.vm:
+            return True
+        is_orphan = entry.registrar not in self._hubs
+        return is_orphan and self.find_home_hub(now, entry.data_centre) == self.own.vm
+
+    def _watch_orphans(self, now: float, registry: TargetRegistry) -> None:
+        if now - self._orphans_sought_at < ORPHAN_INTERVAL_SECONDS:
+            return
+        self._orphans_sought_at = now
+        for entry in registry.list_all():
+            if entry.registrar not in self._hubs:
+                self.watch(now, entry)
--- a/tarragonshelf/hub/_state.py
+++ b/tarragonshelf/hub/_state.py
@@ -99,6 +99,8 @@
         self._learner_since: dict[str, float] = {}
         self._peer_edge_counts: dict[str, int] = {}
         self._mismatch_counts: dict[str, int] = {}
+        # Hubs that held the same targets as this one, since it was last cut off from the others.
+        self._agreeing_hubs: set[str] = set()
         # The newest catalogue committed on this hub; it is saved to disk and outlasts a restart.
         self._saved_catalogue = CatalogueCopy(0)
         self._full_target_news: TargetNews | None = None
@@ -122,6 +124,11 @@
             self.limits.forget(entry.identity)
         return True
 
+    @property
+    def voters(self) -> frozenset[str]:
+        """VMs of the voters, as far as this hub knows."""
+        return frozenset(item.vm for item in self.replica.membership.members if item.voting)
+
     def is_current(self, now: float) -> bool:
         """Return whether this hub leads with a quorum or has recent contact with a leader."""
         if self.replica.is_leader:
--- a/tarragonshelf/hub/_targets.py
+++ b/tarragonshelf/hub/_targets.py
@@ -73,12 +73,14 @@
         self._effects.append(EmitEvent("target_changed", fields))
 
     def _answer_drains(self, now: float) -> None:
-        members = self.replica.membership.members
-        voters = frozenset(item.vm for item in members if item.voting)
         # A hub that has just started has not heard of all others yet. They may be alive.
-        unheard = {item.vm: item.address for item in members if not self.registrar.knows(item.vm)}
+        unheard = {
+            item.vm: item.address
+            for item in self.replica.membership.members
+            if not self.registrar.knows(item.vm)
+        }
         alive = self.registrar.list_alive(now) | unheard.keys()
-        for drain in self._drains.pop_confirmed(now, voters=voters, alive=alive):
+        for drain in self._drains.pop_confirmed(now, voters=self.voters, alive=alive):
             fields = {
                 "target": drain.target,
                 "hubs": list(drain.hubs),
@@ -98,8 +100,10 @@
         elif held:
             for entry in held:
                 self._targets_for_entries.add_target(entry)
+        for entry in held:
+            self.registrar.watch(now, entry)
         # The sender lacks what these records say: that a target which it takes for ready left, or
-        # which incarnation a departure without a start concerns.
+        # which incarnation a departure without a start concerns, or that a target is still heard.
         lacking = [item for item in news.targets if self._is_outdated(item)]
         self._broadcast_changes([self.targets.get(item.identity) for item in lacking])
         if news.number:
@@ -110,11 +114,26 @@
                 self._effects.append(SendToPeer(sender, received))
 
     def _is_outdated(self, entry: TargetEntry) -> bool:
-        """Return whether a record lacks that the target left, which this hub knows."""
+        """Return whether this hub knows more of a target's state than the sender of a record."""
         held = self.targets.get(entry.identity)
-        if held is None or held.state != TargetState.LEFT or entry.started > held.started:
+        if held is None or entry.started > held.started:
             return False
-        return entry.is_usable or entry.is_unresolved
+        if held.state == TargetState.LEFT:
+            return entry.is_usable or entry.is_unresolved
+        return entry.is_expired
+
+    def _expire_targets(self, now: float) -> None:
+        """Mark the targets of this hub as gone whose heartbeats stopped.
+
+        They may go to another hub by now. So this hub acts on its claims only while it has contact
+        with the others, and only after a majority of the voters held the same claims.
+        """
+        if not self.is_current(now):
+            self._agreeing_hubs.clear()
+            return
+        agreeing = self.voters & (self._agreeing_hubs | {self.record.vm})
+        if 2 * len(agreeing) > len(self.voters):
+            self._broadcast_changes(self.registrar.expire_targets(now, self.targets))
 
     def _handle_departures(self, now: float, news: TargetNews) -> None:
         """Mark targets that told an entry in a response that they leave.
@@ -141,6 +160,7 @@
             return
         if digest.digest == self.targets.digest:
             self._mismatch_counts[digest.vm] = 0
+            self._agreeing_hubs.add(digest.vm)
             return
         # A single mismatch is mostly caused by an update that is still in transit. At the first
         # comparison since its start a hub may lack what happened while it was away.
--- /dev/null
+++ b/tarragonshelf/hub/tests/test_expiry.py
@@ -0,0 +1,141 @@
+"""Targets whose heartbeats stop, or go to another hub, while hubs fail."""
+
+from dataclasses import replace
+
+import pytest
+
+from ...hub import AnnounceReply, AnnounceTarget
+from ...registry import TargetEntry, TargetNews, TargetState
+from ...replication import PeerMessageReceived
+from .._registrar import HUB_RETENTION_SECONDS, TARGET_TIMEOUT_SECONDS
+from .fakes import FakeSite
+
+HEARTBEAT_SECONDS = 1.5
+TARGETS = 6
+# Targets and the hubs that they call first share this data centre with vm0 and vm2.
+DATA_CENTRE = "z0"
+SETTLE_SECONDS = 5.0
+
+
+class FakeTargets:
+    """Targets that send heartbeats to a hub, and to the next one after a failure."""
+
+    def __init__(self, site: FakeSite, *hubs: str):
+        self.site = site
+        self.hubs = list(hubs)
+        self.silent: set[str] = set()
+        self.entries = {
+            f"i-{n}": TargetEntry(
+                f"i-{n}", 1000, 0, TargetState.READY, f"10.0.0.{n}:80", "s", DATA_CENTRE, 3
+            )
+            for n in range(TARGETS)
+        }
+
+    def advance(self, seconds: float) -> None:
+        """Advance the clock of the site and send heartbeats."""
+        end = self.site.now + seconds
+        while self.site.now < end:
+            for identity, entry in self.entries.items():
+                if identity not in self.silent:
+                    self.entries[identity] = replace(entry, sequence=entry.sequence + 1)
+                    self._announce(self.entries[identity])
+            self.site.advance(HEARTBEAT_SECONDS)
+
+    def _announce(self, entry: TargetEntry) -> None:
+        for vm in list(self.hubs):
+            hub = self.site.hubs[vm]
+            if hub.node is not None and hub.suspended_at is None:
+                number = self.site.call(vm, AnnounceTarget(entry))
+                assert isinstance(self.site.replies[number], AnnounceReply)
+                return
+            self.hubs.remove(vm)
+            self.hubs.append(vm)
+
+
+def count_usable(site: FakeSite) -> list[int]:
+    """Return how many targets each hub holds as usable."""
+    nodes = [hub.node for hub in site.hubs.values() if hub.node is not None]
+    return [len(node.targets.list_usable("s")) for node in nodes]
+
+
+def create_site() -> tuple[FakeSite, FakeTargets]:
+    site = FakeSite(4, data_centres=2)
+    targets = FakeTargets(site, "vm0", "vm2")
+    targets.advance(6.0)
+    assert count_usable(site) == [TARGETS] * 4
+    return site, targets
+
+
+class TestHubThatWasAway:
+    # Guards against a hub that acts on a claim to targets which another hub hears now (FLOOR).
+    @pytest.mark.parametrize("absence", ["stop", "wipe", "suspend", "isolate"])
+    def test_targets_that_moved_to_another_hub_stay(self, absence):
+        site, targets = create_site()
+        if absence == "suspend":
+            site.suspend("vm0")
+        elif absence == "isolate":
+            site.isolate("vm0")
+            targets.hubs.reverse()
+        else:
+            site.stop("vm0", loses_disk=absence == "wipe")
+        targets.advance(3.5)
+        if absence == "suspend":
+            site.resume("vm0")
+        elif absence == "isolate":
+            site.blocked_links.clear()
+        else:
+            site.start("vm0")
+        for _ in range(20):
+            targets.advance(4.0)
+            assert count_usable(site) == [TARGETS] * 4
+
+    # Guards against targets that crashed with their hub and are never given up.
+    @pytest.mark.parametrize("loses_disk", [False, True])
+    def test_target_that_crashed_meanwhile_is_given_up(self, loses_disk):
+        site, targets = create_site()
+        targets.silent = {"i-0"}
+        site.stop("vm0", loses_disk=loses_disk)
+        targets.advance(3.5)
+        site.start("vm0")
+        targets.advance(TARGET_TIMEOUT_SECONDS + SETTLE_SECONDS)
+        assert count_usable(site) == [TARGETS - 1] * 4
+
+
+class TestHubThatIsGone:
+    # Guards against targets that nobody gives up, as the hub that heard them never comes back.
+    def test_target_that_crashed_with_its_hub_is_given_up(self):
+        site, targets = create_site()
+        targets.silent = {"i-0"}
+        site.remove("vm0")
+        targets.advance(HUB_RETENTION_SECONDS + TARGET_TIMEOUT_SECONDS + 2 * SETTLE_SECONDS)
+        assert count_usable(site) == [TARGETS - 1] * 3
+
+
+class TestRefutation:
+    # Guards against a target that is lost for good, although it only was not heard for a while.
+    def test_target_that_is_heard_again_is_used_again(self):
+        site, targets = create_site()
+        targets.silent = {"i-0", "i-1"}
+        targets.advance(TARGET_TIMEOUT_SECONDS + SETTLE_SECONDS)
+        assert count_usable(site) == [TARGETS - 2] * 4
+        targets.silent = {"i-1"}
+        targets.advance(SETTLE_SECONDS)
+        assert count_usable(site) == [TARGETS - 1] * 4
+
+    def test_hub_that_hears_a_target_refutes_what_another_one_suspects(self):
+        site, targets = create_site()
+        targets.advance(10.0)
+        held = site.hubs["vm1"].node.targets.get("i-0")
+        suspected = replace(held, state=TargetState.LEFT, is_expired=True)
+        for vm in ("vm1", "vm2", "vm3", "vm0"):
+            site.receive(vm, PeerMessageReceived(TargetNews((suspected,))))
+        site.advance(0.5)
+        assert count_usable(site) == [TARGETS] * 4
+
+    # Guards against a heartbeat that undoes what the target itself said.
+    def test_leave_is_not_refuted(self):
+        site, targets = create_site()
+        left = TargetEntry("i-0", 1000, 0, TargetState.LEFT)
+        site.call("vm0", AnnounceTarget(left))
+        targets.advance(TARGET_TIMEOUT_SECONDS + SETTLE_SECONDS)
+        assert count_usable(site) == [TARGETS - 1] * 4
--- a/tarragonshelf/registry/_messages.py
+++ b/tarragonshelf/registry/_messages.py
@@ -28,7 +28,8 @@
 
     ``started`` is the Unix time of its start in milliseconds and orders the incarnations of one
     identity and of one address. ``warm_seconds`` is the rest of its warm-up, during which it is
-    slow. ``registrar`` is the control VM that receives its heartbeats.
+    slow. ``registrar`` is the control VM that receives its heartbeats. ``is_expired`` marks a
+    target that is taken for gone as its heartbeats stopped: a later heartbeat refutes it.
     """
 
     identity: str
@@ -41,6 +42,19 @@
     slots: int = 1
     warm_seconds: float = 0.0
     registrar: str = ""
+    is_expired: bool = False
+
+    @property
+    def precedence(self) -> tuple[int, int, bool, str]:
+        """Of two records of one incarnation, the one with the higher value wins.
+
+        What a target said of itself is final. That it expired holds until it is heard again. The
+        registrar decides if two of them received the same heartbeat.
+        """
+        if self.state == TargetState.LEFT and not self.is_expired:
+            return (self.state.rank, self.sequence, False, "")
+        state = TargetState.READY if self.is_expired else self.state
+        return (state.rank, self.sequence, self.is_expired, self.registrar)
 
     @property
     def is_usable(self) -> bool:
--- a/tarragonshelf/registry/_registry.py
+++ b/tarragonshelf/registry/_registry.py
@@ -17,7 +17,8 @@
     -----
     A later incarnation of an identity replaces an earlier one, and so does a later incarnation
     at the same address. Within one incarnation the state of higher rank wins, so that draining
-    and leaving are final, and within one state the higher sequence number.
+    and leaving are final, and within one state the higher sequence number. An expired target is
+    ready again with a higher sequence number.
 
     A target that leaves announces no address. If it was unknown, its record has none until another
     record of the same incarnation adds it; the target stays departed.
@@ -40,7 +41,7 @@
 
     @property
     def digest(self) -> int:
-        """A checksum of the identity, incarnation, state and address of every target.
+        """A checksum of the identity, incarnation, state, address and registrar of every target.
 
         Departed targets are left out: processes learn of a departure at different times, and
         would otherwise return the records to each other after the retention.
@@ -51,6 +52,7 @@
                 if item.state == TargetState.LEFT:
                     continue
                 text = f"{item.identity} {item.started} {item.state} {item.address}"
+                text += f" {item.registrar}"
                 self._digest ^= crc32(text.encode())
         return self._digest
 
@@ -162,7 +164,9 @@
     if entry.state != TargetState.LEFT or entry.address:
         return entry
     if known is not None and (entry.is_unresolved or entry.started == known.started):
-        return replace(known, state=TargetState.LEFT, sequence=entry.sequence)
+        return replace(
+            known, state=TargetState.LEFT, sequence=entry.sequence, is_expired=entry.is_expired
+        )
     return None if entry.is_unresolved else entry
 
 
@@ -184,12 +188,11 @@
     if entry.started != known.started:
         return entry if entry.started > known.started else known
     if not known.address and entry.address:
-        return replace(entry, state=max(known.state, entry.state, key=lambda item: item.rank))
+        return replace(entry, state=known.state, is_expired=known.is_expired)
     if entry.address and (entry.address, entry.service) != (known.address, known.service):
         # An incarnation never changes its address or service: this record has another source.
         return known
-    order = (entry.state.rank, entry.sequence)
-    if order <= (known.state.rank, known.sequence):
+    if entry.precedence <= known.precedence:
         return known
     if entry.address:
         return entry
@@ -216,4 +219,5 @@
         entry.data_centre,
         entry.slots,
         entry.registrar,
+        entry.is_expired,
     )
--- a/tarragonshelf/transport/tarragonshelf.thrift
+++ b/tarragonshelf/transport/tarragonshelf.thrift
@@ -523,6 +523,7 @@
   8: optional i64 slots
   9: optional double warm_seconds
   10: optional string registrar
+  11: optional bool is_expired
 }
 
 struct TargetNews {
