--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -63,6 +63,8 @@
 # A target announces its drain if the fault lasts less than this; otherwise only its responses say
 # that it leaves. About half of the faults do.
 ANNOUNCED_DRAIN_SECONDS = 2.15
+# The target calls a control to leave and announces nothing else if the fault lasts less than this.
+UNANNOUNCED_LEAVE_SECONDS = 1.3
 
 # VMs are killed (also with a torn write, or all controls at once), wiped, stopped (entries one by
 # one for "roll"), suspended or reloaded. Their connections are delayed, silenced or reset.
@@ -439,6 +441,7 @@
             # At most one target leaves in a run, and it does not return. Some announce no drain.
             target.is_leaving = True
             target.is_draining = fault.duration_seconds < ANNOUNCED_DRAIN_SECONDS
+            target.only_leaves = fault.duration_seconds < UNANNOUNCED_LEAVE_SECONDS
             await asyncio.sleep(DRAIN_OBSERVATION_SECONDS)
 
 
--- a/soak/_targets.py
+++ b/soak/_targets.py
@@ -47,6 +47,8 @@
         self.is_draining = False
         # Whether its responses say that it leaves; a target may say so without an announcement.
         self.is_leaving = False
+        # Whether it calls a control to leave, and says so nowhere else.
+        self.only_leaves = False
         self._sequence = 0
         self._server: asyncio.Server | None = None
 
@@ -80,8 +82,11 @@
             "info": {"service": self.service, "version": "v1", "zone": zone, "slots": 3},
             "status": {"state": state, "seq": self._sequence, "warmup_left": "0ms"},
         }
+        action = "heartbeat"
+        if self.only_leaves:
+            action, body = "leave", {"born": body["born"]}
         for control in controls:
-            url = f"http://{control}/v1/instances/{self.name}/heartbeat"
+            url = f"http://{control}/v1/instances/{self.name}/{action}"
             with contextlib.suppress(ClientError, OSError, TimeoutError):
                 async with session.post(url, json=body, timeout=ClientTimeout(1.0)) as response:
                     if response.status == 200:
@@ -98,7 +103,7 @@
         now = asyncio.get_running_loop().time()
         self.history.record_arrival(now, self.name, request_id)
         state = {} if self.limit is None else {"Server-Limit": f"{self.limit:g}"}
-        if self.is_leaving:
+        if self.is_leaving and not self.only_leaves:
             state["Server-Leaving"] = "1"
         body = await request.read()
         if self.failure_mode == "full" and self.random.random() < FAILURE_SHARE:
@@ -134,11 +139,11 @@
 
 
 async def keep_announcing(target: Target, list_controls) -> None:
-    """Announce a target until cancelled, and record when its drain is first acknowledged."""
+    """Announce a target until it has left, and record when its drain is first acknowledged."""
     loop = asyncio.get_running_loop()
     async with ClientSession(json_serialize=json.dumps) as session:
         while True:
-            was_draining = target.is_draining
+            was_draining, has_left = target.is_draining, target.only_leaves
             is_acknowledged = await target.announce(session, list_controls())
             if (
                 is_acknowledged
@@ -146,4 +151,6 @@
                 and target.name not in target.history.drain_acknowledged_at
             ):
                 target.history.drain_acknowledged_at[target.name] = loop.time()
+            if is_acknowledged and has_left:
+                return
             await asyncio.sleep(HEARTBEAT_INTERVAL_SECONDS)
