Test that a departed target does not stay when a hub is back after its record was removed

Cause: a hub that is away for longer than departed records are kept still holds the target as ready and gives it to the others; if their registrar was told of it, nobody took it for gone.

--- a/tarragonshelf/hub/tests/test_expiry.py
+++ b/tarragonshelf/hub/tests/test_expiry.py
@@ -6,6 +6,7 @@
 
 from ...hub import AnnounceReply, AnnounceTarget
 from ...registry import TargetEntry, TargetNews, TargetState
+from ...registry._registry import DEPARTED_RETENTION_SECONDS
 from ...replication import PeerMessageReceived
 from .._registrar import HUB_RETENTION_SECONDS, TARGET_TIMEOUT_SECONDS
 from .fakes import FakeSite
@@ -100,6 +101,24 @@
         targets.advance(TARGET_TIMEOUT_SECONDS + SETTLE_SECONDS)
         assert count_usable(site) == [TARGETS - 1] * 4
 
+    # Guards against a target that left and is back for good, from a hub that was away.
+    @pytest.mark.parametrize("registrar", ["vm0", "vm1"])
+    def test_departed_target_of_a_hub_that_was_away_for_long_does_not_stay(self, registrar):
+        site, targets = create_site()
+        leaving = targets.entries.pop("i-0")
+        site.call(registrar, AnnounceTarget(replace(leaving, sequence=90)))
+        targets.advance(3.0)
+        site.stop("vm1")
+        left = TargetEntry("i-0", 1000, 0, TargetState.LEFT)
+        site.call("vm2", AnnounceTarget(left))
+        targets.advance(DEPARTED_RETENTION_SECONDS + SETTLE_SECONDS)
+        assert all(
+            hub.node.targets.get("i-0") is None for vm, hub in site.hubs.items() if vm != "vm1"
+        )
+        site.start("vm1")
+        targets.advance(TARGET_TIMEOUT_SECONDS + 2 * SETTLE_SECONDS)
+        assert count_usable(site) == [TARGETS - 1] * 4
+
 
 class TestHubThatIsGone:
     # Guards against targets that nobody gives up, as the hub that heard them never comes back.
