At the first start of a system hubs do not ask for whole registries

Cause: at the first comparison since its start a hub asks for a peer's whole registry, as it may lack what happened while it was away. At the first start of the system nothing has happened, all hubs start at once, and all targets announce themselves: the square of the hubs in registries is sent for nothing. Ruled out: a regression of limits and pauses. Change: a hub that took part in the first start compares as before, and a list of hubs without the receiver counts only from a hub that was known.

--- a/tarragonshelf/hub/_node.py
+++ b/tarragonshelf/hub/_node.py
@@ -109,6 +109,7 @@
     def initialize(self, membership: Membership) -> list[Effect]:
         """Create the first voter set of a new system."""
         self._bootstrap(membership, CatalogueState(index=1))
+        self._may_lack_targets = False
         self._effects.append(EmitEvent("initialized", {"voters": sorted(membership.voters)}))
         return self._take_effects()
 
@@ -237,8 +238,9 @@
         elif isinstance(message, HubBusy):
             self.loads.record_busy(message)
         elif isinstance(message, HubNews):
-            if message.hubs and all(item.vm != self.record.vm for item in message.hubs):
-                # The sender has just started, or was away, and does not know this hub.
+            is_sender_known = bool(message.hubs) and self.registrar.knows(message.hubs[0].vm)
+            if is_sender_known and all(item.vm != self.record.vm for item in message.hubs):
+                # The sender was away, and does not know this hub any more.
                 self.registrar.request_hub_news(message.hubs[0].address)
             if self.registrar.merge_hubs(now, message.hubs):
                 news = self.registrar.create_hub_news()
--- a/tarragonshelf/hub/_state.py
+++ b/tarragonshelf/hub/_state.py
@@ -99,6 +99,8 @@
         self._learner_since: dict[str, float] = {}
         self._peer_edge_counts: dict[str, int] = {}
         self._mismatch_counts: dict[str, int] = {}
+        # Whether the system may have gone on before this hub started.
+        self._may_lack_targets = True
         # Hubs that held the same targets as this one, since it was last cut off from the others.
         self._agreeing_hubs: set[str] = set()
         # The newest catalogue committed on this hub; it is saved to disk and outlasts a restart.
--- a/tarragonshelf/hub/_targets.py
+++ b/tarragonshelf/hub/_targets.py
@@ -164,7 +164,7 @@
             return
         # A single mismatch is mostly caused by an update that is still in transit. At the first
         # comparison since its start a hub may lack what happened while it was away.
-        first = MISMATCH_THRESHOLD - 1
+        first = MISMATCH_THRESHOLD - 1 if self._may_lack_targets else 0
         self._mismatch_counts[digest.vm] = self._mismatch_counts.get(digest.vm, first) + 1
         if self._mismatch_counts[digest.vm] >= MISMATCH_THRESHOLD:
             self._mismatch_counts[digest.vm] = 0
