A target that calls another hub is not a reason to write to disk

Cause: the revision that decides what is saved grew with a registrar, which the digest had not covered before. Whether the writes were the cause is not shown. Change: the revision does not count a registrar alone; neither entries nor a restarted hub use it. Measured: the tests of hub and registry pass; the new case failed on (revision 2, 1 expected).

--- a/tarragonshelf/registry/_registry.py
+++ b/tarragonshelf/registry/_registry.py
@@ -36,7 +36,7 @@
 
     @property
     def revision(self) -> int:
-        """A number that grows with each change."""
+        """A number that grows with each change but that of a registrar alone."""
         return self._revision
 
     @property
@@ -113,7 +113,10 @@
             self._known_at[merged.identity] = now
         if known is not None and _get_routing_state(known) == _get_routing_state(merged):
             return False
-        self._record_change()
+        is_moved = known is not None and _get_routing_state(
+            replace(known, registrar=merged.registrar)
+        ) == _get_routing_state(merged)
+        self._record_change(is_moved=is_moved)
         return True
 
     def remove_departed(self, now: float) -> None:
@@ -127,10 +130,15 @@
             self._release_address(entry)
             self._record_change()
 
-    def _record_change(self) -> None:
+    def _record_change(self, *, is_moved: bool = False) -> None:
+        """Drop what was derived; ``is_moved`` says that only a registrar changed.
+
+        Who hears a target is of no use to entries, nor to a hub after its restart.
+        """
         self._by_service.clear()
         self._digest = None
-        self._revision += 1
+        if not is_moved:
+            self._revision += 1
 
     def _release_address(self, entry: TargetEntry) -> None:
         if self._by_address.get(entry.address) == entry.identity:
--- a/tarragonshelf/registry/tests/test_registry.py
+++ b/tarragonshelf/registry/tests/test_registry.py
@@ -67,6 +67,16 @@
         assert not registry.merge(1.0, replace(READY, sequence=5))
         assert registry.merge(1.0, replace(READY, sequence=6, state=TargetState.DRAINING))
 
+    # Guards against a write to disk for each target that calls another hub.
+    def test_registrar_alone_changes_the_digest_and_not_the_revision(self):
+        registry = create_registry(READY)
+        digest, revision = registry.digest, registry.revision
+        assert registry.merge(1.0, replace(READY, sequence=5, registrar="vm1"))
+        assert registry.digest != digest
+        assert registry.revision == revision
+        registry.merge(2.0, replace(READY, sequence=6, state=TargetState.LEFT))
+        assert registry.revision > revision
+
     def test_departed_target_is_removed_after_retention(self):
         registry = create_registry(READY, replace(READY, state=TargetState.LEFT))
         registry.remove_departed(10.0)
