Tests close the streams that they open

Cause: tests of the exchange, the caller server, the pool, the upstream and the soak's proxy left stream writers open when their loop ended. Collected later, within any other test, a writer raises "Event loop is closed"; pytest formats that traceback, for which Python 3.11 parses the source line; the parser counts its depth once for the interpreter, so a parse that the collection interrupted fails. Change: each server closes the connection with its handler, clients with their fixture. Whether a connection can be reused is checked before the loop ends, as the server now closes it then.

--- a/tarragonshelf/daemons/tests/test_upstream.py
+++ b/tarragonshelf/daemons/tests/test_upstream.py
@@ -36,6 +36,12 @@
         self._server.close()
 
     async def _serve(self, reader, writer) -> None:
+        try:
+            await self._answer(reader, writer)
+        finally:
+            writer.close()
+
+    async def _answer(self, reader, writer) -> None:
         self.connections += 1
         number = self.connections
         while True:
@@ -50,11 +56,9 @@
                 return
             if answer == b"end":
                 self._server.close()
-                writer.close()
                 return
             writer.write(answer)
             if answer in (SHORT, UNBOUNDED, INCOMPLETE_CHUNKED):
-                writer.close()
                 return
 
 
--- a/tarragonshelf/site/tests/test_caller_server.py
+++ b/tarragonshelf/site/tests/test_caller_server.py
@@ -47,6 +47,7 @@
         self.received: list[bytes] = []
         self.interrupted = 0
         self.reports: list[str] = []
+        self._writers: list[asyncio.StreamWriter] = []
 
     async def __aenter__(self):
         self._target = await asyncio.start_server(self._serve_target, "127.0.0.1", 0)
@@ -113,6 +114,8 @@
         await self.server.stop(0.5)
         self.pool.close()
         self._target.close()
+        for writer in self._writers:
+            writer.close()
 
     async def _serve_target(self, reader, writer):
         try:
@@ -145,9 +148,13 @@
                 )
         except (asyncio.IncompleteReadError, ConnectionError):
             return
+        finally:
+            writer.close()
 
     async def connect(self):
-        return await asyncio.open_connection(*self.address)
+        reader, writer = await asyncio.open_connection(*self.address)
+        self._writers.append(writer)
+        return reader, writer
 
 
 def create_request(request_id: str, *, method="GET", path="/x", headers=(), body=b"") -> bytes:
--- a/tarragonshelf/site/tests/test_exchange.py
+++ b/tarragonshelf/site/tests/test_exchange.py
@@ -58,6 +58,8 @@
                     writer.write(self.parts.pop(0))
         except (asyncio.IncompleteReadError, ConnectionError):
             return
+        finally:
+            writer.close()
 
 
 async def exchange(target: ScriptedTarget, connection: TargetConnection | None = None):
@@ -77,11 +79,12 @@
     def test_response_with_a_content_length(self):
         async def test():
             async with ScriptedTarget(COMPLETE_RESPONSE) as target:
-                return await exchange(target)
+                connection, response = await exchange(target)
+                assert connection.is_reusable
+                return response
 
-        connection, response = run(test())
+        response = run(test())
         assert (response.status, response.body) == (200, b"ok")
-        assert connection.is_reusable
 
     def test_chunked_response(self):
         async def test():
@@ -95,11 +98,11 @@
         async def test():
             content = b"HTTP/1.1 200 OK\r\n" + OWN_HEADERS + b"\r\nok"
             async with ScriptedTarget(content, ending="close") as target:
-                return await exchange(target)
+                connection, response = await exchange(target)
+                assert not connection.is_reusable
+                return response
 
-        connection, response = run(test())
-        assert response.body == b"ok"
-        assert not connection.is_reusable
+        assert run(test()).body == b"ok"
 
     def test_response_to_another_request_is_skipped(self):
         async def test():
@@ -112,11 +115,11 @@
     def test_connection_is_not_reused_after_trailing_bytes(self):
         async def test():
             async with ScriptedTarget(COMPLETE_RESPONSE + b"HTTP/1.1 200 OK\r\n") as target:
-                return await exchange(target)
+                connection, response = await exchange(target)
+                assert not connection.is_reusable
+                return response
 
-        connection, response = run(test())
-        assert response.body == b"ok"
-        assert not connection.is_reusable
+        assert run(test()).body == b"ok"
 
     def test_idle_connection_that_receives_bytes_is_closed(self):
         async def test():
--- a/tarragonshelf/site/tests/test_pool.py
+++ b/tarragonshelf/site/tests/test_pool.py
@@ -65,7 +65,8 @@
     def test_only_idle_connections_to_the_target_are_closed(self):
         async def run():
             pool = ConnectionPool(PlatformDialect(), lambda target: 10)
-            server = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
+            loop = asyncio.get_running_loop()
+            server = await loop.create_server(asyncio.Protocol, "127.0.0.1", 0)
             port = server.sockets[0].getsockname()[1]
             targets = [create_target(name, f"127.0.0.1:{port}") for name in ("i-1", "i-2")]
             connections = []
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -513,9 +513,11 @@
     """Return what an old and a new connection of the address, and one of another, experience."""
 
     async def serve(reader, writer):
-        while await reader.read(100):
-            writer.write(b"answer")
-        writer.close()
+        try:
+            while await reader.read(100):
+                writer.write(b"answer")
+        finally:
+            writer.close()
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     proxy = Proxy("127.0.0.1:0", f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
@@ -557,8 +559,11 @@
     received = []
 
     async def serve(reader, writer):
-        writer.write(b"answer")
-        received.append(await reader.read(100))
+        try:
+            writer.write(b"answer")
+            received.append(await reader.read(100))
+        finally:
+            writer.close()
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
@@ -574,6 +579,7 @@
     proxy.stop()
     server.close()
     await asyncio.sleep(0.1)
+    writer.close()
     return (b"".join(received), returned)
 
 
