A hub that was away requests whole registries from one peer at a time

Cause: since the digest covers who hears a target, a hub that was away differs from all of its peers at once, and since it asks each of them at its first digest. With 15 hubs that is a burst of 14 registries on the link of one that starts. Change: a request postpones those to the other peers for 0.5 s. Once the first registry is merged the others mostly agree and need not be asked. A peer that differs for four digests is asked in any case, so that none is left out. Before: the test fails, 4 requests at once.

--- a/tarragonshelf/hub/_node.py
+++ b/tarragonshelf/hub/_node.py
@@ -220,7 +220,7 @@
             self._drains.confirm(message.number, message.vm)
             self._answer_drains(now)
         elif isinstance(message, TargetDigest):
-            self._compare_digests(message)
+            self._compare_digests(now, message)
         elif isinstance(message, EvidenceNews):
             for item in message.items:
                 self._add_evidence(now, item)
--- a/tarragonshelf/hub/_state.py
+++ b/tarragonshelf/hub/_state.py
@@ -93,6 +93,7 @@
         self._learner_since: dict[str, float] = {}
         self._peer_edge_counts: dict[str, int] = {}
         self._mismatch_counts: dict[str, int] = {}
+        self._registry_requested_at = float("-inf")
         # Whether the system may have gone on before this hub started.
         self._may_lack_targets = True
         # Hubs that held the same targets as this one, since it was last cut off from the others.
--- a/tarragonshelf/hub/_targets.py
+++ b/tarragonshelf/hub/_targets.py
@@ -22,6 +22,9 @@
 
 # All targets are requested from a peer after this number of digest mismatches in a row.
 MISMATCH_THRESHOLD = 2
+# A request to one peer postpones those to the others for this long, up to so many mismatches.
+REQUEST_INTERVAL_SECONDS = 0.5
+MAXIMUM_MISMATCHES = 4
 
 
 class TargetsMixin(HubState):
@@ -152,7 +155,7 @@
                 self._emit_target_change(entry)
                 self._broadcast_changes([entry])
 
-    def _compare_digests(self, digest: TargetDigest) -> None:
+    def _compare_digests(self, now: float, digest: TargetDigest) -> None:
         address = self.registrar.find_address(digest.vm)
         if not address:
             return
@@ -167,10 +170,15 @@
         # comparison since its start a hub may lack what happened while it was away.
         first = MISMATCH_THRESHOLD - 1 if self._may_lack_targets else 0
         self._mismatch_counts[digest.vm] = self._mismatch_counts.get(digest.vm, first) + 1
-        if self._mismatch_counts[digest.vm] >= MISMATCH_THRESHOLD:
-            self._mismatch_counts[digest.vm] = 0
-            wanted = TargetDigest(self.record.vm, self.targets.digest, wants_all=True)
-            self._effects.append(SendToPeer(address, wanted))
+        count = self._mismatch_counts[digest.vm]
+        is_recent = now - self._registry_requested_at < REQUEST_INTERVAL_SECONDS
+        # Most peers hold the same: once the registry of one is merged, the others agree.
+        if count < MISMATCH_THRESHOLD or (is_recent and count < MAXIMUM_MISMATCHES):
+            return
+        self._mismatch_counts[digest.vm] = 0
+        self._registry_requested_at = now
+        wanted = TargetDigest(self.record.vm, self.targets.digest, wants_all=True)
+        self._effects.append(SendToPeer(address, wanted))
 
     def _save_targets(self, now: float) -> None:
         """Save the targets to disk, so that an acknowledged drain outlasts a restart."""
--- a/tarragonshelf/hub/tests/test_site.py
+++ b/tarragonshelf/hub/tests/test_site.py
@@ -20,11 +20,12 @@
     RepeatAsk,
     RepeatReply,
     RequestCount,
+    SendToPeer,
     SubscriberLost,
     SubscriberReceived,
 )
-from ...registry import TargetEntry, TargetNews, TargetState
-from ...replication import EmitEvent, Refused, RefusedReason
+from ...registry import TargetDigest, TargetEntry, TargetNews, TargetState
+from ...replication import EmitEvent, PeerMessageReceived, Refused, RefusedReason
 from ...throttling import PermitReply, PermitRequest, RateLimit
 from .fakes import FakeSite
 
@@ -218,6 +219,25 @@
         digests = {hub.node.targets.digest for hub in site.hubs.values()}
         assert len(digests) == 1
 
+    # Guards against a burst of whole registries, one from each peer, to a hub that was away.
+    def test_restarted_hub_requests_targets_from_one_peer_at_a_time(self):
+        site = FakeSite(5)
+        site.stop("vm0")
+        site.start("vm0")
+        peers = ("vm1", "vm2", "vm3", "vm4")
+        rounds = []
+        for second in range(4):
+            asked = []
+            for vm in peers:
+                digest = PeerMessageReceived(TargetDigest(vm, digest=1))
+                effects = site.hubs["vm0"].node.handle(site.now + second, digest)
+                requests = (item.message for item in effects if isinstance(item, SendToPeer))
+                if any(isinstance(item, TargetDigest) and item.wants_all for item in requests):
+                    asked.append(vm)
+            rounds.append(asked)
+        assert len(rounds[0]) == 1
+        assert {vm for asked in rounds for vm in asked} == set(peers)
+
     def test_hubs_know_targets_right_after_a_restart(self):
         site = FakeSite(5)
         site.call("vm2", AnnounceTarget(TARGET))
