Copies of a target's record name what differs, not every field

Read again: a record marked as left, and one that leaves without an address, were built field by field in two places. A new field, as is_expired, had to be thought of in each. They are copies of the known record now that name what changes. No change of behaviour: both functions gave the same records as before for 300,000 random pairs; tests of registry and hub pass.

--- a/tarragonshelf/registry/_registry.py
+++ b/tarragonshelf/registry/_registry.py
@@ -167,17 +167,7 @@
 
 
 def _mark_left(entry: TargetEntry) -> TargetEntry:
-    return TargetEntry(
-        entry.identity,
-        entry.started,
-        entry.sequence,
-        TargetState.LEFT,
-        entry.address,
-        entry.service,
-        entry.data_centre,
-        entry.slots,
-        registrar=entry.registrar,
-    )
+    return replace(entry, state=TargetState.LEFT, warm_seconds=0.0, is_expired=False)
 
 
 def _merge_entries(known: TargetEntry, entry: TargetEntry) -> TargetEntry:
@@ -193,16 +183,8 @@
     if entry.address:
         return entry
     # A target that announces only that it leaves omits its address and service.
-    return TargetEntry(
-        known.identity,
-        known.started,
-        entry.sequence,
-        entry.state,
-        known.address,
-        known.service,
-        known.data_centre,
-        known.slots,
-        registrar=known.registrar,
+    return replace(
+        known, sequence=entry.sequence, state=entry.state, warm_seconds=0.0, is_expired=False
     )
 
 
