Remove a second way to ask whether a hub is known

Read again: Registrar.knows repeated find_address, whose empty string already says that a hub is unknown. Looking for targets whose hub is gone checked what watch checks itself. No change of behaviour; tests of registry and hub pass.

--- a/tarragonshelf/hub/_node.py
+++ b/tarragonshelf/hub/_node.py
@@ -238,7 +238,7 @@
         elif isinstance(message, HubBusy):
             self.loads.record_busy(message)
         elif isinstance(message, HubNews):
-            is_sender_known = bool(message.hubs) and self.registrar.knows(message.hubs[0].vm)
+            is_sender_known = message.hubs and self.registrar.find_address(message.hubs[0].vm)
             if is_sender_known and all(item.vm != self.record.vm for item in message.hubs):
                 # The sender was away, and does not know this hub any more.
                 self.registrar.request_hub_news(message.hubs[0].address)
--- a/tarragonshelf/hub/_registrar.py
+++ b/tarragonshelf/hub/_registrar.py
@@ -120,10 +120,6 @@
         """Return the VMs of this hub and of all other hubs that are alive."""
         return frozenset(vm for vm in self._hubs if self.is_alive(now, vm))
 
-    def knows(self, vm: str) -> bool:
-        """Return whether a hub has been heard of."""
-        return vm in self._hubs
-
     def list_unresponsive(self, now: float) -> list[str]:
         """Return the VMs of known hubs that are not alive."""
         return [vm for vm in self._hubs if not self.is_alive(now, vm)]
@@ -199,5 +195,4 @@
             return
         self._orphans_sought_at = now
         for entry in registry.list_all():
-            if entry.registrar not in self._hubs:
-                self.watch(now, entry)
+            self.watch(now, entry)
--- a/tarragonshelf/hub/_targets.py
+++ b/tarragonshelf/hub/_targets.py
@@ -82,7 +82,7 @@
         unheard = {
             item.vm: item.address
             for item in membership.members
-            if not self.registrar.knows(item.vm)
+            if not self.registrar.find_address(item.vm)
         }
         alive = self.registrar.list_alive(now) | unheard.keys()
         for drain in self._drains.pop_confirmed(now, membership=membership, alive=alive):
