What a sender lacks is sent to hubs only

Read again: a hub that was told less than it knows of a departure told its entries, too. They had it when the hub learned of it: by reading, every path that merges a record passes it on to them, and a new subscriber gets all records. Change: the answer goes to the other hubs alone. How many bytes that saves was not measured. Tests of registry, hub and edge: test_leaving pass.

--- a/tarragonshelf/hub/_targets.py
+++ b/tarragonshelf/hub/_targets.py
@@ -108,8 +108,9 @@
             self.registrar.watch(now, entry)
         # The sender lacks what these records say: that a target which it takes for ready left, or
         # which incarnation a departure without a start concerns, or that a target is still heard.
-        lacking = [item for item in news.targets if self._is_outdated(item)]
-        self._broadcast_changes([self.targets.get(item.identity) for item in lacking])
+        for item in news.targets:
+            if self._is_outdated(item):
+                self._targets_for_hubs.add_target(self.targets.get(item.identity))
         if news.number:
             self._save_targets(now)
             sender = self.registrar.find_address(news.sender)
