Tests of hubs share how a hub is away and which hubs run

Read again: two new tests each wrote out how a hub is stopped, wiped, suspended or isolated and brought back, and four files listed the hubs that run. FakeSite does both.

--- a/tarragonshelf/hub/tests/fakes.py
+++ b/tarragonshelf/hub/tests/fakes.py
@@ -235,6 +235,29 @@
                 if other not in vms:
                     self.blocked_links |= {(vm, other), (other, vm)}
 
+    def begin_absence(self, vm: str, kind: str) -> None:
+        """Stop (``stop``, or ``wipe`` with its disk), suspend or isolate a hub."""
+        if kind == "suspend":
+            self.suspend(vm)
+        elif kind == "isolate":
+            self.isolate(vm)
+        else:
+            self.stop(vm, loses_disk=kind == "wipe")
+
+    def end_absence(self, vm: str, kind: str) -> None:
+        """Bring a hub back."""
+        if kind == "suspend":
+            self.resume(vm)
+        elif kind == "isolate":
+            self.blocked_links.clear()
+        else:
+            self.start(vm)
+
+    @property
+    def nodes(self) -> dict[str, HubNode]:
+        """Hubs that run, by VM."""
+        return {vm: hub.node for vm, hub in self.hubs.items() if hub.node is not None}
+
     @property
     def leader(self) -> str | None:
         """VM of the hub that leads with a quorum, if any."""
--- a/tarragonshelf/hub/tests/test_expiry.py
+++ b/tarragonshelf/hub/tests/test_expiry.py
@@ -55,8 +55,7 @@
 
 def count_usable(site: FakeSite) -> list[int]:
     """Return how many targets each hub holds as usable."""
-    nodes = [hub.node for hub in site.hubs.values() if hub.node is not None]
-    return [len(node.targets.list_usable("s")) for node in nodes]
+    return [len(node.targets.list_usable("s")) for node in site.nodes.values()]
 
 
 def create_site() -> tuple[FakeSite, FakeTargets]:
@@ -72,20 +71,11 @@
     @pytest.mark.parametrize("absence", ["stop", "wipe", "suspend", "isolate"])
     def test_targets_that_moved_to_another_hub_stay(self, absence):
         site, targets = create_site()
-        if absence == "suspend":
-            site.suspend("vm0")
-        elif absence == "isolate":
-            site.isolate("vm0")
+        site.begin_absence("vm0", absence)
+        if absence == "isolate":
             targets.hubs.reverse()
-        else:
-            site.stop("vm0", loses_disk=absence == "wipe")
         targets.advance(3.5)
-        if absence == "suspend":
-            site.resume("vm0")
-        elif absence == "isolate":
-            site.blocked_links.clear()
-        else:
-            site.start("vm0")
+        site.end_absence("vm0", absence)
         for _ in range(20):
             targets.advance(4.0)
             assert count_usable(site) == [TARGETS] * 4
@@ -112,9 +102,7 @@
         left = TargetEntry("i-0", 1000, 0, TargetState.LEFT)
         site.call("vm2", AnnounceTarget(left))
         targets.advance(DEPARTED_RETENTION_SECONDS + SETTLE_SECONDS)
-        assert all(
-            hub.node.targets.get("i-0") is None for vm, hub in site.hubs.items() if vm != "vm1"
-        )
+        assert all(node.targets.get("i-0") is None for node in site.nodes.values())
         site.start("vm1")
         targets.advance(TARGET_TIMEOUT_SECONDS + 2 * SETTLE_SECONDS)
         assert count_usable(site) == [TARGETS - 1] * 4
--- a/tarragonshelf/hub/tests/test_leaving.py
+++ b/tarragonshelf/hub/tests/test_leaving.py
@@ -43,16 +43,12 @@
 
 def list_users(site: FakeSite) -> list[str]:
     """Return the hubs that hold a target of the service as usable."""
-    return [
-        vm
-        for vm, hub in site.hubs.items()
-        if hub.node is not None and hub.node.targets.list_usable("s")
-    ]
+    return [vm for vm, node in site.nodes.items() if node.targets.list_usable("s")]
 
 
 def list_digests(site: FakeSite) -> set[int]:
     """Return the distinct digests of the hubs' registries."""
-    return {hub.node.targets.digest for hub in site.hubs.values() if hub.node is not None}
+    return {node.targets.digest for node in site.nodes.values()}
 
 
 def create_site(held: str, *, hubs: int = 3, seed: int = 0) -> tuple[FakeSite, TargetEntry]:
@@ -191,18 +187,12 @@
             vm = f"vm{number}"
             others = [item for item in site.hubs if item != vm]
             site.advance(6.0)
-            if kind == "isolate":
-                site.isolate(vm)
-            else:
-                site.stop(vm, loses_disk=kind == "wipe")
+            site.begin_absence(vm, kind)
             site.advance(1.0)
             target = replace(target, started=target.started + 1000)
             assert announce(site, target, *others)
             site.advance(2.0)
-            if kind == "isolate":
-                site.blocked_links.clear()
-            else:
-                site.start(vm)
+            site.end_absence(vm, kind)
             site.advance(delay)
             leave = create_leave(target, names_start=names_start)
             assert announce(site, leave, vm, *others)
--- a/tarragonshelf/hub/tests/test_replacement.py
+++ b/tarragonshelf/hub/tests/test_replacement.py
@@ -34,10 +34,6 @@
     site.advance(CATCH_UP_SECONDS)
 
 
-def list_running(site: FakeSite) -> list[str]:
-    return [vm for vm, hub in site.hubs.items() if hub.node is not None]
-
-
 class TestJoin:
     # Incident CONFIG: a new control whose seeds did not lead stayed outside for good.
     @pytest.mark.parametrize("count", [3, 5, 11])
@@ -74,10 +70,10 @@
         assert site.put(1)
         lost = sorted(site.hubs)[tenths % count]
         site.remove(lost)
-        site.add("new", "z1", tuple(list_running(site)[:1]))
+        site.add("new", "z1", tuple(list(site.nodes)[:1]))
         site.start("new")
         site.advance(tenths / 10)
-        running = list_running(site)
+        running = list(site.nodes)
         # One disk at a time may be lost, so the successor loses its own again.
         for vm in running:
             site.stop(vm, loses_power=True, loses_disk=loses_disk and vm == "new")
@@ -97,12 +93,12 @@
         lost = next(vm for vm in site.hubs if vm not in (site.leader, "vm0"))
         site.remove(lost)
         site.advance(40.0)
-        restarted = list_running(site)[-1]
+        restarted = list(site.nodes)[-1]
         site.stop(restarted)
         site.start(restarted)
         site.advance(200.0)
-        for vm in list_running(site):
-            known = site.hubs[vm].node.registrar.list_addresses()
+        for node in site.nodes.values():
+            known = node.registrar.list_addresses()
             assert site.hubs[lost].record.address not in known
             assert len(known) == 4
 
@@ -118,11 +114,11 @@
         random = Random(seed)
         version = 0
         for vm in random.sample(sorted(site.hubs), count):
-            seeds = tuple(random.sample(list_running(site), 3))
+            seeds = tuple(random.sample(list(site.nodes), 3))
             replace_hub(site, vm, seeds, kind)
             version += 1
             assert site.put(version), f"version {version} was not accepted after {vm} was replaced"
-        running = list_running(site)
+        running = list(site.nodes)
         assert site.voters == set(running)
         assert site.put(version + 1)
         lost = random.choice(running)
--- a/tarragonshelf/hub/tests/test_seats.py
+++ b/tarragonshelf/hub/tests/test_seats.py
@@ -10,10 +10,6 @@
 REMOVAL_SECONDS = 20.0
 
 
-def list_running(site: FakeSite) -> list[str]:
-    return [vm for vm, hub in site.hubs.items() if hub.node is not None]
-
-
 def stop_together(site: FakeSite, vms: tuple[str, ...]) -> float:
     """Ask some hubs to stop at the same time; return for how many seconds nobody led."""
     for vm in vms:
@@ -40,7 +36,7 @@
         site = FakeSite(3, seed=seed)
         assert site.put(1)
         site.remove(sorted(site.hubs)[seed % 3])
-        site.add("new", "z1", tuple(list_running(site)))
+        site.add("new", "z1", tuple(site.nodes))
         site.start("new")
         site.advance(seconds)
         site.remove("new")
@@ -56,8 +52,8 @@
         for vm in [vm for vm in sorted(site.hubs) if vm != site.leader][:2]:
             site.remove(vm)
         site.advance(REMOVAL_SECONDS + RECOVERY_SECONDS)
-        assert site.voters == set(list_running(site))
-        site.remove(list_running(site)[0], is_planned=True)
+        assert site.voters == set(site.nodes)
+        site.remove(next(iter(site.nodes)), is_planned=True)
         site.advance(RECOVERY_SECONDS)
         assert site.put(1)
 
@@ -71,7 +67,7 @@
         leader = site.leader
         other = [vm for vm in sorted(site.hubs) if vm != leader][seed % 4]
         assert stop_together(site, (leader, other)) < 1.0
-        assert site.voters == set(list_running(site))
+        assert site.voters == set(site.nodes)
 
     # A leader that stopped handed over to a hub that was lost just before, although others lived.
     @pytest.mark.parametrize("seed", range(6))
@@ -116,7 +112,7 @@
         site.start(leader)
         site.advance(REMOVAL_SECONDS + RECOVERY_SECONDS)
         members = site.hubs[site.leader].node.replica.membership.members
-        assert {item.vm for item in members} == set(list_running(site))
+        assert {item.vm for item in members} == set(site.nodes)
 
 
 class TestStopWithoutLeader:
@@ -158,4 +154,4 @@
             site.advance(0.1)
             assert removed not in site.voters
         members = site.hubs[site.leader].node.replica.membership.members
-        assert {item.vm for item in members} == set(list_running(site))
+        assert {item.vm for item in members} == set(site.nodes)
