--- a/tarragonshelf/catalogue/__init__.py
+++ b/tarragonshelf/catalogue/__init__.py
@@ -1,5 +1,6 @@
 """The operator's catalogue of routes and services; the highest version is in force."""
 
+from ._accounts import AccountTable, Authentication
 from ._compression import compress_content, decompress_content
 from ._messages import (
     CallerLimits,
@@ -8,6 +9,7 @@
     CatalogueReader,
     CatalogueState,
     CatalogueStored,
+    ClientAccount,
     PutCatalogue,
     ReadCatalogue,
     Route,
@@ -20,6 +22,8 @@
 from ._validation import find_validation_errors
 
 __all__ = [
+    "AccountTable",
+    "Authentication",
     "CallerLimits",
     "Catalogue",
     "CatalogueCopy",
@@ -27,6 +31,7 @@
     "CatalogueRegister",
     "CatalogueState",
     "CatalogueStored",
+    "ClientAccount",
     "PutCatalogue",
     "ReadCatalogue",
     "Route",
--- a/tarragonshelf/catalogue/_messages.py
+++ b/tarragonshelf/catalogue/_messages.py
@@ -20,7 +20,7 @@
 
     ``timeout`` bounds the time until the caller gets an answer, ``objective`` is the latency
     objective, ``maximum_attempts`` the number of targets that a request may be sent to.
-    Priority 0 is the highest.
+    Priority 0 is the highest. Requests of a public route need no key of a client account.
     """
 
     name: str
@@ -32,6 +32,7 @@
     priority: int
     maximum_attempts: int
     services: tuple[WeightedService, ...]
+    is_public: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,14 +56,43 @@
     idle_seconds: float = 15.0
 
 
+@dataclass(frozen=True, slots=True)
+class ClientAccount:
+    """A client account, which callers name by a key.
+
+    Attributes
+    ----------
+    name : str
+        The account.
+    key_digests : tuple of bytes
+        SHA-256 digests of its keys. The keys themselves stay in the operator's document.
+    rate : float
+        Requests per second that all entries together may forward; 0 if there is no limit.
+    burst : float
+        Requests that they may forward on top of these at once.
+    priority : int or None
+        Takes precedence over the priority of a route; 0 is the highest.
+    """
+
+    name: str
+    key_digests: tuple[bytes, ...] = ()
+    rate: float = 0.0
+    burst: float = 0.0
+    priority: int | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class Catalogue:
-    """One version of the routes, services and caller limits."""
+    """One version of the routes, services, caller limits and client accounts.
+
+    ``accounts`` is None if callers need no key.
+    """
 
     version: int
     routes: tuple[Route, ...] = ()
     services: tuple[ServiceSpec, ...] = ()
     limits: CallerLimits = CallerLimits()
+    accounts: tuple[ClientAccount, ...] | None = None
 
 
 class UnreadableCatalogueError(ValueError):
--- a/tarragonshelf/catalogue/_validation.py
+++ b/tarragonshelf/catalogue/_validation.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from math import isfinite
 
-from ._messages import Catalogue, Route
+from ._messages import Catalogue, ClientAccount, Route
 
 
 def find_validation_errors(catalogue: Catalogue) -> tuple[str, ...]:
@@ -18,9 +18,31 @@
             errors.append(f"{place}: host {route.host!r} and prefix {route.prefix!r} stand twice")
     names = Counter(service.name for service in catalogue.services)
     errors += (f"services: {name!r} stands twice" for name, count in names.items() if count > 1)
+    errors += _find_account_errors(catalogue.accounts or ())
     return tuple(errors)
 
 
+def _find_account_errors(accounts: tuple[ClientAccount, ...]) -> list[str]:
+    """Return the errors of all accounts; none of them contains a key or its digest."""
+    errors = []
+    names: set[str] = set()
+    holders: dict[bytes, str] = {}
+    for index, account in enumerate(accounts):
+        place = f"accounts[{index}]"
+        if account.name in names:
+            errors.append(f"{place}: {account.name!r} stands twice")
+        names.add(account.name)
+        others = {holders.setdefault(digest, account.name) for digest in account.key_digests}
+        errors += (
+            f"{place}: {account.name!r} shares a key with {name!r}"
+            for name in sorted(others - {account.name})
+        )
+        for field, value in (("rate", account.rate), ("burst", account.burst)):
+            if not (isfinite(value) and value >= 0):
+                errors.append(f"{place}.{field}: is not a number from 0")
+    return errors
+
+
 def _find_route_errors(route: Route, known_services: set[str]) -> list[str]:
     errors = []
     if not route.host:
--- a/tarragonshelf/edge/_node.py
+++ b/tarragonshelf/edge/_node.py
@@ -13,16 +13,7 @@
     SuspectRequests,
 )
 from ..base import Effect, Message, StateMachine
-from ..catalogue import (
-    Catalogue,
-    CatalogueCopy,
-    CatalogueReader,
-    Route,
-    RouteMatch,
-    RouteTable,
-    UnreadableCatalogueError,
-    decompress_content,
-)
+from ..catalogue import Catalogue, CatalogueCopy, CatalogueReader, Route, RouteMatch
 from ..forwarding import (
     AttemptKind,
     Balancer,
@@ -70,6 +61,7 @@
     RequestedPauses,
     compute_idle_limit,
 )
+from ._catalogue import ActiveCatalogue
 from ._departures import Departures
 from ._evidence import EvidenceProcessor
 from ._hub_selector import HubSelector
@@ -117,8 +109,8 @@
 
     def __init__(self, *, settings: EdgeSettings, reader: CatalogueReader, random: Random):
         self.settings = settings
-        self.reader = reader
         self.random = random
+        self.active = ActiveCatalogue(reader=reader, random=random)
         self.topology = Topology(settings.data_centre, settings.regions)
         self.hubs = HubSelector(topology=self.topology, seeds=settings.hubs, random=random)
         self.targets = TargetRegistry()
@@ -162,11 +154,8 @@
         )
         self.retry_requests = PendingRetryRequests(self.budgets)
         self.permit_requests = PendingPermitRequests(self.limits, random)
-        self.catalogue: Catalogue | None = None
         self.is_stopping = False
         self._has_targets = False
-        self._table: RouteTable | None = None
-        self._maximum_connections: dict[str, int | None] = {}
         self._profiles: dict[str, ServiceProfile] = {}
         self._response_times: dict[str, ResponseTimeModel] = {}
         self._slow_outcomes = SlowAttemptOutcomes()
@@ -182,10 +171,15 @@
         """Whether the entry serves callers."""
         return self.catalogue is not None and self._has_targets and not self.is_stopping
 
+    @property
+    def catalogue(self) -> Catalogue | None:
+        """The catalogue in force."""
+        return self.active.catalogue
+
     @property
     def version(self) -> int:
         """The version of the catalogue in force; 0 is none."""
-        return self.catalogue.version if self.catalogue else 0
+        return self.active.version
 
     def may_lack_version(self, now: float) -> bool:
         """Return whether a newer catalogue may be in force that this entry has not received."""
@@ -193,14 +187,14 @@
 
     def match(self, host: str, path: str) -> RouteMatch | None:
         """Return the route of a request; only call this with a catalogue in force."""
-        return self._table.match(host, path)
+        return self.active.match(host, path)
 
     def get_idle_limit(self, target: TargetEntry) -> int:
         """Return how many idle connections this entry may keep to a target."""
         held = self.targets.get(target.identity)
         if held is not None and not self.targets.is_usable(target):
             return 0
-        maximum_connections = self._maximum_connections.get(target.service)
+        maximum_connections = self.active.get_maximum_connections(target.service)
         return compute_idle_limit(maximum_connections, entries=self.budgets.entries)
 
     def count_leaving(self) -> int:
@@ -308,7 +302,7 @@
 
     def _handle_hub_message(self, now: float, message: Message) -> None:
         if isinstance(message, CatalogueCopy):
-            self._activate_catalogue(message)
+            self._pending_effects += self.active.activate(message)
         elif isinstance(message, TargetNews):
             self._merge_targets(now, message)
         elif isinstance(message, EvidenceNews):
@@ -355,26 +349,6 @@
             )
         )
 
-    def _activate_catalogue(self, copy: CatalogueCopy) -> None:
-        """Put a catalogue in force if its version is higher than the present one.
-
-        One that this build cannot read, though a hub of another build has stored it, is reported,
-        and the present one stays.
-        """
-        if copy.version <= self.version:
-            return
-        try:
-            self.catalogue = self.reader.read(decompress_content(copy.content))
-        except UnreadableCatalogueError as error:
-            fields = {"version": copy.version, "problem": str(error)}
-            self._pending_effects.append(EmitEvent("catalogue_unreadable", fields))
-            return
-        self._table = RouteTable(self.catalogue, self.random)
-        self._maximum_connections = {
-            spec.name: spec.maximum_connections for spec in self.catalogue.services
-        }
-        self._pending_effects.append(EmitEvent("catalogue_in_force", {"version": copy.version}))
-
     def _merge_targets(self, now: float, news: TargetNews) -> None:
         for announced in news.targets:
             entry = self._apply_departure(announced)
--- a/tarragonshelf/forwarding/_messages.py
+++ b/tarragonshelf/forwarding/_messages.py
@@ -22,7 +22,8 @@
 
     ``deadline`` is the earlier of the caller's deadline and the route's time-out. ``digest``
     identifies the request by its content; 0 if there is none. ``is_relayed`` is whether another
-    entry received the request; it is not relayed again.
+    entry received the request; it is not relayed again. ``account`` is the name of the caller's
+    client account, or empty.
     """
 
     identity: str
@@ -33,6 +34,7 @@
     digest: int = 0
     size: int = 0
     is_relayed: bool = False
+    account: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tarragonshelf/platform/_documents.py
+++ b/tarragonshelf/platform/_documents.py
@@ -1,5 +1,6 @@
-"""Reads the operator's document, in which routes and services are tables of columns and rows."""
+"""Reads the operator's document, whose routes, services and tenants are columns and rows."""
 
+from collections.abc import Callable
 from typing import Any
 
 import orjson
@@ -8,6 +9,7 @@
     CallerLimits,
     Catalogue,
     CatalogueReader,
+    ClientAccount,
     Route,
     ServiceSpec,
     UnreadableCatalogueError,
@@ -15,8 +17,11 @@
 )
 from ._values import (
     MalformedError,
+    compute_key_digest,
+    read_flag,
     read_integer,
     read_list,
+    read_name,
     read_number,
     read_seconds,
     read_table,
@@ -24,8 +29,8 @@
     read_version,
 )
 
-REPEATABLE_KIND = "safe"
-KINDS = frozenset({REPEATABLE_KIND, "unsafe"})
+REPEATABLE_KINDS = frozenset({"safe", "download"})
+KINDS = REPEATABLE_KINDS | {"unsafe"}
 LOWEST_PRIORITY = 9
 
 
@@ -45,6 +50,7 @@
                     _read_service(row, f"services[{i}]") for i, row in enumerate(services)
                 ),
                 limits=_read_limits(read_table(document.get("limits"), "limits")),
+                accounts=_read_accounts(document.get("tenants")),
             )
         except (orjson.JSONDecodeError, MalformedError) as error:
             raise UnreadableCatalogueError(str(error)) from error
@@ -84,12 +90,13 @@
         name=read_text(row.get("name"), f"{field_path}.name"),
         host=read_text(row.get("host"), f"{field_path}.host"),
         prefix=read_text(row.get("path_prefix"), f"{field_path}.path_prefix"),
-        is_repeatable=kind == REPEATABLE_KIND,
+        is_repeatable=kind in REPEATABLE_KINDS,
         timeout=timeout,
         objective=objective,
         priority=read_integer(row.get("priority", LOWEST_PRIORITY), f"{field_path}.priority"),
         maximum_attempts=read_integer(row.get("max_attempts", 1), f"{field_path}.max_attempts"),
         services=_read_traffic_split(row, field_path),
+        is_public=read_flag(row.get("public", False), f"{field_path}.public"),
     )
 
 
@@ -121,3 +128,44 @@
         header_seconds=read_seconds(table.get("header_timeout"), "limits.header_timeout"),
         idle_seconds=read_seconds(table.get("idle_timeout"), "limits.idle_timeout"),
     )
+
+
+def _read_accounts(table: Any) -> tuple[ClientAccount, ...] | None:
+    """Return the client accounts, or None if the document contains no tenants."""
+    if table is None:
+        return None
+    rows = _read_rows(table, "tenants")
+    return tuple(_read_account(row, f"tenants[{i}]") for i, row in enumerate(rows))
+
+
+def _read_account(row: dict[str, Any], field_path: str) -> ClientAccount:
+    """Return the account of a row. Errors contain no values, as any of them may be a key."""
+
+    def read(name: str, default: Any, read_value: Callable[[Any, str], Any]) -> Any:
+        try:
+            return read_value(row.get(name, default), f"{field_path}.{name}")
+        except MalformedError:
+            raise MalformedError(f"{field_path}.{name}: cannot be read") from None
+
+    return ClientAccount(
+        name=read("name", None, _read_account_name),
+        key_digests=read("api_keys", [], _read_key_digests),
+        rate=read("rate_per_s", 0, read_number),
+        burst=read("burst", 0, read_number),
+        priority=None if "priority" not in row else read("priority", None, read_integer),
+    )
+
+
+def _read_account_name(value: Any, field_path: str) -> str:
+    """Return the name of an account, which is written to a header."""
+    name = read_name(value, field_path)
+    if not name or name != name.strip():
+        raise MalformedError(f"{field_path}: is empty or begins or ends with a space")
+    return name
+
+
+def _read_key_digests(value: Any, field_path: str) -> tuple[bytes, ...]:
+    keys = [read_text(key, field_path) for key in read_list(value, field_path)]
+    if not all(keys):
+        raise MalformedError(f"{field_path}: a key is empty")
+    return tuple(compute_key_digest(key.encode()) for key in keys)
--- a/tarragonshelf/platform/_entry_http.py
+++ b/tarragonshelf/platform/_entry_http.py
@@ -6,11 +6,22 @@
 from ..registry import TargetEntry
 from ..site import CallerFields, DiscoveryHandler, EdgeQueries, HttpDialect, RawHeaders
 from ..throttling import LimitStatement, PauseStatement
-from ._values import MalformedError, format_seconds, read_decimal, read_delay
+from ._values import (
+    MalformedError,
+    compute_key_digest,
+    format_seconds,
+    read_decimal,
+    read_delay,
+)
 
 REQUEST_ID_HEADER = b"request-id"
 DEADLINE_HEADER = b"deadline-ms"
 EXPECTED_TARGET_HEADER = b"Expect-Instance"
+# Holds the key of a caller's tenant: the scheme, a space and the key.
+AUTHORIZATION_HEADER = b"authorization"
+KEY_SCHEME = b"token"
+TENANT_HEADER = b"Tenant"
+CREDENTIAL_HEADERS = frozenset({AUTHORIZATION_HEADER, TENANT_HEADER.lower()})
 # Set by a target on each response that it created itself, as proof of origin.
 STAMP_HEADER = b"response-stamp"
 NOT_EXECUTED_HEADER = b"not-executed"
@@ -48,12 +59,20 @@
     """Reads and writes the platform's headers."""
 
     def read_caller_fields(self, headers: RawHeaders) -> CallerFields:
-        """Return the request id and the remaining time from the headers of a caller's request."""
+        """Return the fields that a caller set in the headers of its request."""
         remaining_seconds = None
         text = _get_header(headers, DEADLINE_HEADER)
         if text.isdigit():
             remaining_seconds = float(text) / 1000
-        return CallerFields(_get_header(headers, REQUEST_ID_HEADER), remaining_seconds)
+        request_id = _get_header(headers, REQUEST_ID_HEADER)
+        return CallerFields(request_id, remaining_seconds, _read_key_digest(headers))
+
+    def replace_credentials(self, headers: RawHeaders, account: str) -> RawHeaders:
+        """Return headers without the caller's credentials, and with the name of its account."""
+        kept = [(name, value) for name, value in headers if name.lower() not in CREDENTIAL_HEADERS]
+        if account:
+            kept.append((TENANT_HEADER, account.encode()))
+        return tuple(kept)
 
     def write_headers(
         self, headers: RawHeaders, target: TargetEntry, remaining_seconds: float, size: int | None
@@ -200,6 +219,16 @@
     return b""
 
 
+def _read_key_digest(headers: RawHeaders) -> bytes:
+    """Return the digest of the key in a request, or empty bytes if it does not name one key."""
+    values = [value for name, value in headers if name.lower() == AUTHORIZATION_HEADER]
+    if len(values) != 1:
+        return b""
+    scheme, _, key = values[0].strip().partition(b" ")
+    key = key.strip()
+    return compute_key_digest(key) if scheme.lower() == KEY_SCHEME and key else b""
+
+
 def _read_connection_options(headers: RawHeaders) -> frozenset[bytes]:
     """Return the header names that the Connection header declares as hop-by-hop."""
     options = _get_header(headers, b"connection").lower().split(b",")
--- a/tarragonshelf/platform/_values.py
+++ b/tarragonshelf/platform/_values.py
@@ -1,6 +1,7 @@
 """Parses values in the platform's formats."""
 
 import re
+from hashlib import sha256
 from ipaddress import AddressValueError, IPv4Address
 from math import inf, isfinite
 from reprlib import repr as _describe
@@ -70,6 +71,13 @@
     return value
 
 
+def read_flag(value: Any, field_path: str) -> bool:
+    """Return a truth value."""
+    if not isinstance(value, bool):
+        raise MalformedError(f"{field_path}: {_describe(value)} is not true or false")
+    return value
+
+
 def read_number(value: Any, field_path: str) -> float:
     """Return a number."""
     if not isinstance(value, int | float) or isinstance(value, bool):
@@ -92,6 +100,11 @@
     return min(float(text), MAXIMUM_DELAY_SECONDS)
 
 
+def compute_key_digest(key: bytes) -> bytes:
+    """Return the digest by which a key of a tenant is stored and compared."""
+    return sha256(key).digest()
+
+
 def read_table(value: Any, field_path: str) -> dict:
     """Return a table."""
     if not isinstance(value, dict):
--- a/tarragonshelf/site/_caller_server.py
+++ b/tarragonshelf/site/_caller_server.py
@@ -18,7 +18,7 @@
 from ..telemetry import Metrics
 from ..utils import compute_short_digest
 from ._forwarder import Forwarder
-from ._interfaces import CallerFields, HttpDialect, RequestContent
+from ._interfaces import CallerFields, HttpDialect, RawHeaders, RequestContent
 
 # Used for a caller that states no deadline, so that the route's time-out applies.
 NO_DEADLINE = float("inf")
@@ -167,9 +167,20 @@
         fields = self.dialect.read_caller_fields(request.raw_headers)
         matched = node.match(request.headers.get("Host", ""), request.raw_path)
         if matched is None:
-            return self._reject_unrouted(arrived_at, request.raw_path, fields.request_id)
-        content = _create_content(request, body, fields.request_id)
-        forward_request = _create_forward_request(arrived_at, matched, fields, content)
+            return self._reject_unknown(
+                arrived_at, 404, "no-route", request.raw_path, fields.request_id
+            )
+        authentication = node.active.authenticate(matched.route, fields.key_digest)
+        if not authentication.is_accepted:
+            return self._reject_unknown(
+                arrived_at, 401, "unknown-key", request.raw_path, fields.request_id
+            )
+        account = authentication.account.name if authentication.account else ""
+        headers = request.raw_headers
+        if node.active.needs_keys:
+            headers = self.dialect.replace_credentials(headers, account)
+        content = _create_content(request, headers, body, fields.request_id)
+        forward_request = _create_forward_request(arrived_at, matched, fields, content, account)
         node.record_request(arrived_at, matched.service)
         if self._is_refusing and has_waited:
             retry_after = node.compute_retry_after(arrived_at, matched.service)
@@ -183,6 +194,7 @@
     ) -> web.Response:
         seconds = asyncio.get_running_loop().time() - forward_request.arrived_at
         route = ("route", forward_request.route.name)
+        account = {"account": forward_request.account} if forward_request.account else {}
         self.metrics.observe("request_seconds", seconds, ("service", forward_request.service))
         if isinstance(result, Refuse):
             self.metrics.count("requests_total", route, ("outcome", str(result.reason)))
@@ -198,6 +210,7 @@
                 candidates=self._describe_candidates(forward_request.service),
                 waited_for=self._describe_unanswered(result.waited_for),
                 seconds=round(seconds, 4),
+                **account,
             )
             return self.dialect.create_refusal(result, request_id)
         response = result.answer
@@ -210,6 +223,7 @@
             status=response.status,
             version=self.node.version,
             seconds=round(seconds, 4),
+            **account,
         )
         headers = CIMultiDict(
             (name.decode("latin-1"), value.decode("latin-1"))
@@ -244,8 +258,13 @@
             for item in unanswered
         ]
 
-    def _reject_unrouted(self, now: float, path: str, request_id: bytes) -> web.Response:
-        """Reject a request without a route, or refuse it if a newer catalogue may have one."""
+    def _reject_unknown(
+        self, now: float, status: int, reason: str, path: str, request_id: bytes
+    ) -> web.Response:
+        """Reject a request whose route or key is unknown.
+
+        It is refused instead if a newer catalogue may contain the route or the key.
+        """
         fields = {
             "request": request_id.decode("latin-1"),
             "version": self.node.version,
@@ -253,7 +272,7 @@
             **self.node.hubs.describe(now),
         }
         if not self.node.may_lack_version(now):
-            return self._reject(404, "no-route", **fields)
+            return self._reject(status, reason, **fields)
         reason = RefusalReason.OUTDATED
         self._record_rejection(503, reason, **fields)
         refuse = Refuse(reason, has_run=False, retry_after=OUTDATED_RETRY_AFTER_SECONDS)
@@ -283,13 +302,15 @@
     return sum(len(name) + len(value) + 4 for name, value in request.raw_headers)
 
 
-def _create_content(request: web.BaseRequest, body: bytes, request_id: bytes) -> RequestContent:
+def _create_content(
+    request: web.BaseRequest, headers: RawHeaders, body: bytes, request_id: bytes
+) -> RequestContent:
     return RequestContent(
         method=request.method.encode(),
         # aiohttp decodes bytes that are not UTF-8 as surrogates; this restores the original bytes.
         path=request.raw_path.encode("utf-8", "surrogateescape"),
         host=request.headers.get("Host", ""),
-        headers=request.raw_headers,
+        headers=headers,
         body=body,
         request_id=request_id,
         has_body=bool(body) or request.method in METHODS_WITH_BODY,
@@ -297,7 +318,11 @@
 
 
 def _create_forward_request(
-    arrived_at: float, matched: RouteMatch, fields: CallerFields, content: RequestContent
+    arrived_at: float,
+    matched: RouteMatch,
+    fields: CallerFields,
+    content: RequestContent,
+    account: str,
 ) -> ForwardRequest:
     remaining_seconds = (
         NO_DEADLINE
@@ -312,6 +337,7 @@
         deadline=arrived_at + min(remaining_seconds, matched.route.timeout),
         digest=compute_short_digest(content.method, content.path, content.body),
         size=len(content.body),
+        account=account,
     )
 
 
--- a/tarragonshelf/site/_interfaces.py
+++ b/tarragonshelf/site/_interfaces.py
@@ -19,11 +19,13 @@
     """Fields that a caller sets in the headers of its request.
 
     ``request_id`` is empty if the request has none. ``remaining_seconds`` is the time until the
-    caller's deadline, or None if the request states no deadline.
+    caller's deadline, or None if the request states no deadline. ``key_digest`` is the digest of
+    the key of its client account, or empty if the request has no key.
     """
 
     request_id: bytes
     remaining_seconds: float | None
+    key_digest: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,7 +46,14 @@
 
     @abstractmethod
     def read_caller_fields(self, headers: RawHeaders) -> CallerFields:
-        """Return the request id and the remaining time from the headers of a caller's request."""
+        """Return the fields that a caller set in the headers of its request."""
+
+    @abstractmethod
+    def replace_credentials(self, headers: RawHeaders, account: str) -> RawHeaders:
+        """Return headers without the caller's credentials, and with the name of its account.
+
+        ``account`` is empty for a request that belongs to no account.
+        """
 
     @abstractmethod
     def write_headers(
