Tests of accounts, keys and the new kinds of routes

Ruled out: tests over real processes; each check shows at the reader or at the caller server. Change: documents with tenants, each odd value of them, keys of callers, and what targets get.

--- a/tarragonshelf/platform/tests/test_odd_values.py
+++ b/tarragonshelf/platform/tests/test_odd_values.py
@@ -292,6 +292,7 @@
                 "services.rows",
                 "limits.max_header_bytes",
                 "limits.idle_timeout",
+                "tenants",
             ]
         )
     )
--- a/tarragonshelf/platform/tests/test_platform.py
+++ b/tarragonshelf/platform/tests/test_platform.py
@@ -125,6 +125,112 @@
             DocumentReader().read(encode(DOCUMENT)[:-20])
 
 
+TENANTS = {
+    "columns": ["priority", "api_keys", "burst", "name", "rate_per_s"],
+    "rows": [
+        [1, ["key-one", "key-two"], 30, "first", 20.5],
+        [None, ["key-three"], None, "second", None],
+        [None, None, 0, "third", 0],
+    ],
+}
+
+
+def create_tenants_document(row: int, column: str, value) -> dict:
+    """Return a document with tenants, one value of which is changed."""
+    tenants = change(TENANTS, "name", None)
+    del tenants["name"]
+    tenants["rows"][row][TENANTS["columns"].index(column)] = value
+    return {**DOCUMENT, "tenants": tenants}
+
+
+class TestTenants:
+    """Documents with tenants, and the headers of callers with keys."""
+
+    def test_columns_in_any_order_and_null_as_omitted(self):
+        document = {**DOCUMENT, "tenants": TENANTS}
+        accounts = DocumentReader().read(encode(document)).accounts
+        described = [(item.name, item.rate, item.burst, item.priority) for item in accounts]
+        assert described == [("first", 20.5, 30, 1), ("second", 0, 0, None), ("third", 0, 0, None)]
+        assert [len(item.key_digests) for item in accounts] == [2, 1, 0]
+
+    def test_document_without_tenants_needs_no_keys(self):
+        assert DocumentReader().read(encode(DOCUMENT)).accounts is None
+
+    def test_kinds_and_public_routes(self):
+        routes = {
+            "columns": [*ROUTES["columns"], "public"],
+            "rows": [
+                [*ROUTES["rows"][0][:3], "download", *ROUTES["rows"][0][4:], True],
+                [*ROUTES["rows"][1], None],
+            ],
+        }
+        first, second = DocumentReader().read(encode({**DOCUMENT, "routes": routes})).routes
+        assert (first.is_repeatable, first.is_public, second.is_public) == (True, True, False)
+
+    # Guards against a document in force although a part of it was not understood, and against a
+    # key in the error that operators and logs see.
+    @pytest.mark.parametrize(
+        ("column", "value"),
+        [
+            ("name", None),
+            ("name", ""),
+            ("name", " first"),
+            ("name", ["secret"]),
+            ("api_keys", "secret"),
+            ("api_keys", ["secret", 7]),
+            ("api_keys", ["secret", ""]),
+            ("rate_per_s", "secret"),
+            ("rate_per_s", -1),
+            ("burst", -0.5),
+            ("burst", ["secret"]),
+            ("priority", -1),
+            ("priority", 1.5),
+            ("priority", "secret"),
+        ],
+    )
+    def test_odd_value_is_refused_with_its_place_and_without_keys(self, column, value):
+        document = create_tenants_document(0, column, value)
+        try:
+            errors = find_validation_errors(DocumentReader().read(encode(document)))
+            text = "\n".join(errors)
+            assert text.startswith("accounts[0].")
+        except UnreadableCatalogueError as error:
+            text = str(error)
+            assert text.startswith(f"tenants[0].{column}: ")
+        assert "secret" not in text and "key-" not in text
+
+    @pytest.mark.parametrize(("column", "value"), [("api_keys", ["key-two"]), ("name", "first")])
+    def test_shared_key_or_name_is_refused(self, column, value):
+        document = create_tenants_document(1, column, value)
+        (error,) = find_validation_errors(DocumentReader().read(encode(document)))
+        assert error.startswith("accounts[1]: ") and "key-" not in error
+
+    @pytest.mark.parametrize(
+        ("values", "is_key"),
+        [
+            ([b"Token key-one"], True),
+            ([b"token  key-one "], True),
+            ([b"Bearer key-one"], False),
+            ([b"Token"], False),
+            ([b"Token "], False),
+            ([b"Token key-one", b"Token key-one"], False),
+            ([], False),
+        ],
+    )
+    def test_key_of_a_caller(self, values, is_key):
+        headers = tuple((b"Authorization", value) for value in values)
+        digest = PlatformDialect().read_caller_fields(headers).key_digest
+        accounts = DocumentReader().read(encode({**DOCUMENT, "tenants": TENANTS})).accounts
+        assert (digest in accounts[0].key_digests) == is_key
+
+    @pytest.mark.parametrize("account", ["first", ""])
+    def test_target_gets_the_name_in_place_of_the_key(self, account):
+        headers = ((b"authorization", b"Token k"), (b"TENANT", b"forged"), (b"X-Own", b"1"))
+        written = PlatformDialect().replace_credentials(headers, account)
+        names = ((b"Tenant", b"first"),) if account else ()
+        assert written == ((b"X-Own", b"1"), *names)
+
+
 class TestAnnouncements:
     def test_announcement_is_read(self):
         entry = read_announcement("i-1", encode(HEARTBEAT))
--- a/tarragonshelf/site/tests/test_caller_server.py
+++ b/tarragonshelf/site/tests/test_caller_server.py
@@ -2,13 +2,15 @@
 
 import asyncio
 import socket
+from dataclasses import replace
+from hashlib import sha256
 from random import Random
 
 import h11
 import pytest
 from aiohttp import web_protocol
 
-from ...catalogue import CatalogueCopy, compress_content
+from ...catalogue import Catalogue, CatalogueCopy, ClientAccount, compress_content
 from ...edge import EdgeNode, EdgeSettings, HubReceived
 from ...forwarding import (
     PermitDecided,
@@ -40,7 +42,9 @@
         work_seconds: float = 0.0,
         target_headers: bytes = b"",
         target_status: bytes = b"200 OK",
+        reader: FakeReader | None = None,
     ):
+        self.reader = reader or FakeReader()
         self.work_seconds = work_seconds
         self.target_headers = target_headers
         self.target_status = target_status
@@ -61,7 +65,7 @@
             budget=RetryBudgetSettings(ratio=0.2, slack=50.0, window=10.0),
             address_lifetime_seconds=1.5,
         )
-        self.node = EdgeNode(settings=settings, reader=FakeReader(), random=Random(1))
+        self.node = EdgeNode(settings=settings, reader=self.reader, random=Random(1))
         address = f"{host}:{port}"
         target = TargetEntry("i-1", 1, 1, TargetState.READY, address, "s", "z", 3)
         for message in (CatalogueCopy(3, compress_content(b"3")), TargetNews((target,))):
@@ -274,6 +278,84 @@
         assert run(test()) == (504, True, False)
 
 
+class AccountReader(FakeReader):
+    """Reads catalogues in which one account holds a key up to version 3; then it moves."""
+
+    def __init__(self, *, is_public: bool = False):
+        self.is_public = is_public
+
+    def read(self, content: bytes) -> Catalogue:
+        catalogue = super().read(content)
+        digests = (sha256(b"k").digest(),)
+        holder, other = ("first", "second") if catalogue.version <= 3 else ("second", "first")
+        accounts = (ClientAccount(holder, digests), ClientAccount(other))
+        route = replace(catalogue.routes[0], is_public=self.is_public)
+        return replace(catalogue, routes=(route,), accounts=accounts)
+
+
+class TestKeys:
+    """Requests at an entry whose catalogue has client accounts."""
+
+    def request(self, *headers: str, is_public=False, is_outdated=False):
+        """Return status and headers of the response, and what the target received."""
+
+        async def test():
+            async with Fixture(reader=AccountReader(is_public=is_public)) as fixture:
+                if is_outdated:
+                    fixture.node.tick(asyncio.get_running_loop().time() - 10.0)
+                reader, writer = await fixture.connect()
+                writer.write(create_request("q1", headers=headers))
+                status, _, response_headers = await read_response(reader)
+                return status, response_headers, b"".join(fixture.received)
+
+        return run(test())
+
+    # Guards against a key, or a forged name, that reaches a target.
+    def test_target_gets_the_account_and_not_the_key(self):
+        status, _, received = self.request("Authorization: Token k", "Tenant: forged")
+        assert status == 200
+        assert b"Tenant: first\r\n" in received
+        assert b"forged" not in received and b"uthorization" not in received
+
+    @pytest.mark.parametrize("headers", [(), ("Authorization: Token other",)])
+    def test_unknown_key_gets_401_and_reaches_no_target(self, headers):
+        status, _, received = self.request(*headers)
+        assert (status, received) == (401, b"")
+
+    # An entry that may lack a version must not deny a key which that version contains.
+    def test_unknown_key_is_refused_while_a_version_may_be_missing(self):
+        status, headers, received = self.request("Authorization: Token x", is_outdated=True)
+        assert (status, received) == (503, b"")
+        assert float(headers[b"retry-after"]) > 0
+
+    @pytest.mark.parametrize(
+        ("headers", "name"),
+        [((), b""), (("Authorization: Token x",), b""), (("Authorization: Token k",), b"first")],
+    )
+    def test_public_route_needs_no_key(self, headers, name):
+        status, _, received = self.request(*headers, "Tenant: forged", is_public=True)
+        assert status == 200
+        assert (b"Tenant: " + name in received) == bool(name)
+        assert b"forged" not in received and b"uthorization" not in received
+
+    # Guards against a key that goes on to work on an open connection after it was moved.
+    def test_key_that_moves_counts_for_the_next_request_of_a_connection(self):
+        async def test():
+            async with Fixture(reader=AccountReader()) as fixture:
+                reader, writer = await fixture.connect()
+                headers = ("Authorization: Token k",)
+                writer.write(create_request("q1", headers=headers))
+                await read_response(reader)
+                copy = CatalogueCopy(4, compress_content(b"4"))
+                fixture.node.handle(0.0, HubReceived("", copy))
+                writer.write(create_request("q2", headers=headers))
+                await read_response(reader)
+                return fixture.received
+
+        first, second = run(test())
+        assert b"Tenant: first" in first and b"Tenant: second" in second
+
+
 class TestStops:
     def test_requests_in_flight_finish_and_idle_connections_close(self):
         async def test():
