Entries ask admission before the first attempt

Cause: the decision of the package admission needs the ranks of the catalogue in force, the known load, and what targets answer. Change: EntryAdmission measures the load of usable, trusted, unpaused targets. RequestMachine asks before the first attempt, and turns a refusal as all targets are full into one for overload if nothing ran. request_refused has rank, cause, load and load_age; metric admission_refusals by service and rank. Off where there are no client accounts and no two ranks at one service. Log line and metric were looked at once over real sockets; no test of theirs is added.

--- a/tarragonshelf/edge/_node.py
+++ b/tarragonshelf/edge/_node.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 from random import Random
 
+from ..admission import Overload
 from ..avoidance import (
     POSITIVE_EVIDENCE,
     EvidenceItem,
@@ -61,6 +62,7 @@
     RequestedPauses,
     compute_idle_limit,
 )
+from ._admission import EntryAdmission
 from ._catalogue import ActiveCatalogue
 from ._departures import Departures
 from ._evidence import EvidenceProcessor
@@ -128,6 +130,7 @@
             floor_share=settings.floor_share,
             pauses=self.pauses,
         )
+        self.admission = EntryAdmission(self.active, self.balancer, random)
         self.evidence = EvidenceProcessor(
             vm=settings.vm,
             targets=self.targets,
@@ -327,6 +330,7 @@
         elif isinstance(message, LoadNews):
             counts = {item.target: item.count for item in message.items}
             self.balancer.update_peer_load(counts, is_whole=message.is_whole)
+            self.admission.load_received_at = now
 
     def _find_relays_without_hub(self, now: float) -> None:
         """Use the entries that a hub has named for callers as relays if no hub names any.
@@ -413,6 +417,13 @@
             return relay or RefusalReason.NO_PATH
         return self.balancer.choose(now, request, self._get_profile(request.service), tried)
 
+    def find_overload(
+        self, now: float, request: ForwardRequest, *, is_full: bool = False
+    ) -> Overload | None:
+        """Return the refusal of a request whose service is short of room, or None."""
+        profile = self._get_profile(request.service)
+        return self.admission.find_overload(now, request, profile, is_full=is_full)
+
     def spend_retry(self, now: float, service: str) -> bool | None:
         """Spend one retry of the entry's own budget, or return None if the hub has to decide."""
         if self.hubs.has_current_hub(now):
@@ -506,6 +517,7 @@
         if is_untried and self.path.is_open:
             self.evidence.report(now, EvidenceItem(name, EvidenceKind.TRIAL))
         self.balancer.acquire(name)
+        self.admission.record_start(now, request.service)
 
     def record_attempt_end(self, now: float, target: TargetEntry) -> None:
         """Record that an attempt no longer occupies its target."""
@@ -558,6 +570,8 @@
         if kind == EvidenceKind.BROKEN and self.balancer.is_overloaded(target):
             # Targets reset connections while their queue is long, so load explains the reset.
             kind = EvidenceKind.FULL
+        if kind == EvidenceKind.FULL:
+            self.admission.record_refusal(now, request.service)
         digest = request.digest if kind == EvidenceKind.BROKEN else 0
         item = EvidenceItem(target.identity, kind, digest)
         if kind in AMBIGUOUS_EVIDENCE:
@@ -634,6 +648,7 @@
         """Record the response time and the number of transferred bytes of an attempt."""
         self._get_profile(request.service).record(seconds, size)
         self._get_response_times(request.route).record(seconds)
+        self.admission.record_success(request, seconds)
 
     def describe_target(self, now: float, target: TargetEntry) -> dict:
         """Return the entry's view of a target as fields of a log event."""
--- a/tarragonshelf/forwarding/__init__.py
+++ b/tarragonshelf/forwarding/__init__.py
@@ -1,6 +1,6 @@
 """Forwarding of one request: target selection, attempts, retries and the response."""
 
-from ._balancer import Balancer, Topology
+from ._balancer import MAXIMUM_QUEUE_PER_SLOT, WARMING_SLOT_FACTOR, Balancer, Topology
 from ._budget import RetryBudgets, RetryBudgetSettings
 from ._messages import (
     Attempt,
@@ -33,6 +33,8 @@
 from ._request import RequestMachine
 
 __all__ = [
+    "MAXIMUM_QUEUE_PER_SLOT",
+    "WARMING_SLOT_FACTOR",
     "ResponseTimeModel",
     "RequestRetryGrant",
     "Attempt",
--- a/tarragonshelf/forwarding/_messages.py
+++ b/tarragonshelf/forwarding/_messages.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from ..admission import Overload
 from ..avoidance import EvidenceKind
 from ..base import Effect, Message
 from ..catalogue import Route
@@ -108,6 +109,7 @@
 
     NO_TARGET = "no-target"
     ALL_FULL = "all-full"
+    OVERLOAD = "overload"
     NO_BUDGET = "no-budget"
     NO_ATTEMPT_LEFT = "no-attempt-left"
     HELD_BACK = "held-back"
@@ -258,6 +260,7 @@
 
     ``has_run`` is False only with proof that no target ran the request or will run it;
     ``retry_after`` is in seconds. ``waited_for`` lists the attempts without a response.
+    ``overload`` tells how a refusal for ``OVERLOAD`` was decided.
     """
 
     reason: RefusalReason
@@ -265,6 +268,7 @@
     retry_after: float = 0.0
     waited_for: tuple[UnansweredAttempt, ...] = ()
     usage: AttemptUsage = AttemptUsage()
+    overload: Overload | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -313,6 +317,15 @@
         ``tried`` are targets, and addresses of relays, that must not be chosen.
         """
 
+    @abstractmethod
+    def find_overload(
+        self, now: float, request: ForwardRequest, *, is_full: bool = False
+    ) -> Overload | None:
+        """Return the refusal of a request whose service is short of room, or None.
+
+        ``is_full`` is whether no target could start it in time.
+        """
+
     @abstractmethod
     def spend_retry(self, now: float, service: str) -> bool | None:
         """Take one retry from the budget of a service and return whether there was one.
--- a/tarragonshelf/forwarding/_request.py
+++ b/tarragonshelf/forwarding/_request.py
@@ -1,5 +1,6 @@
 """State machine of one request: attempts, retries, hedging and the final response."""
 
+from ..admission import Overload
 from ..avoidance import EvidenceKind
 from ..base import Effect, Message, StateMachine
 from ..registry import TargetEntry
@@ -149,6 +150,9 @@
     def _start(self, now: float) -> list[Effect]:
         if self.context.is_quarantined(now, self.request.digest):
             return self._refuse(now, RefusalReason.HELD_BACK)
+        overload = self.context.find_overload(now, self.request)
+        if overload is not None:
+            return self._refuse(now, RefusalReason.OVERLOAD, overload=overload)
         return self._try_next(now)
 
     def _try_next(self, now: float, *, is_granted: bool = False) -> list[Effect]:
@@ -455,9 +459,18 @@
         return [*self._cancel_open(now), RespondWith(answer, target, self._usage)]
 
     def _refuse(
-        self, now: float, reason: RefusalReason, *, retry_after: float | None = None
+        self,
+        now: float,
+        reason: RefusalReason,
+        *,
+        retry_after: float | None = None,
+        overload: Overload | None = None,
     ) -> list[Effect]:
         self.is_done = True
+        if reason == RefusalReason.ALL_FULL and retry_after is None and not self._may_have_run:
+            overload = self.context.find_overload(now, self.request, is_full=True)
+        if overload is not None:
+            reason, retry_after = RefusalReason.OVERLOAD, overload.retry_after
         if retry_after is None:
             retry_after = self.context.compute_retry_after(now, self.request.service)
         waited_for = tuple(
@@ -466,7 +479,7 @@
             if isinstance(item, OpenAttempt)
         )
         effects = self._cancel_open(now)
-        refuse = Refuse(reason, self._may_have_run, retry_after, waited_for, self._usage)
+        refuse = Refuse(reason, self._may_have_run, retry_after, waited_for, self._usage, overload)
         return [*effects, refuse]
 
     @property
--- a/tarragonshelf/forwarding/tests/fakes.py
+++ b/tarragonshelf/forwarding/tests/fakes.py
@@ -2,6 +2,7 @@
 
 from random import Random
 
+from ...admission import Overload
 from ...avoidance import EvidenceKind, GrayFailureDetector
 from ...catalogue import Route, WeightedService
 from ...forwarding import (
@@ -58,6 +59,9 @@
         self.pauses: list[tuple[str, float]] = []
         self.paused: set[str] = set()
         self.avoidance = GrayFailureDetector()
+        # Refusals by admission: before the first attempt, and if all targets are full.
+        self.overload: Overload | None = None
+        self.full_overload: Overload | None = None
 
     def choose_target(self, now, request, tried):
         if self.relays and not request.is_relayed:
@@ -72,6 +76,9 @@
         limited = tuple(item for item in remaining if item.identity in self.limited)
         return PermitNeeded("s", limited, float(len(limited)), len(limited) < len(remaining))
 
+    def find_overload(self, now, request, *, is_full=False):
+        return self.full_overload if is_full else self.overload
+
     def spend_retry(self, now, service):
         self.retries -= 1
         return self.retries >= 0
--- a/tarragonshelf/queries/_explain.py
+++ b/tarragonshelf/queries/_explain.py
@@ -25,6 +25,8 @@
     "may have run and was not sent again",
     "no-target": "no target of service {service} was known, or all known ones had been tried",
     "all-full": "every target of service {service} held more than it could finish in time",
+    "overload": "service {service} was short of room, which was left to more urgent requests or "
+    "to accounts below their fair share, or no target could have started it in time",
     "no-budget": "targets refused it or failed, and the budget for repeats was used up",
     "no-attempt-left": "it had failed at as many targets as its route allows",
     "held-back": "attempts of this or an identical request had broken the connections of several "
--- a/tarragonshelf/site/_caller_server.py
+++ b/tarragonshelf/site/_caller_server.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
+from ..admission import Overload
 from ..catalogue import CallerLimits, RouteMatch
 from ..edge import EdgeNode
 from ..forwarding import (
@@ -198,6 +199,7 @@
         self.metrics.observe("request_seconds", seconds, ("service", forward_request.service))
         if isinstance(result, Refuse):
             self.metrics.count("requests_total", route, ("outcome", str(result.reason)))
+            overload = self._describe_overload(forward_request.service, result.overload)
             self.report(
                 "request_refused",
                 request=forward_request.identity,
@@ -211,6 +213,7 @@
                 waited_for=self._describe_unanswered(result.waited_for),
                 seconds=round(seconds, 4),
                 **account,
+                **overload,
             )
             return self.dialect.create_refusal(result, request_id)
         response = result.answer
@@ -231,6 +234,19 @@
         )
         return web.Response(status=response.status, headers=headers, body=response.body)
 
+    def _describe_overload(self, service: str, overload: Overload | None) -> dict:
+        """Count a refusal by admission and return its fields of the log event."""
+        if overload is None:
+            return {}
+        labels = ("service", service), ("rank", str(overload.rank))
+        self.metrics.count("admission_refusals", *labels)
+        return {
+            "rank": overload.rank,
+            "cause": overload.cause,
+            "load": round(overload.level, 3),
+            "load_age": round(overload.age, 3),
+        }
+
     def _describe_candidates(self, service: str) -> str:
         """Return the standing, outstanding requests and slots of each usable target."""
         now = asyncio.get_running_loop().time()
