Admission leaves room free only for ranks that send requests

Ruled out: a lower reserve for all; in simulated bursts the urgent kind then lost. Change: the reserve shrinks in proportion while less than a quarter of the recent requests of the service is more urgent; it is whole while that is not known.

--- a/tarragonshelf/admission/_controller.py
+++ b/tarragonshelf/admission/_controller.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping
 from random import Random
 
-from ._demand import AccountDemand, FadingSum
+from ._demand import MEMORY_SECONDS, MINIMUM_REQUESTS, AccountDemand, FadingSum
 from ._messages import Overload, OverloadCause, ServiceLoad
 from ._pressure import ServicePressure
 
@@ -15,6 +15,9 @@
 # all requests, these values 0.994 to 1.000, and all urgent ones either way.
 LOWEST_QUEUE_SHARE = 0.6
 RAMP_START = 0.7
+# The room that a rank leaves free shrinks while fewer than this share of the service's recent
+# requests are more urgent: room that nobody more urgent uses would be refused for nothing.
+FULL_RESERVE_DEMAND = 0.25
 # The most urgent rank always admits this share of the requests of an account above its fair share,
 # so that no account is shut out.
 MINIMUM_ADMITTED_SHARE = 0.25
@@ -33,6 +36,7 @@
 
     def __init__(self):
         self.demand = AccountDemand()
+        self.requests = FadingSum(MEMORY_SECONDS)
         self.refused = FadingSum(RETURN_SECONDS)
 
 
@@ -44,6 +48,14 @@
     def get_rank(self, rank: int) -> _RankState:
         return self._by_rank.setdefault(rank, _RankState())
 
+    def get_urgent_share(self, now: float, rank: int) -> float:
+        """Return the share of recent requests that are more urgent than a rank; 1 if unknown."""
+        counts = {item: state.requests.read(now) for item, state in self._by_rank.items()}
+        total = sum(counts.values())
+        if total < MINIMUM_REQUESTS:
+            return 1.0
+        return sum(count for item, count in counts.items() if item < rank) / total
+
     def keep_ranks(self, ranks: tuple[int, ...]) -> None:
         self._by_rank = {rank: state for rank, state in self._by_rank.items() if rank in ranks}
 
@@ -93,10 +105,12 @@
             return None
         state = self._get_state(service)
         rank_state = state.get_rank(rank)
+        rank_state.requests.add(now)
         if account:
             rank_state.demand.record(now, account)
         level = state.pressure.estimate_level(now, load)
-        stop = self._get_queue_share(service, rank)
+        urgent_share = state.get_urgent_share(now, rank)
+        stop = self._get_queue_share(service, rank, urgent_share=urgent_share)
         start = RAMP_START * stop
         if level <= start:
             return None
@@ -156,10 +170,14 @@
         ranks = self._ranks[service]
         return min(bisect_left(ranks, rank), len(ranks) - 1)
 
-    def _get_queue_share(self, service: str, rank: int) -> float:
-        """Return the share of a service's queue at which a rank is refused altogether."""
+    def _get_queue_share(self, service: str, rank: int, *, urgent_share: float = 1.0) -> float:
+        """Return the share of a service's queue at which a rank is refused altogether.
+
+        ``urgent_share`` is the share of the recent requests that are more urgent.
+        """
         last = max(1, len(self._ranks[service]) - 1)
-        return 1 - (1 - LOWEST_QUEUE_SHARE) * self._get_position(service, rank) / last
+        reserve = (1 - LOWEST_QUEUE_SHARE) * min(1.0, urgent_share / FULL_RESERVE_DEMAND)
+        return 1 - reserve * self._get_position(service, rank) / last
 
     def _refuse(
         self,
--- a/tarragonshelf/admission/tests/test_controller.py
+++ b/tarragonshelf/admission/tests/test_controller.py
@@ -1,7 +1,10 @@
 """Single decisions of admission at a service with two or three ranks."""
 
+from dataclasses import replace
 from random import Random
 
+import pytest
+
 from ...admission import AdmissionController, ServiceLoad
 
 FULL = ServiceLoad(slots=60, free=0, outstanding=170, queue=120, work_seconds=0.15)
@@ -29,6 +32,20 @@
         assert max(latest[2]) < 10.0
 
 
+class TestReserve:
+    """Load: a service at 0.7 of its queue, nearly all of whose requests are of one rank."""
+
+    @pytest.mark.parametrize(("urgent_count", "is_shed"), [(0, False), (50, True)])
+    def test_room_is_left_free_only_for_ranks_in_use(self, urgent_count, is_shed):
+        """Guards against refusals for the sake of more urgent requests that nobody sends."""
+        controller = create_controller(0, 1)
+        load = replace(FULL, outstanding=FULL.slots + 0.7 * FULL.queue)
+        for _ in range(urgent_count):
+            controller.decide(0.0, "s", 0, "", load)
+        refusals = [controller.decide(0.0, "s", 1, "", load) for _ in range(100)]
+        assert any(refusals[10:]) == is_shed
+
+
 class TestAccounts:
     def test_one_request_more_than_others_is_no_evidence(self):
         """Load: 5 requests per second of many accounts; counts differ by chance."""
