Hubs in other regions receive weak evidence and busy targets once a second

Ruled out (trial): leaving weak evidence out between regions; a target whose limit had ended was then trusted far away and on trial near by, and got 4 requests in 6 s. Change: failures and statements of targets go to all hubs at once, as before; good and slow attempts go to other regions in one message a second, a retracted slow report not at all, trials and full targets not at all. Busy targets likewise.

--- a/tarragonshelf/hub/_batches.py
+++ b/tarragonshelf/hub/_batches.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Hashable
+from dataclasses import replace
 
 from ..avoidance import EvidenceItem, EvidenceKind
 from ..registry import TargetEntry
@@ -14,6 +15,12 @@
 # A target without free slots refuses requests of many entries at the same time. One report in
 # this interval is enough, as entries treat a target as full for 0.2 s after a report.
 FULL_INTERVAL_SECONDS = 0.1
+# Traffic between regions is expensive, and entries rarely send requests to another region. Hubs
+# there receive failures at once, and all other evidence at this interval.
+DISTANT_INTERVAL_SECONDS = 1.0
+# Evidence that is out of date by then.
+SHORT_LIVED_EVIDENCE = frozenset({EvidenceKind.FULL, EvidenceKind.TRIAL})
+DEFERRED_EVIDENCE = frozenset({EvidenceKind.PASSED, EvidenceKind.SLOW, EvidenceKind.NOT_SLOW})
 
 
 class Batch:
@@ -55,6 +62,37 @@
         self.add(self._number, item)
 
 
+class DistantEvidenceBatch(EvidenceBatch):
+    """Batch of evidence for hubs in other regions."""
+
+    def __init__(self):
+        super().__init__()
+        self._is_urgent = False
+
+    def add_evidence(self, now: float, item: EvidenceItem) -> None:
+        """Add evidence; a slow attempt that is answered within the interval is left out."""
+        if item.kind in SHORT_LIVED_EVIDENCE:
+            return
+        if item.kind == EvidenceKind.NOT_SLOW and self._remove_slow(item):
+            return
+        self._is_urgent = self._is_urgent or item.kind not in DEFERRED_EVIDENCE
+        super().add_evidence(now, item)
+
+    def _remove_slow(self, item: EvidenceItem) -> bool:
+        """Remove the report that an entry retracts, and return whether it was there."""
+        slow = replace(item, kind=EvidenceKind.SLOW)
+        key = next((key for key, added in self._items.items() if added == slow), None)
+        return key is not None and self._items.pop(key) is not None
+
+    def pop_due(self, now: float) -> tuple:
+        """Return and remove the evidence if it contains failures or its interval has passed."""
+        if not self._is_urgent and now - self._flushed_at < DISTANT_INTERVAL_SECONDS:
+            return ()
+        items = super().pop_due(now)
+        self._is_urgent = self._is_urgent and not items
+        return items
+
+
 class TargetBatch(Batch):
     """Batch of new and changed targets; only the latest state of each target is sent."""
 
--- a/tarragonshelf/hub/_entries.py
+++ b/tarragonshelf/hub/_entries.py
@@ -47,6 +47,7 @@
             for item in message.items:
                 self._add_evidence(now, item)
                 self._evidence_for_hubs.add_evidence(now, item)
+                self._evidence_for_regions.add_evidence(now, item)
 
     def _add_evidence(self, now: float, item: EvidenceItem) -> None:
         """Add evidence for the entries that follow this hub."""
@@ -156,7 +157,11 @@
             self._effects += self.subscribers.push_evidence(items)
         if items := self._evidence_for_hubs.pop_due(now):
             relayed = EvidenceNews(items, True)
-            self._effects += (SendToPeer(address, relayed) for address in self.list_peers())
+            self._effects += (SendToPeer(address, relayed) for address in self.list_near_peers())
+        if items := self._evidence_for_regions.pop_due(now):
+            relayed = EvidenceNews(items, True)
+            peers = self.list_distant_peers()
+            self._effects += (SendToPeer(address, relayed) for address in peers)
 
     def _push_edges(self, now: float) -> None:
         """Send the list of serving entries, at most once per interval."""
@@ -187,15 +192,19 @@
         home_by_data_centre = {}
         for data_centre in {item.data_centre for item in targets}:
             home_by_data_centre[data_centre] = self.registrar.find_home_hub(now, data_centre)
-        remote, busy = self.loads.exchange(
+        news = self.loads.exchange(
             now,
             {item.identity: home_by_data_centre[item.data_centre] for item in targets},
             {item.identity: item.slots for item in targets},
         )
-        for vm, news in remote.items():
-            self._effects.append(SendToPeer(self.registrar.find_address(vm), news))
-        if busy is not None:
-            self._effects += (SendToPeer(address, busy) for address in self.list_peers())
+        for vm, load in news.loads.items():
+            self._effects.append(SendToPeer(self.registrar.find_address(vm), load))
+        if news.busy is not None:
+            peers = self.list_near_peers()
+            self._effects += (SendToPeer(address, news.busy) for address in peers)
+        if news.distant_busy is not None:
+            peers = self.list_distant_peers()
+            self._effects += (SendToPeer(address, news.distant_busy) for address in peers)
 
     def _create_heartbeat(self, now: float) -> HubBeat:
         return HubBeat(self.record.vm, self.is_current(now), len(self.subscribers.serving))
--- a/tarragonshelf/hub/_loads.py
+++ b/tarragonshelf/hub/_loads.py
@@ -5,14 +5,67 @@
 and most targets are not busy.
 """
 
+from dataclasses import dataclass
+
 from ._messages import HubBusy, HubLoad, LoadItem
 
-# Minimum time between two exchanges with other hubs.
+# Minimum time between two exchanges with other hubs, and between two lists of busy targets for
+# hubs in other regions, whose entries rarely use these targets.
 EXCHANGE_INTERVAL_SECONDS = 0.12
+DISTANT_INTERVAL_SECONDS = 1.0
 # The load of a busy target is sent again once it has changed by this share of the target's slots.
 MINIMUM_CHANGE_SHARE = 0.67
 
 
+@dataclass(frozen=True, slots=True)
+class LoadExchange:
+    """Loads for each home hub by VM, and changes of busy targets for hubs of both kinds.
+
+    ``busy`` is for the hubs of the own region, ``distant_busy`` for those of other regions.
+    """
+
+    loads: dict[str, HubLoad]
+    busy: HubBusy | None
+    distant_busy: HubBusy | None
+
+
+class BusyTargets:
+    """The busy targets of one home hub, as a group of other hubs knows them.
+
+    Parameters
+    ----------
+    vm : str
+        The VM of the home hub.
+    """
+
+    def __init__(self, vm: str):
+        self.vm = vm
+        self._sent: dict[str, int] = {}
+
+    def create_news(self, totals: dict[str, int], slots: dict[str, int]) -> HubBusy | None:
+        """Return what has changed since the previous call, or None.
+
+        ``totals`` holds the outstanding requests of the targets whose home is this hub.
+        """
+        items = []
+        for target in {*totals, *self._sent}:
+            capacity = slots.get(target, 1)
+            count = totals.get(target, 0)
+            sent = self._sent.get(target, 0)
+            # Hysteresis: a target becomes busy when its load exceeds its slots, and stops being
+            # busy when a slot is free.
+            busy = count if count > capacity or (sent and count >= capacity) else 0
+            if busy != sent and (
+                not busy or not sent or abs(busy - sent) >= MINIMUM_CHANGE_SHARE * capacity
+            ):
+                items.append(LoadItem(target, busy))
+                if busy:
+                    self._sent[target] = busy
+                else:
+                    del self._sent[target]
+        return HubBusy(self.vm, tuple(items)) if items else None
+
+
 class LoadAggregator:
     """Adds up the outstanding requests of entries at each target.
 
@@ -28,8 +81,10 @@
         self._remote: dict[str, dict[str, int]] = {}
         self._busy: dict[str, dict[str, int]] = {}
         self._sent_remote: dict[str, tuple[LoadItem, ...]] = {}
-        self._sent_busy: dict[str, int] = {}
+        self._busy_targets = BusyTargets(vm)
+        self._distant_busy_targets = BusyTargets(vm)
         self._exchanged_at = 0.0
+        self._distant_exchanged_at = 0.0
 
     def set_local(self, totals: dict[str, int]) -> None:
         """Set the outstanding requests of the entries that follow this hub."""
@@ -68,8 +123,8 @@
 
     def exchange(
         self, now: float, home_hubs: dict[str, str], slots: dict[str, int]
-    ) -> tuple[dict[str, HubLoad], HubBusy | None]:
-        """Return the changed loads for each home hub by VM, and busy targets for all hubs.
+    ) -> LoadExchange:
+        """Return the changed loads for each home hub, and the changes of busy targets.
 
         Parameters
         ----------
@@ -81,7 +136,20 @@
             Slots of each target.
         """
         self._exchanged_at = now
-        return self._create_remote_loads(home_hubs), self._create_busy_news(home_hubs, slots)
+        totals = {
+            target: count
+            for target, count in self._sum_reported().items()
+            if home_hubs.get(target, self.vm) == self.vm
+        }
+        distant_busy = None
+        if now - self._distant_exchanged_at >= DISTANT_INTERVAL_SECONDS:
+            self._distant_exchanged_at = now
+            distant_busy = self._distant_busy_targets.create_news(totals, slots)
+        return LoadExchange(
+            self._create_remote_loads(home_hubs),
+            self._busy_targets.create_news(totals, slots),
+            distant_busy,
+        )
 
     def _sum_reported(self) -> dict[str, int]:
         """Return the load reported by local entries, and by other hubs to this home hub."""
@@ -103,27 +171,3 @@
                 self._sent_remote[vm] = tuple(items)
                 loads[vm] = HubLoad(self.vm, tuple(items))
         return loads
-
-    def _create_busy_news(
-        self, home_hubs: dict[str, str], slots: dict[str, int]
-    ) -> HubBusy | None:
-        totals = self._sum_reported()
-        items = []
-        for target in {*totals, *self._sent_busy}:
-            if home_hubs.get(target, self.vm) != self.vm:
-                continue
-            capacity = slots.get(target, 1)
-            count = totals.get(target, 0)
-            sent = self._sent_busy.get(target, 0)
-            # Hysteresis: a target becomes busy when its load exceeds its slots, and stops being
-            # busy when a slot is free.
-            busy = count if count > capacity or (sent and count >= capacity) else 0
-            if busy != sent and (
-                not busy or not sent or abs(busy - sent) >= MINIMUM_CHANGE_SHARE * capacity
-            ):
-                items.append(LoadItem(target, busy))
-                if busy:
-                    self._sent_busy[target] = busy
-                else:
-                    del self._sent_busy[target]
-        return HubBusy(self.vm, tuple(items)) if items else None
--- a/tarragonshelf/hub/_registrar.py
+++ b/tarragonshelf/hub/_registrar.py
@@ -54,6 +54,14 @@
         record = self._hubs.get(vm)
         return record.address if record else ""
 
+    def is_distant(self, address: str) -> bool:
+        """Return whether an address is that of a known hub in another region."""
+        region = self.regions.get(self.own.data_centre)
+        return any(
+            item.address == address and self.regions.get(item.data_centre) != region
+            for item in self._hubs.values()
+        )
+
     def create_hub_news(self) -> HubNews:
         """Return all known hubs."""
         return HubNews(tuple(self._hubs.values()))
--- a/tarragonshelf/hub/_state.py
+++ b/tarragonshelf/hub/_state.py
@@ -13,7 +13,7 @@
 from ..registry import TargetEntry, TargetNews, TargetRegistry, TargetState
 from ..replication import ReplicatedNode
 from ..throttling import DeclaredLimits, PermitAllocator
-from ._batches import EvidenceBatch, TargetBatch
+from ._batches import DistantEvidenceBatch, EvidenceBatch, TargetBatch
 from ._drains import PendingDrains
 from ._loads import LoadAggregator
 from ._messages import (
@@ -82,9 +82,10 @@
         self.permits = PermitAllocator(random)
         self._drains = PendingDrains(record.vm)
         # Evidence of local entries goes to entries and hubs, evidence of other hubs to entries
-        # only.
+        # only. Hubs in other regions receive less of it.
         self._evidence_for_entries = EvidenceBatch()
         self._evidence_for_hubs = EvidenceBatch()
+        self._evidence_for_regions = DistantEvidenceBatch()
         self._targets_for_entries = TargetBatch()
         self._targets_for_hubs = TargetBatch()
         self._heartbeat_sent_at = 0.0
@@ -150,6 +151,14 @@
         members = {item.address for item in self.replica.membership.members}
         return sorted((members | self.registrar.list_addresses()) - {self.record.address})
 
+    def list_near_peers(self) -> list[str]:
+        """Return the addresses of all other hubs that are not known to be in another region."""
+        return [item for item in self.list_peers() if not self.registrar.is_distant(item)]
+
+    def list_distant_peers(self) -> list[str]:
+        """Return the addresses of all hubs in other regions."""
+        return [item for item in self.list_peers() if self.registrar.is_distant(item)]
+
     def list_contacts(self, now: float) -> list[str]:
         """Return the addresses of all other hubs, and of those that may know more of them.
 
