Malformed responses of targets never reach the caller

Cause: h11 0.16 accepts any status from 200 to 999, control characters other than NUL, LF, VT, FF and CR, any version N.N, Content-Length next to Transfer-Encoding (it ignores the length), and Transfer-Encoding in HTTP/1.0. The entry added no check of its own, and a relay passed on whatever it had accepted.

Tests first: test_malformed_responses.py, 100 cases over real sockets (41 malformed responses on first and reused connections, 7 valid ones, a forwarder with two targets, a relay).

No faults, ruled out by the same tests: 000, 099, 1000, -20, 2OO, 20, none, empty line, 101 (h11 knows that no switch was requested); NUL and CR in values, space before the colon, no name, no colon; differing, signed and hexadecimal Content-Length; two or unknown transfer codings; sizes of chunks with prefix, sign, leading space, none or letters, a wrong end of a chunk; trailers without a colon or with NUL. An obs-fold is no fault: h11 replaces it by a space, as RFC 9112, 5.2 allows.

Change: site/_validity.py checks status, fields and framing as soon as a head has been parsed, and the trailers. A failed check fails the attempt as `unusable`, which may have run, is told as `broken` evidence and closes the connection. The malformed head is not read for a pause either. The relay's client treats such a response as a broken relay.

--- a/tarragonshelf/site/_exchange.py
+++ b/tarragonshelf/site/_exchange.py
@@ -7,6 +7,7 @@
 from ..forwarding import AttemptOutcome, TargetAnswer
 from ..transport import set_user_timeout
 from ._interfaces import HttpDialect
+from ._validity import find_malformed_fields, find_malformed_framing, find_malformed_head
 
 MAXIMUM_HEAD_BYTES = 64 << 10
 # Limits for one response and for all unfinished responses of the process, so that a faulty target
@@ -162,8 +163,7 @@
             self._parser.receive_data(data)
             self._process_events()
         except h11.RemoteProtocolError as error:
-            self._fail(AttemptOutcome.UNUSABLE, f"malformed HTTP response: {error}")
-            self.close()
+            self._reject(f"malformed HTTP response: {error}")
 
     def _process_events(self) -> None:
         while self._pending_response is not None and not self._pending_response.done():
@@ -171,17 +171,38 @@
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return
             if isinstance(event, h11.Response):
-                self._response_head = event
+                self._accept_head(event)
             elif isinstance(event, h11.InformationalResponse):
                 self._count_skipped()
             elif isinstance(event, h11.Data):
                 self._append_body(event.data)
             elif isinstance(event, h11.EndOfMessage):
+                problem = find_malformed_fields(event.headers)
+                if problem:
+                    self._reject(f"malformed trailer: {problem}")
+                    return
                 self._complete_response()
             elif isinstance(event, h11.ConnectionClosed):
                 self._fail(AttemptOutcome.BROKEN, "connection closed before a response")
                 return
 
+    def _accept_head(self, head: h11.Response) -> None:
+        """Store the head of a response, or fail the exchange if it is malformed.
+
+        A malformed head is not stored: it must not count as a statement of the target either.
+        """
+        problem = find_malformed_head(head.status_code, head.headers) or find_malformed_framing(
+            head.http_version, head.reason, head.headers
+        )
+        if problem:
+            self._reject(f"malformed HTTP response: {problem}")
+        else:
+            self._response_head = head
+
+    def _reject(self, reason: str) -> None:
+        self._fail(AttemptOutcome.UNUSABLE, reason)
+        self.close()
+
     def _append_body(self, data: bytes) -> None:
         size = len(self._body) + len(data)
         if size > MAXIMUM_RESPONSE_BYTES or not self.buffer_quota.reserve(len(data)):
@@ -211,8 +232,7 @@
         if self._has_history and not self.dialect.names_request(head.headers, self._request_id):
             problem = "the response names no request and may belong to an earlier one"
         if problem:
-            self._fail(AttemptOutcome.UNUSABLE, problem)
-            self.close()
+            self._reject(problem)
             return
         is_sent = self._transport.get_write_buffer_size() == 0
         self.is_reusable = (
--- a/tarragonshelf/site/_relay_client.py
+++ b/tarragonshelf/site/_relay_client.py
@@ -25,6 +25,7 @@
 from ..transport import Connection, Frame, PeerLinks, UnreachableError
 from ._exchange import ResponseBufferQuota
 from ._interfaces import RequestContent
+from ._validity import find_malformed_head
 
 # Opening a connection takes two round trips, the handshake included; 40 ms each between regions.
 CONNECT_TIMEOUT_SECONDS = 0.35
@@ -194,6 +195,10 @@
             return
         self.latest_version = max(self.latest_version, message.version)
         headers = tuple((item.name, item.value) for item in message.headers)
+        if find_malformed_head(message.status, headers):
+            # Entries of earlier builds relay malformed responses of targets.
+            _finish(pending, RelayEnded(pending.attempt.number, RelayOutcome.BROKEN))
+            return
         ended = RelayEnded(
             pending.attempt.number,
             RelayOutcome.RESPONDED,
--- /dev/null
+++ b/tarragonshelf/site/tests/test_malformed_responses.py
@@ -0,0 +1,213 @@
+"""Responses outside HTTP never reach the caller, whatever carried the request."""
+
+import asyncio
+from dataclasses import replace
+from unittest import mock
+
+import pytest
+
+from ...avoidance import EvidenceKind
+from ...forwarding import AttemptOutcome, ForwardRequest, RefusalReason, RelayOutcome
+from ...forwarding.tests.fakes import FakeContext, create_route
+from ...platform._entry_http import PlatformDialect
+from ...relaying import RelayHeader, RelayResponse
+from .. import _relay_server
+from .._exchange import ExchangeFailedError
+from .._forwarder import Forwarder
+from .._pool import ConnectionPool
+from .test_exchange import COMPLETE_RESPONSE, OWN_HEADERS, ScriptedTarget, exchange
+from .test_relay import Fixture, Target, create_content
+
+LENGTH = b"Content-Length: 2\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
+
+
+def write_response(
+    line: bytes = b"HTTP/1.1 200 OK", headers: bytes = LENGTH, body: bytes = b"ok"
+) -> bytes:
+    return line + b"\r\n" + OWN_HEADERS + headers + b"\r\n" + body
+
+
+STATUS_LINES = [
+    b"HTTP/1.1 000 OK",
+    b"HTTP/1.1 099 OK",
+    b"HTTP/1.1 600 OK",
+    b"HTTP/1.1 999 OK",
+    b"HTTP/1.1 1000 OK",
+    b"HTTP/1.1 -20 OK",
+    b"HTTP/1.1 2OO OK",
+    b"HTTP/1.1 20 OK",
+    b"HTTP/1.1  OK",
+    b"HTTP/1.1",
+    b"HTTP/1.1 200 O\x01K",
+    b"HTTP/2.0 200 OK",
+    b"200 OK",
+    b"",
+    # Would switch to a protocol that was not requested.
+    b"HTTP/1.1 101 Switching Protocols",
+]
+MALFORMED_HEADERS = [
+    b"X: a\x01b\r\n" + LENGTH,
+    b"X: a\x7fb\r\n" + LENGTH,
+    b"X: a\x00b\r\n" + LENGTH,
+    b"X: a\rb\r\n" + LENGTH,
+    b"X : a\r\n" + LENGTH,
+    b": a\r\n" + LENGTH,
+    b"no colon\r\n" + LENGTH,
+    LENGTH + b"Content-Length: 3\r\n",
+    b"Content-Length: 2, 3\r\n",
+    b"Content-Length: +2\r\n",
+    b"Content-Length: -2\r\n",
+    b"Content-Length: 0x2\r\n",
+]
+MALFORMED_CHUNKED = [
+    (LENGTH + CHUNKED, b"2\r\nok\r\n0\r\n\r\n"),
+    (CHUNKED + CHUNKED, b"2\r\nok\r\n0\r\n\r\n"),
+    (b"Transfer-Encoding: gzip, chunked\r\n", b"2\r\nok\r\n0\r\n\r\n"),
+    (CHUNKED, b"0x2\r\nok\r\n0\r\n\r\n"),
+    (CHUNKED, b"-2\r\nok\r\n0\r\n\r\n"),
+    (CHUNKED, b" 2\r\nok\r\n0\r\n\r\n"),
+    (CHUNKED, b"\r\nok\r\n0\r\n\r\n"),
+    (CHUNKED, b"z\r\nok\r\n0\r\n\r\n"),
+    (CHUNKED, b"2\r\nokay\r\n0\r\n\r\n"),
+    (CHUNKED, b"2\r\nok\r\n0\r\nno colon\r\n\r\n"),
+    (CHUNKED, b"2\r\nok\r\n0\r\nX: a\x01b\r\n\r\n"),
+    (CHUNKED, b"2\r\nok\r\n0\r\nX: a\x00b\r\n\r\n"),
+]
+MALFORMED = [
+    *(write_response(line) for line in STATUS_LINES),
+    *(write_response(headers=headers) for headers in MALFORMED_HEADERS),
+    *(write_response(headers=headers, body=body) for headers, body in MALFORMED_CHUNKED),
+    write_response(b"HTTP/1.0 200 OK", CHUNKED, b"2\r\nok\r\n0\r\n\r\n"),
+    # The status of a response to another request is as much a sign of trouble.
+    b"HTTP/1.1 999 OK\r\nRequest-Id: other\r\nContent-Length: 0\r\n\r\n" + COMPLETE_RESPONSE,
+]
+
+
+class TestConnection:
+    # Guards against a status that no caller can read, and a body whose end target and caller see
+    # at different places.
+    @pytest.mark.parametrize("is_reused", [False, True])
+    @pytest.mark.parametrize("content", MALFORMED)
+    def test_malformed_response_fails_the_attempt_and_closes_its_connection(
+        self, content, is_reused
+    ):
+        async def test():
+            parts = [COMPLETE_RESPONSE, content] if is_reused else [content]
+            async with ScriptedTarget(*parts) as target:
+                connection = None
+                if is_reused:
+                    connection, _ = await exchange(target)
+                with pytest.raises(ExchangeFailedError) as failure:
+                    await exchange(target, connection)
+                assert failure.value.outcome == AttemptOutcome.UNUSABLE
+                if connection is not None:
+                    assert not connection.is_open
+                    assert not connection.is_reusable
+
+        asyncio.run(test())
+
+    # Guards against a check that costs answers: a fold may be replaced by a space (RFC 9112, 5.2),
+    # and equal lengths, extensions of chunks, trailers and interim responses are valid.
+    @pytest.mark.parametrize(
+        "content",
+        [
+            write_response(headers=b"X: a\r\n b\r\n" + LENGTH),
+            write_response(headers=b"X: \xe9\tb\r\n" + LENGTH),
+            write_response(headers=LENGTH + LENGTH),
+            write_response(b"HTTP/1.1 200", LENGTH),
+            write_response(b"HTTP/1.1 599 Odd", LENGTH),
+            write_response(headers=CHUNKED, body=b"2;x=1\r\nok\r\n0\r\nX: a\r\n\r\n"),
+            b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + COMPLETE_RESPONSE,
+        ],
+    )
+    def test_unusual_but_valid_response_is_accepted(self, content):
+        async def test():
+            async with ScriptedTarget(content) as target:
+                return await exchange(target)
+
+        assert asyncio.run(test())[1].body == b"ok"
+
+
+class MalformedTarget(Target):
+    """A target whose responses have no valid status."""
+
+    async def _respond(self, reader, writer, body: bytes) -> None:
+        writer.write(write_response(b"HTTP/1.1 999 OK"))
+
+
+class TestForwarder:
+    # Guards against an order that runs twice, and a repeatable request that is lost.
+    @pytest.mark.parametrize("is_repeatable", [True, False])
+    def test_only_a_repeatable_request_goes_to_another_target(self, is_repeatable):
+        context = FakeContext("a", "b")
+        route = create_route(is_repeatable=is_repeatable)
+
+        async def test():
+            malformed = ScriptedTarget(write_response(b"HTTP/1.1 999 OK"))
+            async with malformed, ScriptedTarget(COMPLETE_RESPONSE) as working:
+                pool = ConnectionPool(PlatformDialect(), lambda target: 4)
+                context.targets = [
+                    replace(held, address=server.target.address)
+                    for held, server in zip(context.targets, (malformed, working), strict=True)
+                ]
+                forwarder = Forwarder(
+                    context=context,
+                    pool=pool,
+                    dialect=PlatformDialect(),
+                    flush=lambda: None,
+                    report=lambda event, **fields: None,
+                    **dict.fromkeys(("request_retry", "request_permit", "return_permit", "relay")),
+                )
+                now = asyncio.get_running_loop().time()
+                request = ForwardRequest("q1", route, "s", now, now + 2.0)
+                result = await forwarder.forward(request, create_content())
+                pool.close()
+                return result, len(working.requests)
+
+        result, repeats = asyncio.run(test())
+        assert ("a", EvidenceKind.BROKEN) in context.evidence
+        assert repeats == is_repeatable
+        if is_repeatable:
+            assert (result.target, result.answer.status) == ("b", 200)
+        else:
+            assert (result.reason, result.has_run) == (RefusalReason.MAY_HAVE_RUN, True)
+
+
+class TestRelays:
+    # Guards against an invalid status of a target that the relay passes on.
+    def test_relayed_request_counts_as_possibly_run(self):
+        async def test():
+            target = MalformedTarget()
+            async with Fixture(target) as fixture:
+                return await fixture.send(create_content()), target.received
+
+        ended, received = asyncio.run(test())
+        assert ended.outcome == RelayOutcome.REFUSED
+        assert ended.refusal.has_run
+        assert len(received) == 1
+
+    # Guards against a relay of an earlier build, which passes such a response on.
+    @pytest.mark.parametrize(
+        ("status", "headers"),
+        [
+            (0, ()),
+            (99, ()),
+            (101, ()),
+            (600, ()),
+            (1000, ()),
+            (200, (RelayHeader(b"X", b"a\x01b"),)),
+            (200, (RelayHeader(b"X", b"a\r\nY: b"),)),
+            (200, (RelayHeader(b"X Y", b"a"),)),
+        ],
+    )
+    def test_malformed_response_of_a_relay_is_not_passed_on(self, status, headers):
+        reply = RelayResponse(1, status, headers, 0, b"", "i-1", 1, 1, 3)
+
+        async def test():
+            async with Fixture(Target()) as fixture:
+                return await fixture.send(create_content())
+
+        with mock.patch.object(_relay_server, "_create_reply", return_value=(reply, b"")):
+            ended = asyncio.run(test())
+        assert (ended.outcome, ended.answer) == (RelayOutcome.BROKEN, None)
