--- a/tarragonshelf/queries/_explain.py
+++ b/tarragonshelf/queries/_explain.py
@@ -125,6 +125,8 @@
             f"{item.get('target')} {item.get('outcome')}" for item in attempts
         )
         return f"target {target} answered {status} after {seconds} s; before it: {failed_attempts}"
+    if fields.get("hedge") == "won":
+        return f"target {target} answered {status} after {seconds} s, a hedge before the first one"
     return f"target {target} answered {status} after {seconds} s at the first attempt"
 
 
--- a/tarragonshelf/site/_caller_server.py
+++ b/tarragonshelf/site/_caller_server.py
@@ -196,6 +196,11 @@
         route = ("route", forward_request.route.name)
         account = {"account": forward_request.account} if forward_request.account else {}
         self.metrics.observe("request_seconds", seconds, ("service", forward_request.service))
+        hedge = {}
+        if result.hedge is not None:
+            hedge = {"hedge": result.hedge.outcome, "hedge_denial": result.hedge.denial}
+            service = ("service", forward_request.service)
+            self.metrics.count("hedges_total", service, ("outcome", str(result.hedge.outcome)))
         if isinstance(result, Refuse):
             self.metrics.count("requests_total", route, ("outcome", str(result.reason)))
             self.report(
@@ -211,6 +216,7 @@
                 waited_for=self._describe_unanswered(result.waited_for),
                 seconds=round(seconds, 4),
                 **account,
+                **hedge,
             )
             return self.dialect.create_refusal(result, request_id)
         response = result.answer
@@ -221,9 +227,11 @@
             route=forward_request.route.name,
             target=result.target,
             status=response.status,
+            attempt=result.attempt,
             version=self.node.version,
             seconds=round(seconds, 4),
             **account,
+            **hedge,
         )
         headers = CIMultiDict(
             (name.decode("latin-1"), value.decode("latin-1"))
--- a/tarragonshelf/site/tests/test_caller_server.py
+++ b/tarragonshelf/site/tests/test_caller_server.py
@@ -11,11 +11,15 @@
 from ...catalogue import CatalogueCopy, compress_content
 from ...edge import EdgeNode, EdgeSettings, HubReceived
 from ...forwarding import (
+    HedgeDenial,
+    HedgeOutcome,
+    HedgeResult,
     PermitDecided,
     PermitNeeded,
     RelayAttempt,
     RelayEnded,
     RelayOutcome,
+    RespondWith,
     RetryBudgetSettings,
     TargetAnswer,
 )
@@ -273,6 +277,34 @@
 
         assert run(test()) == (504, True, False)
 
+    # Guards against hedges whose cost and use nobody can see.
+    def test_hedge_of_an_answer_is_logged_and_counted(self):
+        answer = TargetAnswer(200, (), b"ok")
+        hedge = HedgeResult(HedgeOutcome.DENIED, HedgeDenial.NO_ROOM)
+        result = RespondWith(answer, "i-1", attempt=2, hedge=hedge)
+        logged = []
+
+        async def forward(request, content):
+            return result
+
+        async def test():
+            async with Fixture() as fixture:
+                assert fixture.node.hedging is None
+                fixture.forwarder.forward = forward
+                fixture.server.report = lambda event, **fields: logged.append(fields)
+                reader, writer = await fixture.connect()
+                writer.write(create_request("q1"))
+                await read_response(reader)
+                return fixture.server.metrics.render([])[0].decode()
+
+        assert 'tarragonshelf_hedges_total{outcome="denied",service="s"} 1' in run(test())
+        fields = logged[-1]
+        assert (fields["attempt"], fields["hedge"], fields["hedge_denial"]) == (
+            2,
+            "denied",
+            "no-room",
+        )
+
 
 class TestStops:
     def test_requests_in_flight_finish_and_idle_connections_close(self):
