A query tells where an entry would send a request now, and why

Cause: logs explain requests that were sent; an operator who asks why a target gets nothing, or where a request would go, had to infer it.

Change: `tarragonshelf where ENTRY HOST PATH` asks `GET /where` of an entry's port for metrics, which is read only: route, version, account, services, and targets by expected cost with its parts, standing, load, limit and obstacle. edge/_placement.py explains with what the balancer itself computes, so that the answer cannot drift from the choice. RouteTable.find finds a route without advancing the cycle of a split route.

Ruled out: calling match and choose, which advance that cycle and draw trials; repeating the cost formula, which would drift. Only the failure and full parts are separate, the rest is one part.

Tests: the answer is the balancer's choice beside a loaded, a paused and a far target; the query changes no state; answers, 404 and no answer over a real connection.

--- a/tarragonshelf/catalogue/_table.py
+++ b/tarragonshelf/catalogue/_table.py
@@ -34,11 +34,16 @@
                 self._current_weights[route.name] = [random.random() for _ in route.services]
 
     def match(self, host: str, path: str) -> RouteMatch | None:
-        """Return the route of a request, or None if there is none."""
+        """Return the route of a request with the next service, or None if there is none."""
+        route = self.find(host, path)
+        return None if route is None else RouteMatch(route, self._pick_service(route))
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route of a request without an effect on the choice of later services."""
         name = host.rpartition(":")[0] if host.rpartition(":")[2].isdigit() else host
         for route in self._by_host.get(name.lower(), ()):
             if path.startswith(route.prefix):
-                return RouteMatch(route, self._pick_service(route))
+                return route
         return None
 
     def _pick_service(self, route: Route) -> str:
--- a/tarragonshelf/cli.py
+++ b/tarragonshelf/cli.py
@@ -248,6 +248,35 @@
         if not explanation.events:
             _exit(EXIT_REFUSED)
 
+    def where(
+        self,
+        entry: str,
+        host: str,
+        path: str,
+        method: str = "GET",
+        account: str = "",
+        json: bool = False,
+    ) -> None:
+        """Explain where a running entry would send a request now, without sending it.
+
+        Example: tarragonshelf where 10.0.0.5:9100 shop.example /cart --account acme
+        """
+        try:
+            answer = queries.fetch_placement(
+                str(entry),
+                method=str(method),
+                host=str(host),
+                path=str(path),
+                account=str(account),
+            )
+        except commands.RefusedError as error:
+            print(error, file=sys.stderr)
+            _exit(EXIT_REFUSED)
+        if json:
+            _print_json(answer)
+        else:
+            print("\n".join(queries.format_placement(answer)))
+
     def losses(self, *logs: str, svg: str = "") -> None:
         """Classify every request that was not served, from the logs of all processes.
 
--- a/tarragonshelf/edge/__init__.py
+++ b/tarragonshelf/edge/__init__.py
@@ -13,6 +13,7 @@
     SendToHub,
 )
 from ._node import EdgeNode
+from ._placement import explain_placement
 from ._shutdown import StopPlan, plan_stop
 
 __all__ = [
@@ -28,5 +29,6 @@
     "RetryDecided",
     "SendToHub",
     "StopPlan",
+    "explain_placement",
     "plan_stop",
 ]
--- a/tarragonshelf/edge/_catalogue.py
+++ b/tarragonshelf/edge/_catalogue.py
@@ -70,6 +70,10 @@
         """Return the route of a request; only call this with a catalogue in force."""
         return self._routes.match(host, path)
 
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the route of a request without choosing a service."""
+        return None if self._routes is None else self._routes.find(host, path)
+
     def authenticate(self, route: Route, key_digest: bytes) -> Authentication:
         """Return whether a request may be forwarded with a key, and its client account."""
         return self._accounts.authenticate(route, key_digest)
--- a/tarragonshelf/edge/_node.py
+++ b/tarragonshelf/edge/_node.py
@@ -158,7 +158,7 @@
         self.permit_requests = PendingPermitRequests(self.limits, random)
         self.is_stopping = False
         self._has_targets = False
-        self._profiles: dict[str, ServiceProfile] = {}
+        self.profiles: dict[str, ServiceProfile] = {}
         self._response_times: dict[str, ResponseTimeModel] = {}
         self._slow_outcomes = SlowAttemptOutcomes()
         self._edges: tuple[EdgeRecord, ...] = ()
@@ -686,4 +686,4 @@
         return self._response_times.setdefault(route.name, ResponseTimeModel(route.objective))
 
     def _get_profile(self, service: str) -> ServiceProfile:
-        return self._profiles.setdefault(service, ServiceProfile())
+        return self.profiles.setdefault(service, ServiceProfile())
--- a/tarragonshelf/forwarding/_balancer.py
+++ b/tarragonshelf/forwarding/_balancer.py
@@ -303,3 +303,26 @@
             return False
         wait = self._estimate_wait(now, profile, target)
         return now + wait + 0.5 * profile.work_seconds <= request.deadline
+
+    def list_costs(
+        self, now: float, request: ForwardRequest, profile: ServiceProfile
+    ) -> dict[str, dict[str, float]]:
+        """Return the parts of each usable target's expected cost, to explain a choice."""
+        usable = self.targets.list_usable(request.service)
+        unpaused = tuple(item for item in usable if not self.pauses.is_paused(now, item.identity))
+        is_repeatable = request.route.is_repeatable
+        avoided = self._list_avoided(now, unpaused, is_repeatable)
+        costs = {}
+        for item in usable:
+            total = self._estimate_cost(now, request, profile, item, avoided)
+            failure = self._estimate_failure_cost(now, is_repeatable, item, avoided)
+            full = FULL_COST if self.avoidance.is_full(now, item.identity) else 0.0
+            rest = total - failure - full
+            costs[item.identity] = {"latency_and_bytes": rest, "failure": failure, "full": full}
+        return costs
+
+    def has_room(
+        self, now: float, request: ForwardRequest, profile: ServiceProfile, target: TargetEntry
+    ) -> bool:
+        """Return whether a request may be sent to a target at its present load."""
+        return self._has_room(now, request, profile, target)
--- a/tarragonshelf/site/_edge.py
+++ b/tarragonshelf/site/_edge.py
@@ -1,7 +1,7 @@
 """Entry process of a site."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Mapping
 from dataclasses import dataclass, replace
 from random import SystemRandom
 
@@ -21,6 +21,7 @@
     ProbeHub,
     RetryDecided,
     SendToHub,
+    explain_placement,
     plan_stop,
 )
 from ..forwarding import PermitDecided, PermitNeeded, RelayAttempt, RelayEnded
@@ -162,7 +163,10 @@
             HttpServer(self._handle_discovery_request) for _ in addresses.discovery
         ]
         self.administration = AdministrationServer(
-            metrics=self.metrics, is_ready=lambda: self.is_ready, refresh=self._refresh
+            metrics=self.metrics,
+            is_ready=lambda: self.is_ready,
+            refresh=self._refresh,
+            explain=self._explain_placement,
         )
         self._hub_connection: Connection | None = None
         self._hub_task: asyncio.Task | None = None
@@ -391,6 +395,18 @@
         self.metrics.count("events_total", ("event", event))
         self.log_budget.write(event, **fields)
 
+    def _explain_placement(self, query: Mapping[str, str]) -> dict | None:
+        """Return where a request would go now and why, or None if it has no route."""
+        asked = {name: query.get(name, "") for name in ("method", "host", "path", "account")}
+        answer = explain_placement(
+            self.node,
+            read_time(),
+            host=asked["host"],
+            path=asked["path"],
+            account=asked["account"],
+        )
+        return None if answer is None else {**asked, **answer}
+
     def _report_failed_connections(self) -> None:
         """Log how many targets accepted connections, if one did not.
 
