The other entry process rejects invalid statuses, too

Cause: `tarragonshelf entry` sends attempts with aiohttp, which passes on any status of three digits: 000, 099, 600, 999, and 101 of a target that switches protocols. They reached the caller as answers.

Header fields are no fault there.

`unusable` was ruled out as well: execution takes it for an answer in its evidence and does not repeat a lookup.

Change: a response class checks the status with the head, closes the connection by its protocol and fails the attempt as `broken`, which may have run and is evidence like a connection that breaks.

--- a/tarragonshelf/daemons/_upstream.py
+++ b/tarragonshelf/daemons/_upstream.py
@@ -12,6 +12,7 @@
     TCPConnector,
     TraceConfig,
 )
+from aiohttp.connector import Connection
 from multidict import CIMultiDict
 from yarl import URL
 
@@ -20,6 +21,10 @@
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 IDLE_CONNECTION_SECONDS = 15.0
+# aiohttp passes on any status of three digits; RFC 9110, section 15, defines none outside 100 to
+# 599, and none below 200 ends a request.
+MINIMUM_STATUS = 200
+MAXIMUM_STATUS = 599
 HOP_BY_HOP_HEADERS = frozenset(
     {
         "connection",
@@ -40,6 +45,27 @@
     """A target's answer is too large, or it cannot be verified to be complete."""
 
 
+class InvalidStatusError(ValueError):
+    """A target's answer has a status that HTTP does not define."""
+
+
+class _CheckedResponse(ClientResponse):
+    """A response with a valid status."""
+
+    async def start(self, connection: Connection) -> ClientResponse:
+        """Receive the head; close the connection and raise an error if the status is invalid.
+
+        The library gives a connection back as soon as it has received an empty body, so it has to
+        be closed by its protocol.
+        """
+        protocol = connection.protocol
+        await super().start(connection)
+        if not MINIMUM_STATUS <= self.status <= MAXIMUM_STATUS:
+            protocol.close()
+            raise InvalidStatusError(f"status {self.status} is not valid")
+        return self
+
+
 @dataclass(slots=True)
 class _Progress:
     """Records whether a request was sent on any of the connections that the library tried."""
@@ -158,6 +184,7 @@
     return ClientSession(
         connector=connector,
         trace_configs=[trace],
+        response_class=_CheckedResponse,
         auto_decompress=False,
         timeout=ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_SECONDS),
         skip_auto_headers=("Accept", "Accept-Encoding", "User-Agent", "Content-Type"),
--- a/tarragonshelf/daemons/tests/test_upstream.py
+++ b/tarragonshelf/daemons/tests/test_upstream.py
@@ -113,6 +113,29 @@
         (ended,) = run(FakeTarget(answer))
         assert (ended.kind, ended.answer) == (kind, None)
 
+    # Guards against a status that no caller can read, on new and reused connections.
+    @pytest.mark.parametrize("route", [LOOKUP, ORDER])
+    @pytest.mark.parametrize("line", b"000|099|600|999|1000|2OO|20||101".split(b"|"))
+    def test_an_answer_with_an_invalid_status_is_not_returned(self, line, route):
+        answer = b"HTTP/1.1 " + line + b" OK\r\nContent-Length: 0\r\n\r\n"
+        for count, answers in ((1, (answer,)), (2, (COMPLETE, answer))):
+            target = FakeTarget(*answers, COMPLETE)
+            ended = run(target, route=route, count=count + 1, timeout=1.0)
+            assert ended[-2].kind == AttemptResult.BROKEN
+            assert ended[-1].kind == AttemptResult.ANSWERED
+            assert target.requests[-1][0] > target.requests[-2][0]
+
+    @pytest.mark.parametrize(
+        "fields",
+        b"X: a\x01b|X: a\x7fb|X : a|no colon|Content-Length: 3|Transfer-Encoding: chunked".split(
+            b"|"
+        ),
+    )
+    def test_an_answer_with_malformed_fields_is_not_returned(self, fields):
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n" + fields
+        (ended,) = run(FakeTarget(head + b"\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"), timeout=1.0)
+        assert ended.kind == AttemptResult.BROKEN
+
     def test_a_refusal_status_proves_that_the_request_was_not_run(self):
         (ended,) = run(FakeTarget(REFUSAL))
         assert ended.kind == AttemptResult.REFUSED
