--- a/tarragonshelf/edge/_node.py
+++ b/tarragonshelf/edge/_node.py
@@ -66,6 +66,7 @@
 from ._catalogue import ActiveCatalogue
 from ._departures import Departures
 from ._evidence import EvidenceProcessor
+from ._hedging import create_hedging_policy
 from ._hub_selector import HubSelector
 from ._messages import (
     EdgeSettings,
@@ -131,6 +132,7 @@
             pauses=self.pauses,
         )
         self.admission = EntryAdmission(self.active, self.balancer, random)
+        self.hedging = create_hedging_policy(settings.hedging, self.balancer)
         self.evidence = EvidenceProcessor(
             vm=settings.vm,
             targets=self.targets,
@@ -159,7 +161,7 @@
         self.permit_requests = PendingPermitRequests(self.limits, random)
         self.is_stopping = False
         self._has_targets = False
-        self._profiles: dict[str, ServiceProfile] = {}
+        self.profiles: dict[str, ServiceProfile] = {}
         self._response_times: dict[str, ResponseTimeModel] = {}
         self._slow_outcomes = SlowAttemptOutcomes()
         self._edges: tuple[EdgeRecord, ...] = ()
@@ -699,4 +701,4 @@
         return self._response_times.setdefault(route.name, ResponseTimeModel(route.objective))
 
     def _get_profile(self, service: str) -> ServiceProfile:
-        return self._profiles.setdefault(service, ServiceProfile())
+        return self.profiles.setdefault(service, ServiceProfile())
--- a/tarragonshelf/forwarding/__init__.py
+++ b/tarragonshelf/forwarding/__init__.py
@@ -2,6 +2,7 @@
 
 from ._balancer import MAXIMUM_QUEUE_PER_SLOT, WARMING_SLOT_FACTOR, Balancer, Topology
 from ._budget import RetryBudgets, RetryBudgetSettings
+from ._hedging import HedgeDenial, HedgeOutcome, HedgeResult, HedgingPolicy, HedgingSettings
 from ._messages import (
     Attempt,
     AttemptEnded,
@@ -48,6 +49,11 @@
     "ForwardingContext",
     "FailureMeter",
     "ForwardRequest",
+    "HedgeDenial",
+    "HedgeOutcome",
+    "HedgeResult",
+    "HedgingPolicy",
+    "HedgingSettings",
     "LatencyThresholds",
     "Topology",
     "PermitDecided",
--- a/tarragonshelf/forwarding/_messages.py
+++ b/tarragonshelf/forwarding/_messages.py
@@ -11,6 +11,7 @@
 from ..registry import TargetEntry
 from ..relaying import DeclineReason, RelayRecord
 from ..throttling import LimitStatement, PauseStatement
+from ._hedging import HedgeResult, HedgingPolicy
 from ._profile import LatencyThresholds
 
 # Statuses from this one on mean that the target failed.
@@ -235,11 +236,13 @@
 
 @dataclass(frozen=True, slots=True)
 class RespondWith(Effect):
-    """End the request with a target's response."""
+    """End the request with a target's response to the attempt with number ``attempt``."""
 
     answer: TargetAnswer
     target: str
     usage: AttemptUsage = AttemptUsage()
+    attempt: int = 0
+    hedge: HedgeResult | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -269,6 +272,7 @@
     waited_for: tuple[UnansweredAttempt, ...] = ()
     usage: AttemptUsage = AttemptUsage()
     overload: Overload | None = None
+    hedge: HedgeResult | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -306,7 +310,12 @@
 
 
 class ForwardingContext(ABC):
-    """The entry as seen by a request's state machine: queries and reports."""
+    """The entry as seen by a request's state machine: queries and reports.
+
+    ``hedging`` is None unless the operator allows early hedged requests.
+    """
+
+    hedging: HedgingPolicy | None = None
 
     @abstractmethod
     def choose_target(
