Allowances of client accounts: allocator, combined requests, local shares

Cause: accounts with a rate may run rate x 5 + burst requests in any 5 s over all entries together (docs/design/accounts-and-load.md, section 3); nothing limits them so far.

Ruled out: a share of the rate for each entry (with 103 entries most shares are far below one request a second) and replicated tokens (a log entry and a sync for each request).

Change: package allowances. Messages 113 to 116 are one-way.

--- /dev/null
+++ b/tarragonshelf/allowances/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of allowances."""
--- a/tarragonshelf/transport/_codec.py
+++ b/tarragonshelf/transport/_codec.py
@@ -23,7 +23,15 @@
 WIRE_FIELD_NAMES = {"service": "service_name"}
 # Packages whose messages an entry of a site exchanges, and those of all processes of a site. Each
 # process loads only what it needs, which shortens its restart.
-EDGE_PACKAGES = ("catalogue", "registry", "avoidance", "hub", "throttling", "relaying")
+EDGE_PACKAGES = (
+    "catalogue",
+    "registry",
+    "avoidance",
+    "hub",
+    "throttling",
+    "relaying",
+    "allowances",
+)
 SITE_PACKAGES = ("consensus", "replication", *EDGE_PACKAGES)
 ALL_PACKAGES = (
     *SITE_PACKAGES,
--- a/tarragonshelf/transport/tarragonshelf.thrift
+++ b/tarragonshelf/transport/tarragonshelf.thrift
@@ -741,6 +741,29 @@
   2: optional string reason
 }
 
+struct AllowanceRequest {
+  1: optional i64 number
+  2: optional string account
+  3: optional i64 count
+}
+
+struct AllowanceReply {
+  1: optional i64 number
+  2: optional i64 granted
+  3: optional double retry_after
+  4: optional double interval
+  5: optional bool is_decided
+}
+
+struct RelayedAllowanceRequest {
+  1: optional string address
+  2: optional AllowanceRequest request
+}
+
+struct RelayedAllowanceReply {
+  1: optional AllowanceReply reply
+}
+
 // Exactly one field is set: the message.
 struct Body {
   1: optional Member member
@@ -855,6 +878,10 @@
   110: optional RelayResponse relayResponse
   111: optional RelayRefusal relayRefusal
   112: optional RelayDecline relayDecline
+  113: optional AllowanceRequest allowanceRequest
+  114: optional AllowanceReply allowanceReply
+  115: optional RelayedAllowanceRequest relayedAllowanceRequest
+  116: optional RelayedAllowanceReply relayedAllowanceReply
 }
 
 // One frame. `call` numbers a call and its reply and is 0 for a one-way message; `is_reply` is
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -9,6 +9,7 @@
 
 ROOT = Path(__file__).parent.parent / "tarragonshelf"
 DECISION_PACKAGES = (
+    "allowances",
     "avoidance",
     "catalogue",
     "configuration",
