Hubs and entries ask for allowances of accounts

Cause: the allocator, the combined requests and the local shares of package allowances were not used by any process.

Change: a mixin of the hub combines the requests of its entries and decides them while it leads, from the rates of its newest committed catalogue, read once a version without the digests of keys. EntryAllowances asks the hub, and decides from the local share after 0.3 s; while no leader answers, one request in 0.1 s still asks.

--- a/tarragonshelf/allowances/tests/test_allowances.py
+++ b/tarragonshelf/allowances/tests/test_allowances.py
@@ -65,24 +65,20 @@
 
 class TestRequests:
     def test_demand_during_a_request_is_sent_as_one_request(self):
-        """Load: an account at 7 times its rate; messages are bounded by round trips."""
+        """Load: an account at 7 times its rate; messages are bounded by round trips.
+
+        The waiters are served in order, and the refused ones return in order.
+        """
         requests = AllowanceRequests(Random(1), 0.3)
         first = requests.add(0.0, "a", 1, "w0")
-        assert [requests.add(0.0, "a", 1, f"w{index}") for index in range(1, 50)] == [None] * 49
+        assert [requests.add(0.0, "a", 2, f"w{index}") for index in range(1, 50)] == [None] * 49
         shares, second = requests.complete(0.1, AllowanceReply(first.number, 1, is_decided=True))
         assert [item.waiter for item in shares] == ["w0"]
-        assert second.count == 49
-
-    def test_waiters_are_served_in_order_and_refused_ones_return_in_order(self):
-        requests = AllowanceRequests(Random(1), 0.3)
-        first = requests.add(0.0, "a", 2, "w0")
-        for index in (1, 2):
-            requests.add(0.0, "a", 2, f"w{index}")
-        reply = AllowanceReply(first.number, 2, is_decided=True)
-        _, second = requests.complete(0.1, reply)
-        reply = AllowanceReply(second.number, 1, 0.5, 0.1, True)
+        assert second.count == 98
+        reply = AllowanceReply(second.number, 3, 0.5, 0.1, True)
         shares, _ = requests.complete(0.2, reply)
-        assert [(item.granted, item.retry_after) for item in shares] == [(1, 0.5), (0, 0.6)]
+        shares = [(item.granted, item.retry_after) for item in shares]
+        assert shares[:3] == [(2, 0.5), (1, 0.5), (0, 0.6)]
 
     def test_late_reply_is_not_used(self):
         """Guards against permission that was meant for an earlier window."""
--- a/tarragonshelf/edge/__init__.py
+++ b/tarragonshelf/edge/__init__.py
@@ -2,6 +2,9 @@
 
 from ._hub_selector import HubSelector
 from ._messages import (
+    AllowanceAnswered,
+    AllowanceDecided,
+    AllowanceDecider,
     EdgeSettings,
     FollowHub,
     HubLost,
@@ -16,6 +19,9 @@
 from ._shutdown import StopPlan, plan_stop
 
 __all__ = [
+    "AllowanceAnswered",
+    "AllowanceDecided",
+    "AllowanceDecider",
     "EdgeNode",
     "EdgeSettings",
     "FollowHub",
--- a/tarragonshelf/edge/_messages.py
+++ b/tarragonshelf/edge/_messages.py
@@ -1,6 +1,7 @@
 """Settings, messages and effects of an entry."""
 
 from dataclasses import dataclass
+from enum import StrEnum
 
 from ..base import Effect, Message
 from ..forwarding import PermitDecided, RetryBudgetSettings
@@ -99,6 +100,35 @@
     decided: PermitDecided
 
 
+class AllowanceDecider(StrEnum):
+    """Who decided whether a request is within the allowance of its account."""
+
+    LEADER = "leader"
+    LOCAL = "local"
+
+
+@dataclass(frozen=True, slots=True)
+class AllowanceDecided:
+    """Whether a request is within the allowance of its account; times in seconds.
+
+    If not, its caller should return after ``retry_after``. ``age`` is the time since the last
+    request that the leader answered was sent.
+    """
+
+    is_granted: bool
+    retry_after: float
+    decider: AllowanceDecider
+    age: float
+
+
+@dataclass(frozen=True, slots=True)
+class AllowanceAnswered(Effect):
+    """Report the decision on the request for an allowance with a number."""
+
+    number: int
+    decided: AllowanceDecided
+
+
 @dataclass(frozen=True, slots=True)
 class SendToHub(Effect):
     """Send a message to the followed hub."""
--- a/tarragonshelf/edge/_node.py
+++ b/tarragonshelf/edge/_node.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 from random import Random
 
+from ..allowances import AllowanceReply
 from ..avoidance import (
     POSITIVE_EVIDENCE,
     EvidenceItem,
@@ -61,6 +62,7 @@
     RequestedPauses,
     compute_idle_limit,
 )
+from ._allowances import EntryAllowances
 from ._catalogue import ActiveCatalogue
 from ._departures import Departures
 from ._evidence import EvidenceProcessor
@@ -154,6 +156,9 @@
         )
         self.retry_requests = PendingRetryRequests(self.budgets)
         self.permit_requests = PendingPermitRequests(self.limits, random)
+        self.allowances = EntryAllowances(
+            random, self.hubs.has_current_hub, lambda effect: self._pending_effects.append(effect)
+        )
         self.is_stopping = False
         self._has_targets = False
         self._profiles: dict[str, ServiceProfile] = {}
@@ -237,6 +242,7 @@
             self.hubs.record_disconnect(now, message.address)
             self._decide_timed_out_retries(now, is_lost=True)
             self._decide_unanswered_permits(now, is_lost=True)
+            self.allowances.decide_unanswered(now, is_lost=True)
             # Load counts are out of date within a second; the next hub sends its own.
             self.balancer.update_peer_load({}, is_whole=True)
             return self._choose_hub(now)
@@ -261,6 +267,7 @@
         self._report_load(now)
         self._decide_timed_out_retries(now)
         self._decide_unanswered_permits(now)
+        self.allowances.decide_unanswered(now)
         if self.hubs.has_current_hub(now):
             self.budgets.clear_tokens()
         self.suspects.remove_expired(now)
@@ -312,6 +319,7 @@
             self._edges = message.edges
             self.budgets.entries = max(message.total, len(message.edges), 1)
             self.permit_requests.entries = self.budgets.entries
+            self.allowances.set_entries(self.budgets.entries)
             self.balancer.floor.failures.entries = self.budgets.entries
         elif isinstance(message, RelayNews):
             self.path.relays.update(message.relays)
@@ -324,6 +332,8 @@
             decided = self.permit_requests.complete(now, message)
             if decided is not None:
                 self._pending_effects.append(PermitAnswered(message.number, decided))
+        elif isinstance(message, AllowanceReply):
+            self.allowances.handle(now, message)
         elif isinstance(message, LoadNews):
             counts = {item.target: item.count for item in message.items}
             self.balancer.update_peer_load(counts, is_whole=message.is_whole)
--- a/tarragonshelf/edge/tests/fakes.py
+++ b/tarragonshelf/edge/tests/fakes.py
@@ -11,6 +11,7 @@
 from ...base import Effect, Message
 from ...catalogue import CatalogueStored, PutCatalogue, compress_content
 from ...edge import (
+    AllowanceAnswered,
     EdgeNode,
     EdgeSettings,
     FollowHub,
@@ -219,6 +220,8 @@
         self.counts_unknown_incarnations = False
         self.site.put(1)
         self.targets = [create_target(number) for number in range(targets)]
+        # Called with each decision on an allowance.
+        self.handle_allowance: Callable[[FakeEntry, AllowanceAnswered], None] | None = None
         self._next_request_at = float("inf")
         self._steps = 0
         self._pending_retries: dict[tuple[str, int], RequestMachine] = {}
@@ -261,6 +264,11 @@
         node = EdgeNode(settings=settings, reader=FakeReader(), random=Random(name))
         self.entries[name] = FakeEntry(name, node)
 
+    def kill_entry(self, name: str) -> None:
+        """Kill an entry process for good."""
+        self._disconnect(self.entries[name])
+        del self.entries[name]
+
     def cut_entry(self, name: str, *, is_cut: bool) -> None:
         """Cut an entry off from all hubs, or reconnect it."""
         self.disturbed.add(name)
@@ -455,6 +463,15 @@
     def _after(self, seconds: float, handle: Callable[[], None]) -> None:
         heapq.heappush(self.events, (self.now + seconds, next(self.numbers), handle))
 
+    def run_in(self, entry: FakeEntry, handle: Callable[[], None]) -> None:
+        """Run a handler in an entry process, and execute what it causes."""
+
+        def run() -> None:
+            handle()
+            self._execute(entry, entry.node.pop_pending_effects())
+
+        self._run_at(entry, run)
+
     def _run_at(self, entry: FakeEntry, handle: Callable[[], None]) -> None:
         """Run a handler in an entry process, once it is not frozen, unless it was restarted."""
         if self.entries.get(entry.name) is not entry:
@@ -498,6 +515,8 @@
                 entry.idle_connections.pop(effect.target.identity, None)
             elif isinstance(effect, CloseIdleConnections):
                 entry.idle_connections.clear()
+            elif isinstance(effect, AllowanceAnswered):
+                self.handle_allowance(entry, effect)
             elif isinstance(effect, PermitAnswered):
                 machine = self._pending_permits.pop((entry.name, effect.number))
                 self._handle(entry, machine, effect.decided)
--- a/tarragonshelf/hub/_entries.py
+++ b/tarragonshelf/hub/_entries.py
@@ -1,5 +1,6 @@
 """Messages of the entries that follow a hub, and updates sent to them."""
 
+from ..allowances import AllowanceRequest
 from ..avoidance import EvidenceItem, EvidenceKind, EvidenceNews
 from ..base import Message
 from ..registry import TargetNews
@@ -11,6 +12,7 @@
     RelayedPermitReply,
     RelayedPermitRequest,
 )
+from ._allowances import AllowancesMixin
 from ._messages import (
     HubBeat,
     LoadReport,
@@ -21,13 +23,12 @@
     Subscribe,
 )
 from ._relays import MAXIMUM_NAMED_RELAYS
-from ._state import HubState
 
 # Changes of the serving entries are batched, as many happen when the fleet starts.
 EDGE_NEWS_INTERVAL_SECONDS = 0.2
 
 
-class EntriesMixin(HubState):
+class EntriesMixin(AllowancesMixin):
     """Handles messages of entries and sends updates to them."""
 
     def _handle_subscriber(self, now: float, number: int, message: Message) -> None:
@@ -41,6 +42,8 @@
             self._answer_retry_request(now, number, message)
         elif isinstance(message, PermitRequest):
             self._handle_permit_request(now, number, message)
+        elif isinstance(message, AllowanceRequest):
+            self._handle_allowance_request(now, number, message)
         elif isinstance(message, TargetNews):
             self._handle_departures(now, message)
         elif isinstance(message, EvidenceNews):
@@ -163,11 +166,8 @@
         if not self._edges_changed or now - self._edges_pushed_at < EDGE_NEWS_INTERVAL_SECONDS:
             return
         self._edges_changed, self._edges_pushed_at = False, now
-        followers = len(self.subscribers.serving)
-        # A hub that is no longer alive is not counted: its entries follow another hub by now.
-        counts = self._peer_edge_counts.items()
-        total = followers + sum(n for vm, n in counts if self.registrar.is_alive(now, vm))
-        self.retry_pool.set_share(followers, total)
+        total = self._count_entries(now)
+        self.retry_pool.set_share(len(self.subscribers.serving), total)
         self._effects += self.subscribers.push_edges(total)
 
     def _exchange_loads(self, now: float) -> None:
--- a/tarragonshelf/hub/_node.py
+++ b/tarragonshelf/hub/_node.py
@@ -1,5 +1,6 @@
 """One hub: a replica of the catalogue, registrar of targets and source of updates for entries."""
 
+from ..allowances import RelayedAllowanceReply, RelayedAllowanceRequest
 from ..avoidance import EvidenceNews
 from ..base import Effect, Message
 from ..catalogue import (
@@ -128,15 +129,17 @@
     def adopt_volatile_state(self, previous: "HubNode") -> None:
         """Take over state of the previous node after its replica was restarted from disk.
 
-        Targets and their limits, hubs, retry budgets, permits and updates about leaving targets
-        are not part of the replicated log. Subscribers are not taken over: what the failed batch
-        had for them was not sent, so they have to subscribe again, and then receive everything.
+        Targets and their limits, hubs, retry budgets, permits, allowances and updates about
+        leaving targets are not part of the replicated log. Subscribers are not taken over: what
+        the failed batch had for them was not sent, so they have to subscribe again, and then
+        receive everything.
         """
         self.targets = previous.targets
         self.registrar = previous.registrar
         self.retry_pool = previous.retry_pool
         self.limits = previous.limits
         self.permits = previous.permits
+        self.allowances = previous.allowances
         # Numbers must not begin anew: a late confirmation would count for another update.
         self._drains = previous._drains
         self._saved_catalogue = previous._saved_catalogue
@@ -185,7 +188,9 @@
         self.targets.remove_departed(now)
         if now - self._saved_at >= SAVE_INTERVAL_SECONDS:
             self._save_targets(now)
+        self._end_unanswered_allowances(now)
         self._exchange_loads(now)
+        self._record_entry_count(now)
         self._push_edges(now)
         self._exchange_relays(now)
         self._send_heartbeats(now)
@@ -228,6 +233,8 @@
             self._answer_relayed_permit(now, message)
         elif isinstance(message, RelayedPermitReply):
             self._effects.append(PushToSubscriber(message.subscriber, message.reply))
+        elif isinstance(message, RelayedAllowanceRequest | RelayedAllowanceReply):
+            self._handle_relayed_allowance(now, message)
         elif isinstance(message, RelayQuery):
             self._answer_relay_query(message)
         elif isinstance(message, RelayList):
--- a/tarragonshelf/hub/_state.py
+++ b/tarragonshelf/hub/_state.py
@@ -2,11 +2,13 @@
 
 from random import Random
 
+from ..allowances import AllowanceAllocator, AllowanceRequests
 from ..base import Codec
 from ..catalogue import (
     CatalogueCopy,
     CatalogueReader,
     CatalogueRegister,
+    ClientAccount,
 )
 from ..consensus import HardState, LogEntry, Snapshot, Timing
 from ..forwarding import RetryBudgetSettings
@@ -33,6 +35,8 @@
 SAVED_MESSAGE_NAMES = (TARGETS_FILE, CATALOGUE_FILE, HUBS_FILE)
 # A follower without contact with a leader for this long may lack entries that others acknowledged.
 LEADER_TIMEOUT_SECONDS = 1.0
+# Time in which the leader answers a request for allowances; less than the 0.3 s that entries wait.
+ALLOWANCE_TIMEOUT_SECONDS = 0.25
 
 
 class HubState(ReplicatedNode):
@@ -80,6 +84,13 @@
         # The limits are sent to entries that subscribe; the leader grants permits under them.
         self.limits = DeclaredLimits()
         self.permits = PermitAllocator(random)
+        # The leader allocates allowances; the other hubs combine the requests of their entries.
+        self.allowances = AllowanceAllocator(random)
+        self.allowance_requests = AllowanceRequests(random, ALLOWANCE_TIMEOUT_SECONDS)
+        # Accounts of the version read last; None if this build cannot read it.
+        self._accounts: dict[str, ClientAccount] | None = None
+        self._accounts_version = 0
+        self._entries_counted_at = float("-inf")
         self._drains = PendingDrains(record.vm)
         # Evidence of local entries goes to entries and hubs, evidence of other hubs to entries
         # only.
@@ -120,6 +131,15 @@
             self.limits.forget(entry.identity)
         return True
 
+    def _count_entries(self, now: float) -> int:
+        """Return the number of serving entries that follow this hub or another that is alive.
+
+        The entries of a hub that is no longer alive follow another hub by now.
+        """
+        counts = self._peer_edge_counts.items()
+        remote = sum(count for vm, count in counts if self.registrar.is_alive(now, vm))
+        return len(self.subscribers.serving) + remote
+
     def is_current(self, now: float) -> bool:
         """Return whether this hub leads with a quorum or has recent contact with a leader."""
         if self.replica.is_leader:
--- a/tarragonshelf/hub/tests/fakes.py
+++ b/tarragonshelf/hub/tests/fakes.py
@@ -1,10 +1,12 @@
 """Hubs on a simulated network, with a simulated clock and simulated disks."""
 
+from hashlib import sha256
 from random import Random
 
 from ...catalogue import (
     Catalogue,
     CatalogueReader,
+    ClientAccount,
     PutCatalogue,
     ReadCatalogue,
     Route,
@@ -51,7 +53,10 @@
 
 
 class FakeReader(CatalogueReader):
-    """Parses ``VERSION`` as a small catalogue, and ``VERSION bad`` as an invalid one."""
+    """Parses ``VERSION`` as a small catalogue, and ``VERSION bad`` as an invalid one.
+
+    Words of the form ``NAME:RATE:BURST`` are client accounts, whose keys are their names.
+    """
 
     def read(self, content: bytes) -> Catalogue:
         try:
@@ -61,7 +66,13 @@
         service = "unknown" if b"bad" in content else "s"
         shares = (WeightedService(service, 1.0),)
         route = Route("r", "h", "/", True, 1.0, 1.0, 1, 2, shares)
-        return Catalogue(version, (route,), (ServiceSpec("s", 10),))
+        words = [word.split(":") for word in content.decode().split() if ":" in word]
+        accounts = tuple(
+            ClientAccount(name, (sha256(name.encode()).digest(),), float(rate), float(burst))
+            for name, rate, burst in words
+        )
+        services = (ServiceSpec("s", 10),)
+        return Catalogue(version, (route,), services, accounts=accounts or None)
 
 
 class FakeHub:
@@ -201,12 +212,13 @@
         self._run(self.hubs[vm], CallReceived(self._calls, message))
         return self._calls
 
-    def put(self, version: int) -> bool:
+    def put(self, version: int, accounts: str = "") -> bool:
         """Store a version through the leader and return whether it was acknowledged."""
         leader = self.leader
         if leader is None:
             return False
-        number = self.call(leader, PutCatalogue(version, compress_content(str(version).encode())))
+        content = compress_content(f"{version} {accounts}".encode())
+        number = self.call(leader, PutCatalogue(version, content))
         self.advance(0.5)
         return hasattr(self.replies.get(number), "version")
 
--- a/tarragonshelf/site/_hub.py
+++ b/tarragonshelf/site/_hub.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 from mode import Service
 
+from ..allowances import AllowanceRequest
 from ..avoidance import EvidenceNews
 from ..base import Effect, Message
 from ..catalogue import CatalogueReader
@@ -307,7 +308,7 @@
             return
         message = frame.message
         is_from_entry = isinstance(
-            message, Subscribe | LoadReport | RepeatAsk | PermitRequest
+            message, Subscribe | LoadReport | RepeatAsk | PermitRequest | AllowanceRequest
         ) or (isinstance(message, EvidenceNews) and not message.is_relayed)
         if isinstance(message, TargetNews):
             # Hubs send it, too, but on connections that carry no subscription.
