Requests beyond the allowance of an account get 429 with Retry-After

Cause: the entry asked nobody whether a request is within the allowance of its account.

Ruled out: `request_refused` for these requests. It describes all candidate targets, which a flood would make the most expensive part of a refusal; and a refused request must not count for the retry budget of its service.

Change: the caller server asks once, after authentication and before the request is forwarded. Refused ones get 429 (not run), the log line `allowance_refused` (request, account, decider, age of the last reply, retry_after) and count as outcome over-allowance; `allowance_decisions` counts all by decider and outcome. `explain` names the cause. Entries of earlier builds would be told `limited`, though a relay does not ask.

--- a/tarragonshelf/forwarding/_messages.py
+++ b/tarragonshelf/forwarding/_messages.py
@@ -113,6 +113,7 @@
     HELD_BACK = "held-back"
     LIMITED = "limited"
     PAUSED = "paused"
+    OVER_ALLOWANCE = "over-allowance"
     NO_PATH = "no-path"
     OUTDATED = "outdated"
     STOPPING = "stopping"
--- a/tarragonshelf/platform/_entry_http.py
+++ b/tarragonshelf/platform/_entry_http.py
@@ -176,13 +176,14 @@
     def create_refusal(self, refuse: Refuse, request_id: bytes) -> web.Response:
         """Return the entry's own response to a request that it refuses.
 
-        503 promises that no target ran the request; otherwise the status is 502 or 504.
+        503 promises that no target ran the request, and so does 429, which is for requests beyond
+        the allowance of their tenant; otherwise the status is 502 or 504.
         """
         headers = {"Request-Id": request_id.decode("latin-1")} if request_id else {}
         if refuse.has_run:
             status = 504 if refuse.reason == RefusalReason.DEADLINE else 502
         else:
-            status = 503
+            status = 429 if refuse.reason == RefusalReason.OVER_ALLOWANCE else 503
             headers["Retry-After"] = f"{refuse.retry_after:.2f}"
         return web.Response(status=status, headers=headers, text=str(refuse.reason))
 
--- a/tarragonshelf/platform/tests/test_platform.py
+++ b/tarragonshelf/platform/tests/test_platform.py
@@ -195,12 +195,13 @@
             (RefusalReason.NO_TARGET, False, 503),
             (RefusalReason.MAY_HAVE_RUN, True, 502),
             (RefusalReason.DEADLINE, True, 504),
+            (RefusalReason.OVER_ALLOWANCE, False, 429),
         ],
     )
     def test_503_is_returned_only_if_the_request_did_not_run(self, reason, has_run, status):
         response = PlatformDialect().create_refusal(Refuse(reason, has_run, 0.3), b"q")
         assert response.status == status
-        assert ("Retry-After" in response.headers) == (status == 503)
+        assert ("Retry-After" in response.headers) == (status in (429, 503))
 
 
 class TestHugeNumbers:
--- a/tarragonshelf/queries/_explain.py
+++ b/tarragonshelf/queries/_explain.py
@@ -33,6 +33,7 @@
     "and these limits were used up",
     "paused": "every target of service {service} that could take it had asked this entry to send "
     "nothing for some time",
+    "over-allowance": "it was beyond the allowance of account {account}, as decided by {decider}",
     "no-path": "the entry could reach no target, and no other entry that could took the request",
     "outdated": "the entry knew no route for it, and had no current hub that would have told it "
     "of a newer version",
@@ -100,13 +101,16 @@
         return "the caller closed its connection before an answer was available"
     if fields.get("event") == "request_answered":
         return _describe_answer(fields, attempts)
-    if fields.get("event") != "request_refused":
+    if fields.get("event") == "allowance_refused":
+        fields = {**fields, "reason": "over-allowance"}
+    elif fields.get("event") != "request_refused":
         return (
             "the logs do not contain the end of the request: the entry stopped, or the log rate "
             "limit left the line out"
         )
     target = attempts[-1].get("target", "") if attempts else ""
-    placeholders = {"service": fields.get("service", ""), "target": target}
+    names = ("service", "account", "decider")
+    placeholders = {"target": target, **{name: fields.get(name, "") for name in names}}
     reason = REFUSAL_CAUSES.get(str(fields.get("reason")), str(fields.get("reason")))
     reported = "it had not run" if not fields.get("has_run") else "it may have run"
     return f"{reason.format(**placeholders)}; the caller was told that {reported}"
--- a/tarragonshelf/site/_caller_server.py
+++ b/tarragonshelf/site/_caller_server.py
@@ -1,13 +1,14 @@
 """HTTP server of an entry for callers."""
 
 import asyncio
-from collections.abc import Callable
+import math
+from collections.abc import Awaitable, Callable
 
 from aiohttp import web
 from multidict import CIMultiDict
 
-from ..catalogue import CallerLimits, RouteMatch
-from ..edge import EdgeNode
+from ..catalogue import CallerLimits, ClientAccount, RouteMatch
+from ..edge import AllowanceDecided, EdgeNode
 from ..forwarding import (
     ForwardRequest,
     RefusalReason,
@@ -58,6 +59,8 @@
         Logs an event, given by its name and fields.
     metrics : Metrics
         Counts requests by outcome and measures their durations.
+    request_allowance : callable
+        Returns whether a request of a client account is within its allowance.
     """
 
     def __init__(
@@ -68,12 +71,14 @@
         dialect: HttpDialect,
         report: Callable[..., None],
         metrics: Metrics,
+        request_allowance: Callable[[ClientAccount], Awaitable[AllowanceDecided]],
     ):
         self.node = node
         self.forwarder = forwarder
         self.dialect = dialect
         self.report = report
         self.metrics = metrics
+        self.request_allowance = request_allowance
         self.in_flight = 0
         self.is_closing = False
         self._is_refusing = False
@@ -181,6 +186,11 @@
             headers = self.dialect.replace_credentials(headers, account)
         content = _create_content(request, headers, body, fields.request_id)
         forward_request = _create_forward_request(arrived_at, matched, fields, content, account)
+        if authentication.account is not None and authentication.account.rate > 0.0:
+            decided = await self.request_allowance(authentication.account)
+            self._count_allowance(decided)
+            if not decided.is_granted:
+                return self._refuse_allowance(forward_request, fields.request_id, decided)
         node.record_request(arrived_at, matched.service)
         if self._is_refusing and has_waited:
             retry_after = node.compute_retry_after(arrived_at, matched.service)
@@ -189,6 +199,36 @@
             result = await self.forwarder.forward(forward_request, content)
         return self._finish_request(forward_request, fields.request_id, result)
 
+    def _count_allowance(self, decided: AllowanceDecided) -> None:
+        outcome = "granted" if decided.is_granted else "refused"
+        self.metrics.count(
+            "allowance_decisions", ("decider", decided.decider), ("outcome", outcome)
+        )
+
+    def _refuse_allowance(
+        self, forward_request: ForwardRequest, request_id: bytes, decided: AllowanceDecided
+    ) -> web.Response:
+        """Refuse a request beyond the allowance of its account.
+
+        It does not count for the retry budget of its service, and no target is described: under
+        a flood these are most requests.
+        """
+        reason = RefusalReason.OVER_ALLOWANCE
+        route = forward_request.route.name
+        self.metrics.count("requests_total", ("route", route), ("outcome", str(reason)))
+        self.report(
+            "allowance_refused",
+            request=forward_request.identity,
+            account=forward_request.account,
+            route=route,
+            decider=decided.decider,
+            age=None if math.isinf(decided.age) else round(decided.age, 3),
+            retry_after=round(decided.retry_after, 3),
+            version=self.node.version,
+        )
+        refuse = Refuse(reason, has_run=False, retry_after=decided.retry_after)
+        return self.dialect.create_refusal(refuse, request_id)
+
     def _finish_request(
         self, forward_request: ForwardRequest, request_id: bytes, result: RespondWith | Refuse
     ) -> web.Response:
--- a/tarragonshelf/site/_edge.py
+++ b/tarragonshelf/site/_edge.py
@@ -9,8 +9,10 @@
 from mode import Service
 
 from ..base import Effect, FrameError, Message
-from ..catalogue import CatalogueReader
+from ..catalogue import CatalogueReader, ClientAccount
 from ..edge import (
+    AllowanceAnswered,
+    AllowanceDecided,
     EdgeNode,
     EdgeSettings,
     FollowHub,
@@ -157,6 +159,7 @@
             dialect=dialect,
             report=self._report,
             metrics=self.metrics,
+            request_allowance=self._request_allowance,
         )
         self.discovery_servers = [
             HttpServer(self._handle_discovery_request) for _ in addresses.discovery
@@ -170,6 +173,7 @@
         self._tasks_under_way: set[asyncio.Task] = set()
         self._pending_retries: dict[int, asyncio.Future] = {}
         self._pending_permits: dict[int, asyncio.Future] = {}
+        self._pending_allowances: dict[int, asyncio.Future] = {}
 
     # Queries of the platform
 
@@ -262,6 +266,8 @@
                 self._pending_retries.pop(effect.number).set_result(effect.is_granted)
             elif isinstance(effect, PermitAnswered):
                 self._pending_permits.pop(effect.number).set_result(effect.decided)
+            elif isinstance(effect, AllowanceAnswered):
+                self._pending_allowances.pop(effect.number).set_result(effect.decided)
             elif isinstance(effect, CheckTargets):
                 for target in effect.targets:
                     self._start_task(self._check(target))
@@ -370,9 +376,13 @@
     def _return_permit(self, target: str) -> None:
         self.node.return_permit(read_time(), target)
 
+    async def _request_allowance(self, account: ClientAccount) -> AllowanceDecided:
+        number = self.node.allowances.request(read_time(), account)
+        return await self._wait_for_decision(self._pending_allowances, number)
+
     async def _wait_for_decision(
         self, pending: dict[int, asyncio.Future], number: int
-    ) -> bool | PermitDecided:
+    ) -> bool | PermitDecided | AllowanceDecided:
         pending[number] = future = asyncio.get_running_loop().create_future()
         self._flush()
         # The node always decides, after a time-out if the hub does not reply, and then sets this
--- a/tarragonshelf/site/_relay_server.py
+++ b/tarragonshelf/site/_relay_server.py
@@ -24,7 +24,10 @@
 from ._relay_client import send_with_body, split_body
 
 # Reasons that entries of earlier builds do not know, and what they are told in place of them.
-WIRE_REASONS = {RefusalReason.PAUSED: RefusalReason.LIMITED}
+WIRE_REASONS = {
+    RefusalReason.PAUSED: RefusalReason.LIMITED,
+    RefusalReason.OVER_ALLOWANCE: RefusalReason.LIMITED,
+}
 
 
 @dataclass(slots=True)
--- a/tarragonshelf/site/tests/test_caller_server.py
+++ b/tarragonshelf/site/tests/test_caller_server.py
@@ -8,8 +8,14 @@
 import pytest
 from aiohttp import web_protocol
 
-from ...catalogue import CatalogueCopy, compress_content
-from ...edge import EdgeNode, EdgeSettings, HubReceived
+from ...catalogue import CatalogueCopy, ClientAccount, compress_content
+from ...edge import (
+    AllowanceDecided,
+    AllowanceDecider,
+    EdgeNode,
+    EdgeSettings,
+    HubReceived,
+)
 from ...forwarding import (
     PermitDecided,
     PermitNeeded,
@@ -40,10 +46,14 @@
         work_seconds: float = 0.0,
         target_headers: bytes = b"",
         target_status: bytes = b"200 OK",
+        document: bytes = b"3",
     ):
         self.work_seconds = work_seconds
         self.target_headers = target_headers
         self.target_status = target_status
+        self.document = document
+        # Accounts whose allowance was asked for.
+        self.asked: list[str] = []
         self.received: list[bytes] = []
         self.interrupted = 0
         self.reports: list[str] = []
@@ -64,7 +74,7 @@
         self.node = EdgeNode(settings=settings, reader=FakeReader(), random=Random(1))
         address = f"{host}:{port}"
         target = TargetEntry("i-1", 1, 1, TargetState.READY, address, "s", "z", 3)
-        for message in (CatalogueCopy(3, compress_content(b"3")), TargetNews((target,))):
+        for message in (CatalogueCopy(3, compress_content(self.document)), TargetNews((target,))):
             self.node.handle(0.0, HubReceived("", message))
         dialect = PlatformDialect()
         self.pool = ConnectionPool(dialect, self.node.get_idle_limit)
@@ -85,6 +95,7 @@
             dialect=dialect,
             report=lambda event, **fields: self.reports.append(event),
             metrics=Metrics(),
+            request_allowance=self.request_allowance,
         )
         with socket.socket() as free:
             free.bind(("127.0.0.1", 0))
@@ -98,6 +109,11 @@
             if isinstance(effect, CloseIdleConnections):
                 self.pool.close_target(effect.target)
 
+    async def request_allowance(self, account: ClientAccount) -> AllowanceDecided:
+        """Refuse every request, as a leader whose bucket of the account is empty."""
+        self.asked.append(account.name)
+        return AllowanceDecided(False, 0.25, AllowanceDecider.LEADER, 0.1)
+
     async def request_retry(self, service: str) -> bool:
         """Grant every retry, as a hub with a full retry budget does."""
         return True
@@ -252,6 +268,26 @@
         assert float(headers[b"retry-after"]) > 0
         assert headers[b"request-id"] == b"q1"
 
+    # Guards against requests beyond an allowance that reach a target, and against asking for
+    # accounts without a limit.
+    @pytest.mark.parametrize(
+        ("key", "status", "asked"), [("limited", 429, ["limited"]), ("free", 200, [])]
+    )
+    def test_request_beyond_the_allowance_is_refused_as_not_run(self, key, status, asked):
+        async def test():
+            async with Fixture(document=b"3 limited:5:1 free:0:0") as fixture:
+                reader, writer = await fixture.connect()
+                writer.write(create_request("q1", headers=(f"Authorization: Token {key}",)))
+                response = await read_response(reader)
+                return response, fixture.asked, len(fixture.received), fixture.reports
+
+        (seen, body, headers), names, received, reports = run(test())
+        assert (seen, names, received) == (status, asked, int(status == 200))
+        if status == 429:
+            assert (body, headers[b"retry-after"]) == (b"over-allowance", b"0.25")
+            assert headers[b"request-id"] == b"q1"
+            assert "allowance_refused" in reports
+
     def test_request_without_a_route_gets_404(self):
         async def test():
             async with Fixture() as fixture:
