--- a/tarragonshelf/edge/tests/test_leaving.py
+++ b/tarragonshelf/edge/tests/test_leaving.py
@@ -305,7 +305,7 @@
         assert events == ["target_leaving", "target_changed"]
         assert node.get_idle_limit(TARGET) == 0
         assert not node.is_usable(TARGET)
-        assert node.count_leaving() == 1
+        assert node.departures.count == 1
 
     def test_further_responses_are_not_told_again(self):
         node = create_node(TARGET)
@@ -365,4 +365,4 @@
         node = create_node(TARGET)
         node.record_departure(1.0, TARGET)
         node.tick(2.0 + RETENTION_SECONDS)
-        assert node.count_leaving() == 0
+        assert node.departures.count == 0
--- a/tarragonshelf/site/_edge.py
+++ b/tarragonshelf/site/_edge.py
@@ -9,8 +9,10 @@
 from mode import Service
 
 from ..base import Effect, FrameError, Message
-from ..catalogue import CatalogueReader
+from ..catalogue import CatalogueReader, ClientAccount
 from ..edge import (
+    AllowanceAnswered,
+    AllowanceDecided,
     EdgeNode,
     EdgeSettings,
     FollowHub,
@@ -158,6 +160,7 @@
             dialect=dialect,
             report=self._report,
             metrics=self.metrics,
+            request_allowance=self._request_allowance,
         )
         self.discovery_servers = [
             HttpServer(self._handle_discovery_request) for _ in addresses.discovery
@@ -174,6 +177,7 @@
         self._tasks_under_way: set[asyncio.Task] = set()
         self._pending_retries: dict[int, asyncio.Future] = {}
         self._pending_permits: dict[int, asyncio.Future] = {}
+        self._pending_allowances: dict[int, asyncio.Future] = {}
 
     # Queries of the platform
 
@@ -266,6 +270,8 @@
                 self._pending_retries.pop(effect.number).set_result(effect.is_granted)
             elif isinstance(effect, PermitAnswered):
                 self._pending_permits.pop(effect.number).set_result(effect.decided)
+            elif isinstance(effect, AllowanceAnswered):
+                self._pending_allowances.pop(effect.number).set_result(effect.decided)
             elif isinstance(effect, CheckTargets):
                 for target in effect.targets:
                     self._start_task(self._check(target))
@@ -374,9 +380,13 @@
     def _return_permit(self, target: str) -> None:
         self.node.return_permit(read_time(), target)
 
+    async def _request_allowance(self, account: ClientAccount) -> AllowanceDecided:
+        number = self.node.allowances.request(read_time(), account)
+        return await self._wait_for_decision(self._pending_allowances, number)
+
     async def _wait_for_decision(
         self, pending: dict[int, asyncio.Future], number: int
-    ) -> bool | PermitDecided:
+    ) -> bool | PermitDecided | AllowanceDecided:
         pending[number] = future = asyncio.get_running_loop().create_future()
         self._flush()
         # The node always decides, after a time-out if the hub does not reply, and then sets this
@@ -432,7 +442,7 @@
         self.metrics.set("relayed_under_way", self.relay_server.in_flight)
         self.metrics.set("targets_avoided", self.node.avoidance.count_avoided(now))
         self.metrics.set("targets_limited", len(self.node.limits.list_rates()))
-        self.metrics.set("targets_leaving", self.node.count_leaving())
+        self.metrics.set("targets_leaving", self.node.departures.count)
         self.metrics.set("targets_paused", len(self.node.pauses.list_paused(read_time())))
         for outcome, count in self.pool.connect_counts.items():
             self.metrics.set("target_connections", count, ("outcome", outcome))
