Tests of callers that exceed the limits of an entry

Cause: bodies, heads and chunks of callers are bounded one by one, never together, and connections not at all. Ruled out: tests inside the process; a parser's and the transport's buffers are seen only in the memory of a real one. Change: crowds with lowered limits (110 MB, 120 descriptors, bodies of 16 MiB) against a real entry, and one body of 64 MiB on 200 MB in calm.

--- /dev/null
+++ b/tests/test_callers_beyond_limits.py
@@ -0,0 +1,288 @@
+"""Callers that exceed the limits: an entry lives, stays within its memory and serves others.
+
+The limits of the settings and of the document are lowered, so that small crowds show the fault.
+"""
+
+import asyncio
+import contextlib
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from aiohttp import ClientSession, web
+
+from soak._site import find_free_port
+
+CONTROL, ENTRY = "127.0.7.2", "127.0.7.5"
+COLUMNS = ["name", "host", "path_prefix", "kind", "timeout", "service", "max_attempts"]
+MEMORY_MB = 110
+MAXIMUM_DESCRIPTORS = 120
+MAXIMUM_HEADER_BYTES = 16 << 10
+MAXIMUM_BODY_BYTES = 16 << 20
+# Only tells a process that hangs from one that is slow.
+HANG_SECONDS = 60.0
+# Time in which a crowd is sent; what is not sent by then was not read by the entry.
+CROWD_SECONDS = 15.0
+BLOCK_BYTES = 64 << 10
+
+HEAD = b"POST /x/crowd HTTP/1.1\r\nHost: h.example\r\nRequest-Id: crowd\r\n"
+CHUNKED_HEAD = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+def create_document(maximum_body: int) -> bytes:
+    row = ["r", "h.example", "/x/", "unsafe", "20s", "s", 2]
+    return json.dumps(
+        {
+            "version": "00000001",
+            "routes": {"columns": COLUMNS, "rows": [row]},
+            "services": {"columns": ["name", "max_conns"], "rows": [["s", 100]]},
+            "limits": {
+                "max_header_bytes": MAXIMUM_HEADER_BYTES,
+                "max_body_bytes": maximum_body,
+                "header_timeout": "3s",
+                "idle_timeout": "15s",
+            },
+        }
+    ).encode()
+
+
+class Site:
+    """One control and one entry as separate processes, and a target of this process."""
+
+    def __init__(self, folder: Path, memory_mb: int, maximum_body: int):
+        self.folder = folder
+        self.memory_mb = memory_mb
+        self.maximum_body = maximum_body
+        self.ports = {name: find_free_port() for name in ("peer", "call", "front", "ready")}
+        self.processes: dict[str, subprocess.Popen] = {}
+        self.received: dict[str, int] = {}
+
+    def start(self, role: str, vm: str) -> None:
+        names = {"control": ["control"], "entry": ["front", "ready"]}[role]
+        ports = {**self.ports, "control": self.ports["call"]}
+        settings = {
+            "node_name": vm,
+            "ip": vm,
+            "zone": "z",
+            "zones": {"z": "r"},
+            "listen": {name: f"{vm}:{ports[name]}" for name in names},
+            "internal_ports": [self.ports["peer"]],
+            "seeds": [f"{CONTROL}:{self.ports['call']}"],
+            "bootstrap": True,
+            "data_dir": str(self.folder / vm),
+            "limits": {"memory_mb": self.memory_mb, "max_fds": MAXIMUM_DESCRIPTORS},
+        }
+        path = self.folder / f"{vm}.json"
+        path.write_text(json.dumps(settings))
+        with (self.folder / f"{vm}.log").open("a") as log:
+            self.processes[vm] = subprocess.Popen(
+                [sys.executable, "-m", "tarragonshelf.platform", role],
+                env={**os.environ, "TARRAGONSHELF_NODE_FILE": str(path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    async def begin(self, session: ClientSession) -> None:
+        self._target = await asyncio.get_running_loop().create_server(
+            web.Server(self._serve), "127.0.0.1", 0
+        )
+        self.start("control", CONTROL)
+        self.start("entry", ENTRY)
+        document = create_document(self.maximum_body)
+        await wait_for(lambda: self._post(session, "/v1/config/put", document))
+        host, port = self._target.sockets[0].getsockname()[:2]
+        announcement = {
+            "address": f"{host}:{port}",
+            "born": 1700,
+            "info": {"service": "s", "version": "v1", "zone": "z", "slots": 3},
+            "status": {"state": "ready", "seq": 1, "warmup_left": "0ms"},
+        }
+        path, content = "/v1/instances/i-1/heartbeat", json.dumps(announcement).encode()
+        await wait_for(lambda: self._post(session, path, content))
+        await wait_for(lambda: self.order(session, b"first"))
+
+    def end(self) -> None:
+        for process in self.processes.values():
+            process.kill()
+            process.wait()
+        self._target.close()
+
+    async def _post(self, session, path, content) -> bool:
+        url = f"http://{CONTROL}:{self.ports['call']}{path}"
+        async with session.post(url, data=content) as response:
+            return response.status == 200
+
+    async def _serve(self, request):
+        request_id, size = request.headers["Request-Id"], 0
+        async for part in request.content.iter_any():
+            size += len(part)
+        headers = {"Request-Id": request_id, "Response-Stamp": "s"}
+        if request_id == "endless":
+            return await self._send_without_end(request.transport)
+        return web.Response(text=str(size), headers=headers)
+
+    async def _send_without_end(self, transport: asyncio.Transport) -> web.Response:
+        """Send past aiohttp, which would spend as much time on each chunk as the entry."""
+        head = "HTTP/1.1 200 OK\r\nRequest-Id: endless\r\nResponse-Stamp: s\r\n"
+        transport.write(f"{head}Transfer-Encoding: chunked\r\n\r\n".encode())
+        while not transport.is_closing():
+            if transport.get_write_buffer_size() < BLOCK_BYTES:
+                transport.write(SMALL_CHUNKS)
+            await asyncio.sleep(0)
+        return web.Response()
+
+    async def order(self, session, body: bytes) -> bool:
+        """Return whether a request was answered by the target, which received all of it."""
+        headers = {"Host": "h.example", "Request-Id": "ordinary", "Connection": "close"}
+        url = f"http://{ENTRY}:{self.ports['front']}/x/1"
+        async with session.post(url, headers=headers, data=body) as response:
+            return response.status == 200 and await response.text() == str(len(body))
+
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        return await asyncio.open_connection(ENTRY, self.ports["front"])
+
+    def reset_peak(self) -> None:
+        """Forget the peak of the start, at which modules without a cache are compiled."""
+        Path(f"/proc/{self.processes[ENTRY].pid}/clear_refs").write_text("5")
+
+    def read_peak_mb(self) -> float:
+        status = Path(f"/proc/{self.processes[ENTRY].pid}/status").read_text()
+        line = next(item for item in status.splitlines() if item.startswith("VmHWM"))
+        return int(line.split()[1]) / 1024
+
+    def count_descriptors(self) -> int:
+        return len(os.listdir(f"/proc/{self.processes[ENTRY].pid}/fd"))
+
+
+async def wait_for(check) -> None:
+    deadline = asyncio.get_running_loop().time() + HANG_SECONDS
+    while True:
+        with contextlib.suppress(OSError, TimeoutError):
+            # aiohttp's errors of a broken connection are subclasses of OSError.
+            if await asyncio.wait_for(check(), HANG_SECONDS):
+                return
+        assert asyncio.get_running_loop().time() < deadline, "no answer"
+        await asyncio.sleep(0.1)
+
+
+def send_repeated(block: bytes, size: int, head: bytes = b""):
+    """Return a sender of a head and then ``size`` bytes in blocks, after which it stays open."""
+
+    async def send(writer: asyncio.StreamWriter) -> None:
+        writer.write(head)
+        for _ in range(-(-size // len(block))):
+            writer.write(block)
+            await writer.drain()
+
+    return send
+
+
+def send_declared(size: int, sent: int, piece: int):
+    """Return a sender of the first ``sent`` bytes of a body of ``size`` bytes."""
+    head = HEAD + b"Content-Length: %d\r\n\r\n" % size
+
+    async def send(writer: asyncio.StreamWriter) -> None:
+        writer.write(head)
+        for at in range(0, sent, piece):
+            writer.write(bytes(min(piece, sent - at)))
+            await writer.drain()
+            await asyncio.sleep(0)
+
+    return send
+
+
+LARGE_CHUNK = b"%x\r\n%s\r\n" % (BLOCK_BYTES, bytes(BLOCK_BYTES))
+SMALL_CHUNKS = b"1\r\nx\r\n" * (BLOCK_BYTES // 6)
+NEARLY = MAXIMUM_BODY_BYTES - 1
+# Each crowd: how many callers, and what each sends before it stays open.
+CROWDS = {
+    "request-line": (60, send_repeated(b"x" * BLOCK_BYTES, 64 << 20, b"GET /")),
+    "head": (60, send_repeated(b"A: %s\r\n" % (b"x" * 4000), 64 << 20, HEAD)),
+    "header-line": (60, send_repeated(b"x" * BLOCK_BYTES, 64 << 20, HEAD + b"A: ")),
+    "empty-lines": (60, send_repeated(b"\r\n" * (BLOCK_BYTES // 2), 64 << 20)),
+    "bodies-whole": (16, send_declared(MAXIMUM_BODY_BYTES, NEARLY, NEARLY)),
+    "bodies-pieces": (16, send_declared(MAXIMUM_BODY_BYTES, NEARLY, BLOCK_BYTES)),
+    "bodies-2-MiB": (80, send_declared(2 << 20, (2 << 20) - 1, BLOCK_BYTES)),
+    "chunks-large": (16, send_repeated(LARGE_CHUNK, NEARLY, CHUNKED_HEAD)),
+    "chunks-small": (60, send_repeated(SMALL_CHUNKS, 6 * NEARLY, CHUNKED_HEAD)),
+    "chunk-extension": (60, send_repeated(b"x" * BLOCK_BYTES, 64 << 20, CHUNKED_HEAD + b"1;")),
+    "half-heads": (2 * MAXIMUM_DESCRIPTORS, send_repeated(HEAD, len(HEAD))),
+}
+
+
+async def send_crowd(site: Site, callers: int, send) -> list:
+    """Send a crowd for a while; return its connections, most of which stay open."""
+    writers = []
+
+    async def run() -> None:
+        with contextlib.suppress(OSError):
+            _, writer = await site.connect()
+            writers.append(writer)
+            await send(writer)
+
+    tasks = [asyncio.create_task(run()) for _ in range(callers)]
+    if not tasks:
+        return writers
+    await asyncio.wait(tasks, timeout=CROWD_SECONDS)
+    for task in tasks:
+        task.cancel()
+    await asyncio.wait(tasks)
+    return writers
+
+
+async def play(site: Site, callers: int, send) -> None:
+    async with ClientSession() as session:
+        await site.begin(session)
+        site.reset_peak()
+        peak_before = site.read_peak_mb()
+        writers = await send_crowd(site, callers, send)
+        try:
+            peak, descriptors = site.read_peak_mb(), site.count_descriptors()
+            print(f"peak {peak_before:.0f} to {peak:.0f} MB, {descriptors} descriptors")
+            # The crowd still holds its connections.
+            await wait_for(lambda: site.order(session, b"during"))
+        finally:
+            for writer in writers:
+                writer.transport.abort()
+        await wait_for(lambda: site.order(session, b"after"))
+        await wait_for(lambda: site.order(session, bytes(site.maximum_body)))
+        peak = max(peak, site.read_peak_mb())
+        print(f"peak at the end {peak:.0f} MB")
+        assert site.processes[ENTRY].poll() is None
+        assert peak <= site.memory_mb
+        assert descriptors <= MAXIMUM_DESCRIPTORS
+
+
+@pytest.mark.process
+@pytest.mark.parametrize("crowd", CROWDS)
+def test_entry_survives_a_crowd_within_its_memory(tmp_path, crowd):
+    """Guards against an entry that outgrows its memory, or stops, for callers that never end."""
+    site = Site(tmp_path, MEMORY_MB, MAXIMUM_BODY_BYTES)
+    try:
+        asyncio.run(play(site, *CROWDS[crowd]))
+    finally:
+        site.end()
+
+
+@pytest.mark.process
+def test_entry_survives_endless_responses_in_one_byte_chunks(tmp_path):
+    """Guards against an entry that does nothing but parse the responses of a broken target."""
+    request = HEAD.replace(b"crowd\r\n", b"endless\r\nContent-Length: 0\r\n\r\n")
+    site = Site(tmp_path, MEMORY_MB, MAXIMUM_BODY_BYTES)
+    try:
+        asyncio.run(play(site, 12, send_repeated(request, 1)))
+    finally:
+        site.end()
+
+
+@pytest.mark.process
+def test_largest_legal_body_is_served_in_calm(tmp_path):
+    """Guards against copies of a body of 64 MiB that exceed the 200 MB of an entry."""
+    site = Site(tmp_path, 200, 64 << 20)
+    try:
+        asyncio.run(play(site, 0, None))
+    finally:
+        site.end()
