The control's interface and the look-ups of an entry are bounded, too

Cause: only the caller server of an entry counted its bytes and connections. Ruled out: one budget for all of a control's memory; its catalogue, log and registry grow after the start, so targets and operators get half of what is free. Change: HttpServer puts CallerConnection before its handlers. Look-ups share the budget of the entry. A control refuses what does not fit with 503 and closes stalled, idle and slow connections by the same rules.

--- a/tarragonshelf/platform/_control.py
+++ b/tarragonshelf/platform/_control.py
@@ -10,6 +10,8 @@
     NETWORK_SECRET,
     get_own_address,
     read_bounds,
+    read_maximum_descriptors,
+    read_memory_bytes,
     read_peer_port,
     read_retry_budget,
     read_seed_vms,
@@ -56,4 +58,6 @@
         metrics_address=get_own_address(fields, METRICS_PORT),
         peer_listen_address=read_text(fields.get("peer_listen", ""), "peer_listen"),
         budget=read_retry_budget(read_bounds(fields)),
+        memory_bytes=read_memory_bytes(fields),
+        maximum_descriptors=read_maximum_descriptors(fields),
     )
--- a/tarragonshelf/site/_caller_connection.py
+++ b/tarragonshelf/site/_caller_connection.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import socket
 from collections.abc import Callable
 
 from aiohttp import StreamReader, web
@@ -30,6 +31,11 @@
 # read until the response, so its disconnection is noticed only then.
 PIPELINED_BYTES = 64 << 10
 
+# Connections that are accepted in one turn of the event loop, before those beyond the limit are
+# closed, and connections that wait for that in the kernel.
+ACCEPT_BATCH = 8
+ACCEPT_QUEUE = 512
+
 
 def is_idle(handler: web.RequestHandler) -> bool:
     """Return whether a connection waits for the head of a request.
@@ -41,6 +47,19 @@
     return waiter is not None and not waiter.done()
 
 
+async def listen(
+    address: str, create_connection: Callable[[], "CallerConnection"]
+) -> asyncio.Server:
+    """Accept connections on ``HOST:PORT``, a few in each turn of the event loop."""
+    host, _, port = address.rpartition(":")
+    listener = socket.create_server((host, int(port)))
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(create_connection, sock=listener, backlog=ACCEPT_BATCH)
+    # asyncio accepts as many connections in one turn as its backlog, so that is not the queue.
+    listener.listen(ACCEPT_QUEUE)
+    return server
+
+
 class CallerConnections:
     """The connections of callers, and the budget that they share.
 
@@ -170,10 +189,20 @@
         All connections of the server.
     handler : web.RequestHandler
         Parses the requests.
+    closes_if_full : bool, optional
+        Close the connection if a body of unknown size does not fit into the memory. Without it,
+        the server must refuse a request for which ``is_refused`` is set.
     """
 
-    def __init__(self, connections: CallerConnections, handler: web.RequestHandler):
+    def __init__(
+        self,
+        connections: CallerConnections,
+        handler: web.RequestHandler,
+        *,
+        closes_if_full: bool = False,
+    ):
         self.connections = connections
+        self.closes_if_full = closes_if_full
         # Whether the request under way did not fit into the memory.
         self.is_refused = False
         self._handler = handler
@@ -208,6 +237,7 @@
         self._received_at = _read_time()
         if self._holding is not None:
             set_state(self._received_at, self._holding, HoldingState.RECEIVING)
+            self._begin_running_if_complete()
 
     def reserve_body(self, size: int) -> bool:
         """Reserve memory for a body of known size; return False if it does not fit."""
@@ -225,6 +255,12 @@
         if self._holding is not None:
             set_state(_read_time(), self._holding, HoldingState.RUNNING)
 
+    def _begin_running_if_complete(self) -> None:
+        content, holding = self._content, self._holding
+        is_complete = content is not None and content.is_eof()
+        if is_complete and holding is not None and holding.state == HoldingState.RECEIVING:
+            self.begin_running()
+
     def end(self, response_bytes: int) -> None:
         """End the request; its response, of so many bytes, is written next."""
         self._response_bytes = response_bytes
@@ -272,6 +308,8 @@
         """Read again unless the other one still wants none."""
         if is_handler:
             self._is_paused_by_handler = False
+            # aiohttp has parsed what it held back.
+            self._begin_running_if_complete()
         if not self._is_paused_by_handler and not self._is_paused_by_pipelining:
             self._transport.resume_reading()
 
@@ -325,6 +363,7 @@
         content = self._content
         if content is not None:
             self._check_framing(content, size)
+            self._begin_running_if_complete()
         elif is_idle(self._handler):
             self._count_head(now, size)
         elif not self._is_discarding:
@@ -376,7 +415,7 @@
         if self.connections.reserve(now, self._holding, missing):
             self._reserved += missing
             return True
-        if content is None:
+        if content is None or self.closes_if_full:
             self.abort("no-memory")
             return False
         self.is_refused = True
--- a/tarragonshelf/site/_caller_server.py
+++ b/tarragonshelf/site/_caller_server.py
@@ -1,7 +1,6 @@
 """HTTP server of an entry for callers."""
 
 import asyncio
-import socket
 from collections.abc import Callable
 
 from aiohttp import web
@@ -24,6 +23,7 @@
     CallerConnection,
     CallerConnections,
     is_idle,
+    listen,
 )
 from ._forwarder import Forwarder
 from ._interfaces import CallerFields, HttpDialect, RawHeaders, RequestContent
@@ -49,10 +49,6 @@
 LINGER_SECONDS = 2.0
 # Buffer of aiohttp for the part of a body that was not read from it yet.
 PARSED_BODY_BYTES = 64 << 10
-# Connections that are accepted in one turn of the event loop, before those beyond the limit are
-# closed, and connections that wait for that in the kernel.
-ACCEPT_BATCH = 8
-ACCEPT_QUEUE = 512
 # Bodies of at most this size are passed on as immutable copies.
 COPIED_BODY_BYTES = 256 << 10
 METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH", "DELETE"})
@@ -108,10 +104,13 @@
         self._web_server: web.Server | None = None
         self.connections = CallerConnections(
             budget or BufferBudget(compute_limits(None, 0, None)),
-            lambda: self.node.catalogue.limits,
+            self._get_limits,
             self._report_closed,
         )
 
+    def _get_limits(self) -> CallerLimits:
+        return CallerLimits() if self.node.catalogue is None else self.node.catalogue.limits
+
     @property
     def is_open(self) -> bool:
         """Whether callers can connect."""
@@ -130,16 +129,9 @@
             lingering_time=LINGER_SECONDS,
             read_bufsize=PARSED_BODY_BYTES,
         )
-        host, _, port = address.rpartition(":")
-        loop = asyncio.get_running_loop()
-        listener = socket.create_server((host, int(port)))
-        self._listener = await loop.create_server(
-            lambda: CallerConnection(self.connections, self._web_server()),
-            sock=listener,
-            backlog=ACCEPT_BATCH,
+        self._listener = await listen(
+            address, lambda: CallerConnection(self.connections, self._web_server())
         )
-        # asyncio accepts as many connections in one turn as its backlog, so that is not the queue.
-        listener.listen(ACCEPT_QUEUE)
 
     async def stop(self, seconds: float) -> None:
         """Stop accepting connections, wait for requests in flight, and close.
--- a/tarragonshelf/site/_edge.py
+++ b/tarragonshelf/site/_edge.py
@@ -172,7 +172,8 @@
             budget=self.budget,
         )
         self.discovery_servers = [
-            HttpServer(self._handle_discovery_request) for _ in addresses.discovery
+            HttpServer(self._handle_discovery_request, self.caller_server.connections)
+            for _ in addresses.discovery
         ]
         self.administration = AdministrationServer(
             metrics=self.metrics, is_ready=lambda: self.is_ready, refresh=self._refresh
--- a/tarragonshelf/site/_hub.py
+++ b/tarragonshelf/site/_hub.py
@@ -9,7 +9,8 @@
 
 from ..avoidance import EvidenceNews
 from ..base import Effect, Message
-from ..catalogue import CatalogueReader
+from ..buffering import BufferBudget, BufferLimits, compute_limits
+from ..catalogue import CallerLimits, CatalogueReader
 from ..consensus import Send, Timing
 from ..forwarding import RetryBudgetSettings
 from ..hub import (
@@ -60,12 +61,18 @@
     UnreachableError,
     create_codec,
 )
+from ._caller_connection import CallerConnections
 from ._http_server import HttpServer
 from ._hub_disk import HubDisk
 from ._interfaces import HubCommands, HubRequestHandler
-from ._process import read_time
+from ._process import read_resident_bytes, read_time
 
 TICK_SECONDS = 0.05
+# Time-outs of callers are checked this often, and are known to within this time.
+CALLER_CHECK_SECONDS = 1.0
+# Share of the memory beyond that at the start for targets and operators. The rest is for the
+# catalogue, the log and the registry, which grow.
+CALLERS_SHARE = 0.5
 PEER_CALL_TIMEOUT_SECONDS = 0.5
 # The platform kills a process 6 s after it was asked to stop.
 MAXIMUM_STOP_SECONDS = 4.5
@@ -90,6 +97,8 @@
     ``regions`` maps data centres to their regions. ``seeds`` are the VMs of the first voters.
     ``api_address`` is for targets and operators. ``peer_listen_address`` is set if peers reach
     this hub at another address than the one it listens on, for example through a TCP proxy.
+    ``memory_bytes`` and ``maximum_descriptors`` are what the process may use, or None if there is
+    no limit.
     """
 
     name: str
@@ -102,6 +111,8 @@
     metrics_address: str = ""
     peer_listen_address: str = ""
     budget: RetryBudgetSettings = NO_RETRY_BUDGET
+    memory_bytes: int | None = None
+    maximum_descriptors: int | None = None
 
 
 class HubService(Service, HubCommands):
@@ -162,7 +173,10 @@
             report=self._report,
             on_close=self._remove_subscriber,
         )
-        self.api_server = HttpServer(self._handle_request)
+        self.callers = CallerConnections(
+            BufferBudget(self._compute_limits()), CallerLimits, self._report_closed
+        )
+        self.api_server = HttpServer(self._handle_request, self.callers)
         self.administration = AdministrationServer(
             metrics=self.metrics, is_ready=self._is_ready, refresh=self._refresh
         )
@@ -189,6 +203,7 @@
         listen_address = self.settings.peer_listen_address or self.settings.record.address
         host, _, port = listen_address.rpartition(":")
         await self.server.start(host, int(port))
+        self.callers.budget.limits = self._compute_limits()
         await self.api_server.start(self.settings.api_address)
         if self.settings.metrics_address:
             await self.administration.start(self.settings.metrics_address)
@@ -223,11 +238,35 @@
 
     @Service.task
     async def _tick(self) -> None:
+        checked_at = 0.0
         while not self.should_stop:
             self._process_batch(is_tick=True)
             self.log_budget.report_dropped()
+            now = read_time()
+            if now - checked_at >= CALLER_CHECK_SECONDS:
+                checked_at = now
+                self.callers.check(now, CALLER_CHECK_SECONDS)
             await asyncio.sleep(TICK_SECONDS)
 
+    def _compute_limits(self) -> BufferLimits:
+        """Return the limits on what is held for targets and operators."""
+        settings, memory_bytes, base_bytes = self.settings, None, read_resident_bytes()
+        if settings.memory_bytes is not None:
+            free = max(0, settings.memory_bytes - base_bytes)
+            memory_bytes = base_bytes + int(free * CALLERS_SHARE)
+        return compute_limits(memory_bytes, base_bytes, settings.maximum_descriptors)
+
+    def _report_closed(self, reason: str) -> None:
+        """Report a connection of a target or operator that was closed for a limit."""
+        self.metrics.count("caller_refusals_total", ("reason", reason))
+        budget = self.callers.budget
+        self._report(
+            "caller_closed",
+            reason=reason,
+            held_bytes=budget.held_bytes,
+            connections=budget.connection_count,
+        )
+
     def _finish_peer_call(
         self, address: str, request: Message, reply: Message | None, problem: str
     ) -> None:
