Test of callers that do not read large responses

Cause: a response is copied to join its head, and again into the transport. Change: 16 callers ask for 12 MiB each and read nothing.

--- a/tests/test_callers_beyond_limits.py
+++ b/tests/test_callers_beyond_limits.py
@@ -27,6 +27,7 @@
 # Time in which a crowd is sent; what is not sent by then was not read by the entry.
 CROWD_SECONDS = 15.0
 BLOCK_BYTES = 64 << 10
+LARGE_RESPONSE_BYTES = 12 << 20
 
 HEAD = b"POST /x/crowd HTTP/1.1\r\nHost: h.example\r\nRequest-Id: crowd\r\n"
 CHUNKED_HEAD = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -140,6 +141,8 @@
         headers = {"Request-Id": request_id, "Response-Stamp": "s"}
         if request_id == "endless":
             return await self._send_without_end(request.transport)
+        if request_id == "large":
+            return web.Response(body=bytes(LARGE_RESPONSE_BYTES), headers=headers)
         return web.Response(text=str(size), headers=headers)
 
     async def _send_without_end(self, transport: asyncio.Transport) -> web.Response:
@@ -225,6 +228,15 @@
     return send
 
 
+async def send_unread(writer: asyncio.StreamWriter) -> None:
+    """Send a request for a large response and read none of it."""
+    writer.transport.pause_reading()
+    writer.write(HEAD.replace(b"crowd\r\n", b"large\r\nContent-Length: 0\r\n\r\n"))
+    await writer.drain()
+    # The response has arrived at the entry by then, on the earlier code and now.
+    await asyncio.sleep(3.0)
+
+
 LARGE_CHUNK = b"%x\r\n%s\r\n" % (BLOCK_BYTES, bytes(BLOCK_BYTES))
 SMALL_CHUNKS = b"1\r\nx\r\n" * (BLOCK_BYTES // 6)
 NEARLY = MAXIMUM_BODY_BYTES - 1
@@ -240,6 +252,7 @@
     "chunks-large": (16, send_repeated(LARGE_CHUNK, NEARLY, CHUNKED_HEAD)),
     "chunks-small": (60, send_repeated(SMALL_CHUNKS, 6 * NEARLY, CHUNKED_HEAD)),
     "chunk-extension": (60, send_repeated(b"x" * BLOCK_BYTES, 64 << 20, CHUNKED_HEAD + b"1;")),
+    "unread-responses": (16, send_unread),
     "half-heads": (2 * MAXIMUM_DESCRIPTORS, send_repeated(HEAD, len(HEAD))),
 }
 
