Large responses are written to callers as they read them

Cause: a response was copied after its last byte, joined with its head and copied into the transport; the budget cannot count copies that a library makes. Ruled out: counting them in advance, which would refuse responses of requests that have run. Change: responses above 256 KiB are written in parts, each when the caller has room for it, and are held once. A caller that does not read loses its place by the rule for stalled bodies.

--- a/tarragonshelf/site/_caller_connection.py
+++ b/tarragonshelf/site/_caller_connection.py
@@ -255,6 +255,17 @@
         if self._holding is not None:
             set_state(_read_time(), self._holding, HoldingState.RUNNING)
 
+    def begin_writing(self, size: int) -> None:
+        """Hold a response of known size, instead of the request, until the request ends."""
+        if self._holding is not None:
+            set_state(_read_time(), self._holding, HoldingState.WRITING)
+            self.connections.budget.set_size(self._holding, self._connection_bytes + size)
+
+    def record_written(self, size: int) -> None:
+        """Record a part of the response that the caller has made room for."""
+        if self._holding is not None:
+            record_progress(_read_time(), self._holding, size)
+
     def _begin_running_if_complete(self) -> None:
         content, holding = self._content, self._holding
         is_complete = content is not None and content.is_eof()
--- a/tarragonshelf/site/_exchange.py
+++ b/tarragonshelf/site/_exchange.py
@@ -303,9 +303,9 @@
         )
         self.idle_seconds = self.dialect.get_idle_seconds(head.headers)
         headers = tuple(head.headers.raw_items())
-        self._pending_response.set_result(
-            TargetAnswer(head.status_code, headers, bytes(self._body))
-        )
+        # A large body is not copied: both copies together may not fit into the memory.
+        body = self._body if len(self._body) > WRITE_BYTES else bytes(self._body)
+        self._pending_response.set_result(TargetAnswer(head.status_code, headers, body))
         if not self.is_reusable:
             self._transport.close()
 
--- a/tarragonshelf/site/_relay_client.py
+++ b/tarragonshelf/site/_relay_client.py
@@ -200,7 +200,7 @@
         ended = RelayEnded(
             pending.attempt.number,
             RelayOutcome.RESPONDED,
-            TargetAnswer(message.status, headers, bytes(pending.body)),
+            TargetAnswer(message.status, headers, pending.body),
             message.target,
             usage=AttemptUsage(message.executions, message.deliveries),
         )
--- a/tarragonshelf/site/tests/test_caller_limits.py
+++ b/tarragonshelf/site/tests/test_caller_limits.py
@@ -6,6 +6,7 @@
 
 from ...buffering import BufferLimits, HoldingState, set_state
 from ...buffering._budget import CONNECTION_BYTES
+from ...forwarding import RespondWith, TargetAnswer
 from .._caller_connection import PIPELINED_BYTES
 from .._exchange import WRITE_BYTES
 from .test_caller_server import Fixture, create_request, read_response, run
@@ -229,3 +230,27 @@
                 await read_rest(reader)
 
         run(test())
+
+    def test_large_response_reaches_a_slow_caller_unchanged(self):
+        """Guards against parts of a response that are lost, repeated or held after its end."""
+        response = bytes(range(256)) * (40 * MEBIBYTE // 1024)
+
+        async def test():
+            async with Fixture() as fixture:
+                budget = fixture.server.connections.budget
+                answer = TargetAnswer(200, ((b"X", b"y"),), response)
+
+                async def forward(request, content):
+                    return RespondWith(answer, "i-1")
+
+                fixture.forwarder.forward = forward
+                reader, writer = await fixture.connect()
+                for number in range(2):
+                    writer.write(create_request(f"q{number}"))
+                    await wait_until(lambda: budget.held_bytes > len(response))
+                    head = await reader.readuntil(b"\r\n\r\n")
+                    assert b"Content-Length: %d\r\n" % len(response) in head
+                    assert await reader.readexactly(len(response)) == response
+                    await wait_until(lambda: budget.held_bytes == CONNECTION_BYTES)
+
+        run(test())
