--- a/tarragonshelf/platform/_entry.py
+++ b/tarragonshelf/platform/_entry.py
@@ -12,6 +12,8 @@
     read_bound,
     read_bounds,
     read_hedging,
+    read_maximum_descriptors,
+    read_memory_bytes,
     read_relay_port,
     read_retry_budget,
     read_seed_hubs,
@@ -75,5 +77,7 @@
         metrics=get_own_address(fields, METRICS_PORT),
         # Not a field of the platform; for VMs with several addresses.
         source=read_text(fields.get("source_ip", ""), "source_ip"),
+        memory_bytes=read_memory_bytes(fields),
+        maximum_descriptors=read_maximum_descriptors(fields),
     )
     return settings, addresses
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -12,6 +12,7 @@
     "admission",
     "allowances",
     "avoidance",
+    "buffering",
     "catalogue",
     "configuration",
     "consensus",
