Entries without a leader start with some tokens, and refusals count for the floor

Ruled out: waiting for the next hub (1.2 s, most answers would be late); a token for each entry and account (103 in place of 20 for an account of 1 request/s). Change: first tokens with a bounded sum, only for accounts of which the leader refused nothing in 10 s; own refusals enter the failure meter.

--- a/tarragonshelf/allowances/tests/test_allowances.py
+++ b/tarragonshelf/allowances/tests/test_allowances.py
@@ -108,6 +108,7 @@
             local = LocalAllowances(Random(index))
             local.entries = 103
             local.record_reply(-age)
+            local.record_refusal(0.0, "a")
             granted += sum(local.take(step / 20, "a", rate) for step in range(50))
         assert granted == pytest.approx(share * rate * 2.45, abs=13)
 
@@ -123,3 +124,24 @@
     def test_entry_that_was_never_told_a_number_has_no_share(self):
         local = LocalAllowances(Random(1))
         assert not any(local.take(step / 10, "a", 1000.0) for step in range(100))
+
+    @pytest.mark.parametrize(("rate", "burst"), [(1.0, 0.0), (10.0, 10.0), (100.0, 100.0)])
+    def test_first_tokens_of_all_entries_are_bounded(self, rate, burst):
+        """Guards against a token at each entry for an account with a small rate, and again."""
+        bound = 16 + rate + 0.2 * burst
+        granted = 0
+        for index in range(1030):
+            local = LocalAllowances(Random(index))
+            local.entries = 103
+            for step in range(5):
+                local.record_reply(step / 10)
+                granted += local.take(step / 10, "a", rate, burst)
+        assert granted / 10 == pytest.approx(min(103, bound), rel=0.15)
+
+    def test_account_that_the_leader_refused_gets_no_first_token(self):
+        """Guards against a flood that goes on where the leader cannot be asked."""
+        for index in range(103):
+            local = LocalAllowances(Random(index))
+            local.entries = 103
+            local.record_refusal(-5.0, "a")
+            assert not local.take(0.0, "a", 100.0, 100.0)
--- a/tarragonshelf/edge/_allowances.py
+++ b/tarragonshelf/edge/_allowances.py
@@ -98,12 +98,14 @@
             self._is_unanswered = True
             self._decide_locally(now, share.waiter)
             return
+        if not share.granted:
+            self._local.record_refusal(now, self._pending[share.waiter].name)
         decider = AllowanceDecider.LEADER
         self._answer(now, share.waiter, decider, bool(share.granted), share.retry_after)
 
     def _decide_locally(self, now: float, number: int) -> None:
         account = self._pending[number]
-        is_granted = self._local.take(now, account.name, account.rate)
+        is_granted = self._local.take(now, account.name, account.rate, account.burst)
         retry_after = self.random.uniform(MINIMUM_RETURN_SECONDS, MAXIMUM_RETURN_SECONDS)
         self._answer(now, number, AllowanceDecider.LOCAL, is_granted, retry_after)
 
--- a/tarragonshelf/forwarding/_meter.py
+++ b/tarragonshelf/forwarding/_meter.py
@@ -6,6 +6,8 @@
 # so their rate needs a longer average.
 FAILURE_TIME_CONSTANT_SECONDS = 2.0
 REQUEST_TIME_CONSTANT_SECONDS = 20.0
+# Refusals by this entry itself are counted only here, too. Floods last some seconds.
+REFUSAL_TIME_CONSTANT_SECONDS = 5.0
 
 
 class _DecayingRate:
@@ -31,12 +33,17 @@
 
 
 class FailureMeter:
-    """Compares failures reported by all entries with the requests of this entry."""
+    """Compares failures reported by all entries with the requests of this entry.
+
+    Requests that this entry refuses by itself, for lack of room or of an allowance, are not
+    served either: operators count them in the share of failed requests.
+    """
 
     def __init__(self):
         self.entries = 1
         self._failures: dict[str, _DecayingRate] = {}
         self._requests: dict[str, _DecayingRate] = {}
+        self._refusals: dict[str, _DecayingRate] = {}
 
     def record_request(self, now: float, service: str) -> None:
         """Record the start of a request at this entry."""
@@ -50,14 +57,22 @@
             now
         )
 
+    def record_refusal(self, now: float, service: str) -> None:
+        """Record a request that this entry refused without sending it to a target."""
+        self._refusals.setdefault(service, _DecayingRate(now, REFUSAL_TIME_CONSTANT_SECONDS)).add(
+            now
+        )
+
     def estimate_failure_share(self, now: float, service: str) -> float:
         """Return the share of a service's requests that fail, from 0 to 1.
 
-        The request rate of the fleet is extrapolated: every entry is assumed to receive as many
-        requests as this one.
+        The rates of requests and refusals of the fleet are extrapolated: every entry is assumed
+        to have as many as this one.
         """
-        failures = self._failures.get(service)
         requests = self._requests.get(service)
-        if failures is None or requests is None:
+        if requests is None:
             return 0.0
-        return min(1.0, failures.get(now) / max(requests.get(now) * self.entries, 1e-9))
+        failed = self._failures[service].get(now) if service in self._failures else 0.0
+        if service in self._refusals:
+            failed += self._refusals[service].get(now) * self.entries
+        return min(1.0, failed / max(requests.get(now) * self.entries, 1e-9))
--- a/tarragonshelf/forwarding/tests/test_meter.py
+++ b/tarragonshelf/forwarding/tests/test_meter.py
@@ -27,5 +27,12 @@
         meter = create_meter(failures_per_second=10, requests_per_second=72)
         assert meter.estimate_failure_share(14.0, "s") < 0.05
 
+    def test_own_refusals_count_for_all_entries(self):
+        """Guards against idle targets while entries refuse a tenth of the requests themselves."""
+        meter = create_meter(failures_per_second=1, requests_per_second=72)
+        for step in range(20):
+            meter.record_refusal(5.0 + step / 4, "s")
+        assert meter.estimate_failure_share(10.0, "s") > 0.5
+
     def test_failure_share_is_zero_without_requests_and_failures(self):
         assert FailureMeter().estimate_failure_share(0.0, "s") == 0.0
--- a/tarragonshelf/site/_caller_server.py
+++ b/tarragonshelf/site/_caller_server.py
@@ -267,6 +267,9 @@
         """
         reason = RefusalReason.OVER_ALLOWANCE
         route = forward_request.route.name
+        failures = self.node.balancer.floor.failures
+        failures.record_request(forward_request.arrived_at, forward_request.service)
+        failures.record_refusal(forward_request.arrived_at, forward_request.service)
         self.metrics.count("requests_total", ("route", route), ("outcome", str(reason)))
         self.report(
             "allowance_refused",
@@ -366,6 +369,8 @@
         """Count a refusal by admission and return its fields of the log event."""
         if overload is None:
             return {}
+        now = asyncio.get_running_loop().time()
+        self.node.balancer.floor.failures.record_refusal(now, service)
         labels = ("service", service), ("rank", str(overload.rank))
         self.metrics.count("admission_refusals", *labels)
         return {
