Memory that a crowd leaves behind is returned, and every slow head has an end

Also seen: a part of a head that came with its connection had no time-out, since aiohttp's handler was not waiting yet; and aiohttp logs each line beyond its limit as a whole, with a traceback. Ruled out: refusing by the memory in use, which would refuse a body in calm after a crowd; trimming when bytes are reserved, as connections that were given up are freed only later. Change: malloc_trim while bytes arrive and the memory in use is near the bound. Bytes count as a head unless aiohttp says that one was parsed. aiohttp's limit on a line is out of reach; a path over 64 KiB gets 414 and a longer head is closed.

--- a/tarragonshelf/site/_caller_connection.py
+++ b/tarragonshelf/site/_caller_connection.py
@@ -14,6 +14,7 @@
     LARGE_READ_BYTES,
     SMALL_READ_BYTES,
     BufferBudget,
+    BufferLimits,
     Holding,
     HoldingState,
     Reservation,
@@ -23,10 +24,11 @@
     set_state,
 )
 from ..catalogue import CallerLimits
+from ._process import MemoryTrimmer, read_resident_bytes
 
-# Limit that aiohttp applies to the request line and to each header field. The catalogue's limit on
-# the whole head is checked after parsing.
-MAXIMUM_HEAD_FIELD_BYTES = 64 << 10
+# Limit for the request line and the empty lines before it, in addition to the catalogue's limit on
+# the header fields, which is checked after parsing.
+MAXIMUM_REQUEST_LINE_BYTES = 64 << 10
 # Bytes of later requests that are read while one is under way. A caller that sends more is not
 # read until the response, so its disconnection is noticed only then.
 PIPELINED_BYTES = 64 << 10
@@ -35,6 +37,8 @@
 # closed, and connections that wait for that in the kernel.
 ACCEPT_BATCH = 8
 ACCEPT_QUEUE = 512
+# Share of the bytes for callers above which free memory is returned to the operating system.
+TRIM_SHARE = 0.75
 
 
 def is_idle(handler: web.RequestHandler) -> bool:
@@ -47,6 +51,16 @@
     return waiter is not None and not waiter.done()
 
 
+def has_parsed_head(handler: web.RequestHandler) -> bool:
+    """Return whether a head was parsed whose request has not begun.
+
+    A handler that is not waiting yet, or not again, counts as without one: its next request begins
+    in the next turns of the event loop, or a part of its head is all that was received.
+    """
+    waiter = handler._waiter
+    return waiter is not None and waiter.done()
+
+
 async def listen(
     address: str, create_connection: Callable[[], "CallerConnection"]
 ) -> asyncio.Server:
@@ -82,10 +96,18 @@
         self.budget = budget
         self.get_limits = get_limits
         self.report_closed = report_closed
+        self.trimmer = MemoryTrimmer()
         # Shared by all connections, as each read is copied before the next one begins.
         self.read_buffer = memoryview(bytearray(LARGE_READ_BYTES))
         self._connections: dict[Holding, CallerConnection] = {}
 
+    def update_limits(self, limits: BufferLimits) -> None:
+        """Set the limits when the process begins to serve."""
+        self.budget.limits = limits
+        self.trimmer.threshold_bytes = read_resident_bytes() + int(
+            TRIM_SHARE * limits.maximum_bytes
+        )
+
     def open(self, now: float, connection: "CallerConnection") -> Holding | None:
         """Return the holding of a new connection, or None if it must be closed."""
         holding, reservation = self.budget.open(now)
@@ -375,12 +397,11 @@
         if content is not None:
             self._check_framing(content, size)
             self._begin_running_if_complete()
-        elif is_idle(self._handler):
-            self._count_head(now, size)
-        elif not self._is_discarding:
-            # A head was parsed, and its request has not begun.
+        elif has_parsed_head(self._handler):
             self._head_bytes = 0
             set_state(now, self._holding, HoldingState.RECEIVING)
+        elif not self._is_discarding:
+            self._count_head(now, size)
 
     def eof_received(self) -> bool | None:
         """Pass on the end of the stream."""
@@ -419,6 +440,7 @@
         self._received += size
         self._received_at = now
         record_progress(now, self._holding, size)
+        self.connections.trimmer.record(now, size)
         missing = self._received - self._reserved
         if missing <= 0 or self.is_refused:
             # What is received after a refusal is dropped.
@@ -436,7 +458,7 @@
         if not self._head_bytes:
             self._head_began_at = now
         self._head_bytes += size
-        limit = self.connections.get_limits().maximum_header + MAXIMUM_HEAD_FIELD_BYTES
+        limit = self.connections.get_limits().maximum_header + MAXIMUM_REQUEST_LINE_BYTES
         if self._head_bytes > limit:
             self.abort("head-too-large")
 
--- a/tarragonshelf/site/_caller_server.py
+++ b/tarragonshelf/site/_caller_server.py
@@ -19,7 +19,7 @@
 from ..telemetry import Metrics
 from ..utils import compute_short_digest
 from ._caller_connection import (
-    MAXIMUM_HEAD_FIELD_BYTES,
+    MAXIMUM_REQUEST_LINE_BYTES,
     CallerConnection,
     CallerConnections,
     is_idle,
@@ -48,6 +48,9 @@
 # How long aiohttp reads and drops the rest of a body after an early response, which the caller may
 # read only once it has sent all.
 LINGER_SECONDS = 2.0
+# Limit of aiohttp for each line of a head, beyond those of the server: it would log a longer one
+# as a whole, with a traceback.
+MAXIMUM_PARSED_LINE_BYTES = 1 << 30
 # Buffer of aiohttp for the part of a body that was not read from it yet.
 PARSED_BODY_BYTES = 64 << 10
 # Bodies of at most this size are passed on as immutable copies.
@@ -124,8 +127,8 @@
             handler_cancellation=True,
             access_log=None,
             keepalive_timeout=MAXIMUM_KEEPALIVE_SECONDS,
-            max_line_size=MAXIMUM_HEAD_FIELD_BYTES,
-            max_field_size=MAXIMUM_HEAD_FIELD_BYTES,
+            max_line_size=MAXIMUM_PARSED_LINE_BYTES,
+            max_field_size=MAXIMUM_PARSED_LINE_BYTES,
             auto_decompress=False,
             lingering_time=LINGER_SECONDS,
             read_bufsize=PARSED_BODY_BYTES,
@@ -206,6 +209,8 @@
         limits = node.catalogue.limits
         if _measure_head(request) > limits.maximum_header:
             return self._reject(431, "head-too-large")
+        if len(request.raw_path) > MAXIMUM_REQUEST_LINE_BYTES:
+            return self._reject(414, "path-too-long")
         # A request that was read in full before the server stopped is still forwarded.
         has_waited = not request.content.is_eof()
         try:
--- a/tarragonshelf/site/_edge.py
+++ b/tarragonshelf/site/_edge.py
@@ -369,7 +369,8 @@
         effects = self.node.handle(read_time(), received)
         if self.node.is_ready and not self.caller_server.is_open:
             # Until now the port was closed, so callers were refused and tried other entries.
-            self.budget.limits = limits = self._compute_limits()
+            limits = self._compute_limits()
+            self.caller_server.connections.update_limits(limits)
             await self.caller_server.start(self.addresses.callers)
             self.logger.msg(
                 "entry_serving",
--- a/tarragonshelf/site/_hub.py
+++ b/tarragonshelf/site/_hub.py
@@ -203,7 +203,7 @@
         listen_address = self.settings.peer_listen_address or self.settings.record.address
         host, _, port = listen_address.rpartition(":")
         await self.server.start(host, int(port))
-        self.callers.budget.limits = self._compute_limits()
+        self.callers.update_limits(self._compute_limits())
         await self.api_server.start(self.settings.api_address)
         if self.settings.metrics_address:
             await self.administration.start(self.settings.metrics_address)
--- a/tarragonshelf/site/tests/test_caller_limits.py
+++ b/tarragonshelf/site/tests/test_caller_limits.py
@@ -1,6 +1,7 @@
 """Callers that exceed the limits over real sockets are refused or closed, and hold no memory."""
 
 import asyncio
+import socket
 
 import pytest
 
@@ -9,6 +10,7 @@
 from ...forwarding import RespondWith, TargetAnswer
 from .._caller_connection import PIPELINED_BYTES
 from .._exchange import WRITE_BYTES
+from .._process import MemoryTrimmer
 from .test_caller_server import Fixture, create_request, read_response, run
 
 MEBIBYTE = 1 << 20
@@ -145,6 +147,42 @@
 
         run(test())
 
+    def test_head_of_which_one_part_came_with_the_connection_is_closed(self):
+        """Guards against a head that has no time-out, as no handler waited for its only part."""
+
+        async def test():
+            async with Fixture() as fixture:
+                connections = fixture.server.connections
+                with socket.create_connection(fixture.address) as caller:
+                    # Both are there before the event loop accepts the connection.
+                    caller.sendall(b"GET /")
+                    await wait_until(lambda: connections.budget.held_bytes % 1024)
+                    connections.check(asyncio.get_running_loop().time() + 5.0, 1.0)
+                assert fixture.reports == ["caller_closed"]
+
+        run(test())
+
+    def test_long_path_is_rejected(self):
+        async def test():
+            async with Fixture() as fixture:
+                reader, writer = await fixture.connect()
+                writer.write(create_request("q1", path="/" + "x" * 70_000))
+                return (await read_response(reader))[0], fixture.received
+
+        assert run(test()) == (414, [])
+
+
+class TestMemoryTrimmer:
+    def test_free_memory_is_returned_only_if_much_is_in_use(self):
+        trimmer, trims = MemoryTrimmer(), []
+        trimmer._trim = trims.append
+        trimmer.record(0.0, 2 * MEBIBYTE)
+        assert trims == []
+        trimmer.threshold_bytes = 0
+        for number in range(10):
+            trimmer.record(number / 100, MEBIBYTE)
+        assert trims == [0, 0]
+
 
 class TestChunks:
     def test_small_body_in_one_byte_chunks_is_served(self):
