Requests wait up to 1 s for a leader before an entry decides on their allowance

Ruled out: larger local shares (the bound). Change: undecided requests wait for at most 1 s, or a quarter of the time that they have, and are asked again every 0.1 s, also at the next hub.

--- a/tarragonshelf/edge/_allowances.py
+++ b/tarragonshelf/edge/_allowances.py
@@ -1,6 +1,7 @@
 """Allowances of client accounts, requested from the hub or taken locally."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from random import Random
 
 from ..allowances import AllowanceReply, AllowanceRequests, LocalAllowances, Share
@@ -13,12 +14,25 @@
 REPLY_TIMEOUT_SECONDS = 0.3
 # Interval at which requests are sent to the hub while no leader answers.
 PROBE_INTERVAL_SECONDS = 0.1
+# A request waits for the leader for this long, and at most for this share of the time until its
+# deadline. Entries leave a silent hub after 1.2 s and a leader is elected in about as much; the
+# entry's own part would refuse most requests meanwhile.
+MAXIMUM_WAIT_SECONDS = 1.0
+MAXIMUM_WAIT_SHARE = 0.25
 # Range of the time after which callers that are refused without a leader should return. It takes
 # one or two seconds to elect a leader.
 MINIMUM_RETURN_SECONDS = 0.5
 MAXIMUM_RETURN_SECONDS = 2.0
 
 
+@dataclass(frozen=True, slots=True)
+class _Question:
+    """A request that waits for a decision, and when this entry decides it if nobody else does."""
+
+    account: ClientAccount
+    decide_at: float
+
+
 class EntryAllowances:
     """Decides whether requests of client accounts are within their allowances.
 
@@ -33,9 +47,9 @@
 
     Notes
     -----
-    After a request without a decision of the leader, this entry decides itself without waiting,
-    except that it still asks for a request from time to time, to find out whether a leader answers
-    again.
+    After a request without a decision of the leader the following ones wait, except that some
+    are sent from time to time, to find out whether a leader answers again. A request that has
+    waited for too long is decided from this entry's own part.
     """
 
     def __init__(
@@ -50,8 +64,9 @@
         self._local = LocalAllowances(random)
         self._requests = AllowanceRequests(random, REPLY_TIMEOUT_SECONDS)
         self._number = 0
-        # Accounts of the requests that wait for a decision.
-        self._pending: dict[int, ClientAccount] = {}
+        self._pending: dict[int, _Question] = {}
+        # Numbers of those that are not asked for at present.
+        self._held: list[int] = []
         self._is_unanswered = False
         self._probed_at = float("-inf")
 
@@ -59,22 +74,18 @@
         """Set the number of entries of the site, as told by a hub."""
         self._local.entries = count
 
-    def request(self, now: float, account: ClientAccount) -> int:
+    def request(
+        self, now: float, account: ClientAccount, *, deadline: float = float("inf")
+    ) -> int:
         """Ask for leave to run a request of an account, and return the number of the question.
 
-        An ``AllowanceAnswered`` effect with this number follows.
+        An ``AllowanceAnswered`` effect with this number follows, long before ``deadline``.
         """
         self._number += 1
-        self._pending[self._number] = account
-        is_probe_due = now - self._probed_at >= PROBE_INTERVAL_SECONDS
-        if not self.has_hub(now) or (self._is_unanswered and not is_probe_due):
-            self._decide_locally(now, self._number)
-            return self._number
-        if self._is_unanswered:
-            self._probed_at = now
-        request = self._requests.add(now, account.name, 1, self._number)
-        if request is not None:
-            self.emit(SendToHub(request))
+        wait = min(MAXIMUM_WAIT_SECONDS, MAXIMUM_WAIT_SHARE * (deadline - now))
+        self._pending[self._number] = _Question(account, now + wait)
+        self._held.append(self._number)
+        self._ask_held(now)
         return self._number
 
     def handle(self, now: float, reply: AllowanceReply) -> None:
@@ -87,24 +98,52 @@
                 self._is_unanswered = False
                 self._local.record_reply(share.sent_at)
             self._decide(now, share)
+        self._ask_held(now)
 
     def decide_unanswered(self, now: float, *, is_lost: bool = False) -> None:
-        """Decide the requests without a reply in time, or all of them if the hub is lost."""
+        """Take back the requests without a reply in time, or all of them if the hub is lost.
+
+        Those that have waited for too long are decided.
+        """
         for share in self._requests.pop_timed_out(now, is_lost=is_lost):
             self._decide(now, share)
+        overdue = [item for item in self._held if self._pending[item].decide_at <= now]
+        if overdue:
+            self._held = [item for item in self._held if self._pending[item].decide_at > now]
+            for number in overdue:
+                self._decide_locally(now, number)
+        self._ask_held(now)
+
+    def _ask_held(self, now: float) -> None:
+        """Send the requests that wait, unless no leader answered shortly before."""
+        if not self._held or not self.has_hub(now):
+            return
+        if self._is_unanswered:
+            if now - self._probed_at < PROBE_INTERVAL_SECONDS:
+                return
+            self._probed_at = now
+        held, self._held = self._held, []
+        for number in held:
+            name = self._pending[number].account.name
+            request = self._requests.add(now, name, 1, number)
+            if request is not None:
+                self.emit(SendToHub(request))
 
     def _decide(self, now: float, share: Share) -> None:
         if not share.is_decided:
             self._is_unanswered = True
-            self._decide_locally(now, share.waiter)
+            if now < self._pending[share.waiter].decide_at:
+                self._held.append(share.waiter)
+            else:
+                self._decide_locally(now, share.waiter)
             return
         if not share.granted:
-            self._local.record_refusal(now, self._pending[share.waiter].name)
+            self._local.record_refusal(now, self._pending[share.waiter].account.name)
         decider = AllowanceDecider.LEADER
         self._answer(now, share.waiter, decider, bool(share.granted), share.retry_after)
 
     def _decide_locally(self, now: float, number: int) -> None:
-        account = self._pending[number]
+        account = self._pending[number].account
         is_granted = self._local.take(now, account.name, account.rate, account.burst)
         retry_after = self.random.uniform(MINIMUM_RETURN_SECONDS, MAXIMUM_RETURN_SECONDS)
         self._answer(now, number, AllowanceDecider.LOCAL, is_granted, retry_after)
--- a/tarragonshelf/site/_caller_server.py
+++ b/tarragonshelf/site/_caller_server.py
@@ -84,7 +84,7 @@
     metrics : Metrics
         Counts requests by outcome and measures their durations.
     request_allowance : callable
-        Returns whether a request of a client account is within its allowance.
+        Returns whether a request of a client account with some deadline is within its allowance.
     budget : BufferBudget, optional
         Bounds the memory and the connections of callers.
     """
@@ -97,7 +97,7 @@
         dialect: HttpDialect,
         report: Callable[..., None],
         metrics: Metrics,
-        request_allowance: Callable[[ClientAccount], Awaitable[AllowanceDecided]],
+        request_allowance: Callable[[ClientAccount, float], Awaitable[AllowanceDecided]],
         budget: BufferBudget | None = None,
     ):
         self.node = node
@@ -244,7 +244,9 @@
         content = _create_content(request, headers, body, fields.request_id)
         forward_request = _create_forward_request(arrived_at, matched, fields, content, account)
         if authentication.account is not None and authentication.account.rate > 0.0:
-            decided = await self.request_allowance(authentication.account)
+            decided = await self.request_allowance(
+                authentication.account, forward_request.deadline
+            )
             self._count_allowance(decided)
             if not decided.is_granted:
                 return self._refuse_allowance(forward_request, fields.request_id, decided)
--- a/tarragonshelf/site/_edge.py
+++ b/tarragonshelf/site/_edge.py
@@ -408,8 +408,10 @@
     def _return_permit(self, target: str) -> None:
         self.node.return_permit(read_time(), target)
 
-    async def _request_allowance(self, account: ClientAccount) -> AllowanceDecided:
-        number = self.node.allowances.request(read_time(), account)
+    async def _request_allowance(
+        self, account: ClientAccount, deadline: float
+    ) -> AllowanceDecided:
+        number = self.node.allowances.request(read_time(), account, deadline=deadline)
         return await self._wait_for_decision(self._pending_allowances, number)
 
     async def _wait_for_decision(
