An entry opens its port for callers once, also if it leaves its hub meanwhile

Cause: the port was opened by the task that reads the hub's messages. If the entry left its hub just then, the task was cancelled after the socket was bound; each later message opened the port again, which failed, and the task of the next hub ended with it. Ruled out: catching the error; the server object would be lost. Change: the port is opened by a task of its own, which the reading tasks wait for.

--- a/tarragonshelf/site/_edge.py
+++ b/tarragonshelf/site/_edge.py
@@ -187,6 +187,7 @@
         )
         self._hub_connection: Connection | None = None
         self._hub_task: asyncio.Task | None = None
+        self._opening: asyncio.Task | None = None
         # Checks of targets and probes of hubs.
         self._tasks_under_way: set[asyncio.Task] = set()
         self._pending_retries: dict[int, asyncio.Future] = {}
@@ -378,18 +379,25 @@
         received = HubReceived(address, frame.message)
         effects = self.node.handle(read_time(), received)
         if self.node.is_ready and not self.caller_server.is_open:
-            # Until now the port was closed, so callers were refused and tried other entries.
-            limits = self._compute_limits()
-            self.caller_server.connections.update_limits(limits)
-            await self.caller_server.start(self.addresses.callers)
-            self.logger.msg(
-                "entry_serving",
-                version=self.node.version,
-                maximum_bytes=limits.maximum_bytes,
-                maximum_connections=limits.maximum_connections,
-            )
+            if self._opening is None:
+                self._opening = asyncio.create_task(self._open_for_callers())
+            # This task is cancelled when the entry moves to another hub. The port must be opened
+            # once all the same: a second time fails, and so would each later message of a hub.
+            await asyncio.shield(self._opening)
         self._execute_effects(effects)
 
+    async def _open_for_callers(self) -> None:
+        """Accept callers; until now they were refused and tried other entries."""
+        limits = self._compute_limits()
+        self.caller_server.connections.update_limits(limits)
+        await self.caller_server.start(self.addresses.callers)
+        self.logger.msg(
+            "entry_serving",
+            version=self.node.version,
+            maximum_bytes=limits.maximum_bytes,
+            maximum_connections=limits.maximum_connections,
+        )
+
     def _compute_limits(self) -> BufferLimits:
         """Return the limits on what is held for callers, beyond the memory in use now."""
         addresses = self.addresses
