Test of a single body in one-byte chunks

Cause: the framing allowance closes every connection whose chunked body has more framing than half of its content + 128 KiB, also in calm, so a single body inside all limits of the specification is not served beyond 28 KiB. Ruled out: a smaller body in the test; 512 KiB leaves no doubt which limit is met, and takes seconds. Change: a test sends one such body while ordinary requests are sent, and expects 200 and all bytes at the target.

--- a/tests/test_callers_beyond_limits.py
+++ b/tests/test_callers_beyond_limits.py
@@ -28,6 +28,8 @@
 CROWD_SECONDS = 15.0
 BLOCK_BYTES = 64 << 10
 LARGE_RESPONSE_BYTES = 12 << 20
+# Content of a body in one-byte chunks: far beyond what the framing allowance lets through.
+FRAMED_BODY_BYTES = 512 << 10
 
 HEAD = b"POST /x/crowd HTTP/1.1\r\nHost: h.example\r\nRequest-Id: crowd\r\n"
 CHUNKED_HEAD = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -352,3 +354,40 @@
         asyncio.run(play(site, 0, None))
     finally:
         site.end()
+
+
+async def send_framed_body(site: Site) -> tuple[int, bytes]:
+    """Send a whole body in one-byte chunks; return the status and the body of the response."""
+    reader, writer = await site.connect()
+    try:
+        writer.write(CHUNKED_HEAD)
+        for _ in range(FRAMED_BODY_BYTES >> 10):
+            writer.write(b"1\r\nx\r\n" * 1024)
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        head = await reader.readuntil(b"\r\n\r\n")
+        return int(head.split()[1]), await reader.readexactly(len(str(FRAMED_BODY_BYTES)))
+    finally:
+        writer.transport.abort()
+
+
+async def play_framed_body(site: Site) -> None:
+    async with ClientSession() as session:
+        await site.begin(session)
+        sending = asyncio.create_task(send_framed_body(site))
+        await wait_for(lambda: site.order(session, b"during"))
+        async with asyncio.timeout(HANG_SECONDS):
+            assert await sending == (200, str(FRAMED_BODY_BYTES).encode())
+        await wait_for(lambda: site.order(session, b"after"))
+        assert site.crowded_process.poll() is None
+        assert site.read_peak_mb() <= site.memory_mb
+
+
+@pytest.mark.process
+def test_single_body_in_one_byte_chunks_is_served_in_calm(tmp_path, modules):
+    """Guards against a framing limit that a single body inside all limits meets."""
+    site = Site(tmp_path, modules, MEMORY_MB, MAXIMUM_BODY_BYTES)
+    try:
+        asyncio.run(play_framed_body(site))
+    finally:
+        site.end()
