Two connections at a time may go beyond the framing allowance

Cause: the framing allowance held for each connection, so a single body inside all limits of the specification was closed in calm if its chunks were below 10 bytes (beyond 28 KiB of content in one-byte chunks). Framing also counted as held memory, so 64 MiB in one-byte chunks would have reserved 384 MiB. Ruled out: a larger allowance for each connection, as the cost is processor time and a crowd multiplies it; an allowance by free memory, for the same reason; a pause between the reads of such a body, as ordinary requests are answered without it. Change: BufferBudget gives a place beyond the allowance to two connections at a time and reserves 1 MiB for the unread chunks of each. A third one is closed as before unless one of the two has stalled, which then loses its place. A chunk extension without end gets no place. Parsed framing beyond 1 MiB is not counted. The chunk extension is checked alone and after content.

--- a/tarragonshelf/buffering/__init__.py
+++ b/tarragonshelf/buffering/__init__.py
@@ -12,14 +12,18 @@
     set_state,
 )
 from ._framing import (
+    FRAMED_CONNECTION_BYTES,
     LARGE_READ_BYTES,
+    MAXIMUM_FRAMED_CONNECTIONS,
     SMALL_READ_BYTES,
     choose_read_size,
     exceeds_framing_allowance,
 )
 
 __all__ = [
+    "FRAMED_CONNECTION_BYTES",
     "LARGE_READ_BYTES",
+    "MAXIMUM_FRAMED_CONNECTIONS",
     "SMALL_READ_BYTES",
     "BufferBudget",
     "BufferLimits",
--- a/tarragonshelf/buffering/_budget.py
+++ b/tarragonshelf/buffering/_budget.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from ._framing import FRAMED_CONNECTION_BYTES, MAXIMUM_FRAMED_CONNECTIONS
+
 # Share of the memory in the settings that is left to what the budget does not count: fragments,
 # pieces on their way between two buffers, and tables that grow after the start.
 HEADROOM_SHARE = 0.1
@@ -109,6 +111,8 @@
         self.limits = limits
         self.held_bytes = 0
         self._connections: set[Holding] = set()
+        # Connections that may go beyond the framing allowance.
+        self._framed: set[Holding] = set()
 
     @property
     def connection_count(self) -> int:
@@ -142,6 +146,7 @@
         """Release all bytes of a connection."""
         if holding in self._connections:
             self._connections.discard(holding)
+            self._framed.discard(holding)
             self.held_bytes -= holding.size
             holding.size = 0
 
@@ -156,6 +161,33 @@
             self.held_bytes += size
         return reservation
 
+    def take_framing_place(self, now: float, holding: Holding) -> Reservation:
+        """Let a connection go beyond the framing allowance, and reserve memory for its chunks.
+
+        If all places are taken, a stalled connection loses its place and is given up.
+        """
+        if holding in self._framed:
+            return Reservation(True)
+        evicted: tuple[Holding, ...] = ()
+        if len(self._framed) >= MAXIMUM_FRAMED_CONNECTIONS:
+            victim = self._find(lambda item: item in self._framed and is_stalled(now, item))
+            if victim is None:
+                return Reservation(False)
+            self.close(victim)
+            evicted = (victim,)
+        reservation = self.reserve(now, holding, FRAMED_CONNECTION_BYTES)
+        if reservation.is_granted:
+            self._framed.add(holding)
+        return Reservation(reservation.is_granted, evicted + reservation.evicted)
+
+    def has_framing_place(self, holding: Holding) -> bool:
+        """Return whether a connection may go beyond the framing allowance."""
+        return holding in self._framed
+
+    def release_framing_place(self, holding: Holding) -> None:
+        """Give the place back; the bytes are released with the others of the request."""
+        self._framed.discard(holding)
+
     def reserve_response(self, now: float, size: int) -> Reservation:
         """Reserve bytes for a response that a target sends; ``release_response`` returns them."""
         reservation = self._make_room(now, size, is_small=size <= SMALL_BYTES)
--- a/tarragonshelf/buffering/_framing.py
+++ b/tarragonshelf/buffering/_framing.py
@@ -1,7 +1,7 @@
 """Limits on what surrounds the bytes of a body: sizes, extensions and ends of chunks, trailers."""
 
-# Framing bytes that a message may have beyond the share below. A body in one-byte chunks may have
-# 28 KiB. The head of the message may be part of the count.
+# Framing bytes that a message may have beyond the share below, unless its connection has a place
+# for more. A body in one-byte chunks may have 28 KiB. The head may be part of the count.
 FRAMING_ALLOWANCE_BYTES = 128 << 10
 # Chunks of 10 bytes or more have less framing than this share of their content.
 FRAMING_SHARE = 0.5
@@ -10,6 +10,12 @@
 # one-byte chunks.
 SMALL_READ_BYTES = 4 << 10
 LARGE_READ_BYTES = 64 << 10
+# Connections of a process that may go beyond the allowance at a time, so that a single caller with
+# small chunks is served in calm and a crowd of them does not take all processor time.
+MAXIMUM_FRAMED_CONNECTIONS = 2
+# Memory for the chunks of one connection that are parsed and not read yet. aiohttp stops at 4096
+# chunks with the settings of the caller server; each takes about 100 bytes, and a read may follow.
+FRAMED_CONNECTION_BYTES = 1 << 20
 
 
 def exceeds_framing_allowance(received: int, body: int) -> bool:
--- a/tarragonshelf/buffering/tests/test_budget.py
+++ b/tarragonshelf/buffering/tests/test_budget.py
@@ -5,6 +5,8 @@
 import pytest
 
 from .. import (
+    FRAMED_CONNECTION_BYTES,
+    MAXIMUM_FRAMED_CONNECTIONS,
     BufferBudget,
     BufferLimits,
     HoldingState,
@@ -159,3 +161,58 @@
                 responses += size * budget.reserve_response(now, size).is_granted
         assert budget.held_bytes == sum(item.size for item in holdings) + responses
         assert budget.held_bytes <= LIMITS.maximum_bytes
+
+
+class TestFramingPlaces:
+    def take_all(self, budget: BufferBudget, now: float) -> list:
+        holdings = [
+            open_receiving(budget, now, 100_000) for _ in range(MAXIMUM_FRAMED_CONNECTIONS)
+        ]
+        for holding in holdings:
+            assert budget.take_framing_place(now, holding).is_granted
+        return holdings
+
+    def test_places_are_few_and_count_in_the_budget(self):
+        budget = BufferBudget(LIMITS)
+        holdings = self.take_all(budget, 0.0)
+        sizes = CONNECTION_BYTES + 100_000 + FRAMED_CONNECTION_BYTES
+        assert budget.held_bytes == len(holdings) * sizes
+        other = open_receiving(budget, 0.0, 100_000)
+        assert not budget.take_framing_place(0.0, other).is_granted
+        assert not budget.has_framing_place(other)
+        assert all(budget.has_framing_place(item) for item in holdings)
+
+    def test_place_is_taken_once_by_a_connection(self):
+        budget = BufferBudget(LIMITS)
+        holding = open_receiving(budget, 0.0, 100_000)
+        for _ in range(3):
+            assert budget.take_framing_place(0.0, holding).is_granted
+        assert holding.size == CONNECTION_BYTES + 100_000 + FRAMED_CONNECTION_BYTES
+
+    def test_end_of_a_request_or_of_its_connection_frees_the_place(self):
+        budget = BufferBudget(LIMITS)
+        first, second = self.take_all(budget, 0.0)[:2]
+        budget.release_framing_place(first)
+        budget.close(second)
+        for _ in range(2):
+            other = open_receiving(budget, 0.0, 100_000)
+            assert budget.take_framing_place(0.0, other).is_granted
+        assert not budget.has_framing_place(first)
+
+    def test_stalled_connection_loses_its_place(self):
+        """Guards against slow callers that keep all places for hours."""
+        budget = BufferBudget(LIMITS)
+        holdings = self.take_all(budget, 0.0)
+        for holding in holdings[1:]:
+            record_progress(1.0, holding, STALL_PROGRESS_BYTES)
+        other = open_receiving(budget, STALL_SECONDS, 100_000)
+        reservation = budget.take_framing_place(STALL_SECONDS, other)
+        assert (reservation.is_granted, reservation.evicted) == (True, (holdings[0],))
+        assert holdings[0].size == 0
+
+    def test_no_place_is_given_without_memory(self):
+        budget = BufferBudget(BufferLimits(FRAMED_CONNECTION_BYTES, 10))
+        holding = open_receiving(budget, 0.0, 100_000)
+        assert not budget.take_framing_place(0.0, holding).is_granted
+        assert not budget.has_framing_place(holding)
+        assert budget.held_bytes == holding.size == CONNECTION_BYTES + 100_000
--- a/tarragonshelf/site/_caller_connection.py
+++ b/tarragonshelf/site/_caller_connection.py
@@ -11,6 +11,7 @@
 from aiohttp import StreamReader, web
 
 from ..buffering import (
+    FRAMED_CONNECTION_BYTES,
     LARGE_READ_BYTES,
     SMALL_READ_BYTES,
     BufferBudget,
@@ -129,6 +130,12 @@
         self.close_evicted(reservation)
         return reservation.is_granted
 
+    def take_framing_place(self, now: float, holding: Holding) -> bool:
+        """Let a connection go beyond the framing allowance if there is a place."""
+        reservation = self.budget.take_framing_place(now, holding)
+        self.close_evicted(reservation)
+        return reservation.is_granted
+
     def close_evicted(self, reservation: Reservation) -> None:
         """Close the connections that have lost their place."""
         for holding in reservation.evicted:
@@ -242,6 +249,8 @@
         self._decoded = 0
         # Bytes of its body that aiohttp has parsed.
         self._body_bytes = 0
+        # Bytes received up to the last byte of content.
+        self._received_with_content = 0
         self._connection_bytes = 0
         # Whether the rest of a body is dropped, as the response was given before its end.
         self._is_discarding = False
@@ -277,6 +286,7 @@
     def begin_running(self) -> None:
         """Keep the memory of the request until it ends."""
         if self._holding is not None:
+            self.connections.budget.release_framing_place(self._holding)
             set_state(_read_time(), self._holding, HoldingState.RUNNING)
 
     def begin_writing(self, size: int) -> None:
@@ -302,10 +312,11 @@
         self._is_discarding = self._content is not None and not self._content.is_eof()
         self._content = None
         self._received = self._reserved = self._decoded = 0
-        self._body_bytes = self._pipelined = 0
+        self._body_bytes = self._pipelined = self._received_with_content = 0
         self._read_size = SMALL_READ_BYTES
         if self._holding is not None:
             set_state(_read_time(), self._holding, HoldingState.IDLE)
+            self.connections.budget.release_framing_place(self._holding)
             base = self._connection_bytes + response_bytes
             self.connections.budget.set_size(self._holding, base)
         if self._is_paused_by_pipelining:
@@ -398,7 +409,7 @@
         self._handler.data_received(data)
         content = self._content
         if content is not None:
-            self._check_framing(content, size)
+            self._check_framing(now, content, size)
             self._begin_running_if_complete()
         elif has_parsed_head(self._handler):
             self._head_bytes = 0
@@ -447,7 +458,12 @@
         if content is None:
             # aiohttp keeps a head as it was received, and decoded.
             self._decoded += size
-        missing = self._received + self._decoded - self._reserved
+        needed = self._received + self._decoded
+        if content is not None:
+            # Framing is dropped once parsed; what is left of it are the chunks not read yet.
+            parsed = 2 * self._decoded + content.total_bytes
+            needed = min(needed, parsed + size + FRAMED_CONNECTION_BYTES)
+        missing = needed - self._reserved
         if missing <= 0 or self.is_refused:
             # What is received after a refusal is dropped.
             return True
@@ -468,13 +484,28 @@
         if self._head_bytes > limit:
             self.abort("head-too-large")
 
-    def _check_framing(self, content: StreamReader, size: int) -> None:
+    def _check_framing(self, now: float, content: StreamReader, size: int) -> None:
         body = content.total_bytes
         self._read_size = choose_read_size(size, body - self._body_bytes)
+        if body > self._body_bytes:
+            self._received_with_content = self._received
         self._body_bytes = body
-        if not content.is_eof() and exceeds_framing_allowance(self._received, body):
+        if content.is_eof() or not exceeds_framing_allowance(self._received, body):
+            return
+        # No place is given to a chunk extension without end, which the limit on bodies never ends.
+        framing = self._received - self._received_with_content
+        if exceeds_framing_allowance(framing, 0) or not self._take_framing_place(now):
             self.abort("framing-too-large")
 
+    def _take_framing_place(self, now: float) -> bool:
+        holding = self._holding
+        if self.connections.budget.has_framing_place(holding):
+            return True
+        if self.is_refused or not self.connections.take_framing_place(now, holding):
+            return False
+        self._reserved += FRAMED_CONNECTION_BYTES
+        return True
+
 
 def _read_time() -> float:
     return asyncio.get_running_loop().time()
