--- a/tarragonshelf/queries/_explain.py
+++ b/tarragonshelf/queries/_explain.py
@@ -27,6 +27,7 @@
     "all-full": "every target of service {service} held more than it could finish in time",
     "overload": "service {service} was short of room, which was left to more urgent requests or "
     "to accounts below their fair share, or no target could have started it in time",
+    "no-memory": "its body did not fit into the memory that the entry holds for callers",
     "no-budget": "targets refused it or failed, and the budget for repeats was used up",
     "no-attempt-left": "it had failed at as many targets as its route allows",
     "held-back": "attempts of this or an identical request had broken the connections of several "
