--- a/soak/_traffic.py
+++ b/soak/_traffic.py
@@ -6,6 +6,7 @@
 
 from aiohttp import ClientConnectorError, ClientError, ClientSession, ClientTimeout
 
+from ._accounts import AccountChecks, AccountDraws
 from ._history import History, SentRequest
 from ._site import HOST, Site, create_document
 
@@ -35,6 +36,8 @@
         self.site = site
         self.history = history
         self.random = random
+        self.accounts: AccountDraws | None = None
+        self.account_checks: AccountChecks | None = None
         self._count = 0
 
     async def run(self) -> None:
@@ -45,12 +48,13 @@
                 await asyncio.sleep(self.random.uniform(0.0, 2 * MEAN_PAUSE_SECONDS))
 
     async def send(
-        self, session: ClientSession, vm: str = "", version: int | None = None
+        self, session: ClientSession, vm: str = "", version: int | None = None, key: str = ""
     ) -> SentRequest:
         """Send one request and record its outcome.
 
         With ``version`` it is a lookup by that version's own route, or with 0 by one that all
-        versions have.
+        versions have. With accounts, its key is ``key``, or the steady one for a given entry, or
+        it is drawn.
         """
         self._count += 1
         now = asyncio.get_running_loop().time()
@@ -71,6 +75,10 @@
             "Request-Id": request_id,
             "Deadline-Ms": str(int(DEADLINE_SECONDS * 1000)),
         }
+        if self.accounts is not None:
+            steady_key = self.accounts.steady_key if vm else ""
+            sent.key, key_headers = self.accounts.draw_headers(key or steady_key)
+            headers |= key_headers
         url = f"http://{sent.entry}:{self.site.front_port}/{path}/1"
         timeout = ClientTimeout(DEADLINE_SECONDS + RESPONSE_GRACE_SECONDS)
         try:
@@ -79,6 +87,8 @@
                 content = await response.read()
                 stamp = response.headers.get("Response-Stamp", "")
                 self.history.record_response(_get_time(), sent, response.status, stamp, content)
+                if self.account_checks is not None:
+                    self.account_checks.check_response(_get_time(), sent, response.status)
                 target = stamp.partition(".")[0]
                 if "Server-Leaving" in response.headers:
                     self.history.record_departure(_get_time(), target, sent.entry)
@@ -120,6 +130,8 @@
         self.site = site
         self.history = history
         self.random = random
+        self.accounts: AccountDraws | None = None
+        self.account_checks: AccountChecks | None = None
         self.version = 0
 
     async def run(self) -> None:
@@ -134,7 +146,13 @@
     async def put(self, session: ClientSession, version: int) -> None:
         """Send a document until it is acknowledged or rejected."""
         self.version = version
-        content = self.history.documents.setdefault(version, create_document(version))
+        accounts = {}
+        if self.accounts is not None:
+            self.accounts.change()
+            accounts = self.accounts.accounts
+            self.account_checks.record_version(_get_time(), version, accounts)
+        document = create_document(version, accounts.values())
+        content = self.history.documents.setdefault(version, document)
         while True:
             status, _ = await self._call(session, "/v1/config/put", content)
             if status == 200:
--- a/soak/_upgrade.py
+++ b/soak/_upgrade.py
@@ -238,6 +238,9 @@
         history.has_relaying = self.upgrade.has_relaying
         return history
 
+    def _draw_accounts(self, seed: int) -> None:
+        """Earlier builds ignore accounts."""
+
     def _create_site(self, folder: Path, **options) -> Site:
         return UpgradeSite(folder, build=self.upgrade.builds[0], **options)
 
