--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -12,7 +12,7 @@
 import fire
 from aiohttp import ClientSession
 
-from ._accounts import AccountChecks, AccountDraws, draw_accounts
+from ._accounts import AccountChecks, draw_accounts
 from ._bad_callers import BadCallers
 from ._faults import Fault, Injector, draw_faults, draw_final_fault, draw_replacements
 from ._history import History
@@ -31,6 +31,8 @@
 class Soak:
     """One run: a site, its targets, an operator and callers."""
 
+    may_have_accounts = True
+
     def __init__(self, seed: int, folder: Path, *, controls: int, entries: int, targets: int):
         self.random = Random(seed)
         self.history = self._create_history()
@@ -50,15 +52,9 @@
             Caller(number, self.site, self.history, Random(self.random.random()))
             for number in range(2 * entries)
         ]
-        self.accounts = self._draw_accounts(seed)
-        if self.accounts is not None:
-            checks = self.account_checks = AccountChecks(self.history)
-            flood = Caller(len(self.callers), self.site, self.history, self.accounts.random)
-            self.bad_callers = BadCallers(self.site, flood, self.accounts.random)
-            for item in (self.operator, *self.callers, flood):
-                item.accounts, item.account_checks = self.accounts, checks
-            for target in self.targets:
-                target.accounts = checks
+        draws = draw_accounts(seed) if self.may_have_accounts else None
+        if draws is not None:
+            self.history.accounts = AccountChecks(self.history, draws)
 
     async def run(self, faults: list[Fault], final_fault: Fault | None = None) -> None:
         """Start the site, inject faults under load, and check that everything recovers.
@@ -76,8 +72,10 @@
             await self._wait_until_serving()
             changes = _create_task(self.operator.run())
             tasks += [changes, *(_create_task(item.run()) for item in self.callers)]
-            if self.accounts is not None:
-                tasks.append(_create_task(self.bad_callers.run()))
+            if self.history.accounts is not None:
+                draws = self.history.accounts.draws
+                caller = Caller(len(self.callers), self.site, self.history, draws.random)
+                tasks.append(_create_task(BadCallers(caller, draws).run()))
             tasks.append(_create_task(self._watch_processes()))
             injector = self._create_injector()
             tasks.append(_create_task(injector.watch_stalls()))
@@ -88,8 +86,6 @@
                 await self._put_last_version()
                 await injector.inject_final(final_fault)
                 await self._check_recovery("the final fault")
-            if self.accounts is not None:
-                self.account_checks.check_logs(self.site.folder)
             self._report_failed_tasks(tasks)
         finally:
             for task in tasks:
@@ -101,9 +97,6 @@
     def _create_history(self) -> History:
         return History()
 
-    def _draw_accounts(self, seed: int) -> AccountDraws | None:
-        return draw_accounts(seed)
-
     def _create_site(self, folder: Path, **options) -> Site:
         return Site(folder, **options)
 
@@ -251,7 +244,7 @@
         ],
         "requests": soak.history.count_outcomes(),
         "versions": len(soak.history.acknowledged_versions),
-        "has_accounts": soak.accounts is not None,
+        "has_accounts": soak.history.accounts is not None,
         "stalls": soak.history.stalls,
         "broken": soak.history.violations,
         "folder": str(path),
--- a/soak/_site.py
+++ b/soak/_site.py
@@ -10,11 +10,9 @@
 import socket
 import subprocess
 import sys
-from collections.abc import Iterable
 from pathlib import Path
 from random import Random
 
-from ._accounts import Account
 from ._history import History
 from ._proxy import Proxy
 
@@ -27,7 +25,6 @@
     "idle_timeout": "15s",
 }
 COLUMNS = ["name", "host", "path_prefix", "kind", "timeout", "service", "max_attempts"]
-TENANT_COLUMNS = ["name", "api_keys", "rate_per_s", "burst"]
 HOST = "h.example"
 # Settings name this many controls of the operator's list, which lags by at most the time below.
 SEED_COUNT = 3
@@ -68,24 +65,23 @@
     raise OSError(f"port {METRICS_PORT} is in use on all {LOOPBACK_NETWORKS} loopback networks")
 
 
-def create_document(version: int, accounts: Iterable[Account] = ()) -> bytes:
-    """Return a document of a version, with a route that only this version has."""
+def create_document(version: int, **tables: dict) -> bytes:
+    """Return a document of a version with a route that only this version has, and more tables."""
     rows = [
         ["r-orders", HOST, "/orders/", "unsafe", "2s", "orders", 2],
         ["r-lists", HOST, "/lists/", "safe", "2s", "lists", 2],
         [f"r-{version}", HOST, f"/v{version}/", "safe", "2s", "lists", 2],
     ]
     services = {"columns": ["name", "max_conns"], "rows": [["orders", 100], ["lists", 100]]}
-    document = {
-        "version": f"{version:08x}",
-        "routes": {"columns": COLUMNS, "rows": rows},
-        "services": services,
-        "limits": LIMITS,
-    }
-    tenants = [[item.name, item.keys, item.rate, item.burst] for item in accounts]
-    if tenants:
-        document["tenants"] = {"columns": TENANT_COLUMNS, "rows": tenants}
-    return json.dumps(document).encode()
+    return json.dumps(
+        {
+            "version": f"{version:08x}",
+            "routes": {"columns": COLUMNS, "rows": rows},
+            "services": services,
+            "limits": LIMITS,
+            **tables,
+        }
+    ).encode()
 
 
 class Site:
--- a/soak/_targets.py
+++ b/soak/_targets.py
@@ -7,7 +7,6 @@
 
 from aiohttp import ClientError, ClientSession, ClientTimeout, web
 
-from ._accounts import AccountChecks
 from ._history import Execution, History
 from ._proxy import Proxy
 
@@ -40,7 +39,6 @@
         self.service = SERVICES[number % len(SERVICES)]
         self.history = history
         self.random = random
-        self.accounts: AccountChecks | None = None
         self.failure_mode = ""
         # Requests per second that the target names as its limit, if any.
         self.limit: float | None = None
@@ -114,8 +112,8 @@
             )
         stamp = f"{self.name}.{request_id}.{self.random.getrandbits(32):08x}"
         self.history.record_execution(now, request_id, Execution(self.name, now, stamp), body)
-        if self.accounts is not None:
-            self.accounts.check_execution(now, request_id, request.headers.items())
+        if self.history.accounts is not None:
+            self.history.accounts.check_execution(now, request_id, request.headers.items())
         headers = {"Request-Id": request_id, "Response-Stamp": stamp, **state}
         if self.failure_mode and self.random.random() < FAILURE_SHARE:
             return await self._inject_failure(request, request_id, headers)
--- a/soak/_traffic.py
+++ b/soak/_traffic.py
@@ -6,7 +6,6 @@
 
 from aiohttp import ClientConnectorError, ClientError, ClientSession, ClientTimeout
 
-from ._accounts import AccountChecks, AccountDraws
 from ._history import History, SentRequest
 from ._site import HOST, Site, create_document
 
@@ -36,8 +35,6 @@
         self.site = site
         self.history = history
         self.random = random
-        self.accounts: AccountDraws | None = None
-        self.account_checks: AccountChecks | None = None
         self._count = 0
 
     async def run(self) -> None:
@@ -53,8 +50,7 @@
         """Send one request and record its outcome.
 
         With ``version`` it is a lookup by that version's own route, or with 0 by one that all
-        versions have. With accounts, its key is ``key``, or the steady one for a given entry, or
-        it is drawn.
+        versions have. With accounts, a key is drawn unless it is given, or steady for a given VM.
         """
         self._count += 1
         now = asyncio.get_running_loop().time()
@@ -75,9 +71,10 @@
             "Request-Id": request_id,
             "Deadline-Ms": str(int(DEADLINE_SECONDS * 1000)),
         }
-        if self.accounts is not None:
-            steady_key = self.accounts.steady_key if vm else ""
-            sent.key, key_headers = self.accounts.draw_headers(key or steady_key)
+        accounts = self.history.accounts
+        if accounts is not None:
+            steady_key = accounts.draws.steady_key if vm else ""
+            sent.key, key_headers = accounts.draws.draw_headers(key or steady_key)
             headers |= key_headers
         url = f"http://{sent.entry}:{self.site.front_port}/{path}/1"
         timeout = ClientTimeout(DEADLINE_SECONDS + RESPONSE_GRACE_SECONDS)
@@ -87,8 +84,8 @@
                 content = await response.read()
                 stamp = response.headers.get("Response-Stamp", "")
                 self.history.record_response(_get_time(), sent, response.status, stamp, content)
-                if self.account_checks is not None:
-                    self.account_checks.check_response(_get_time(), sent, response.status)
+                if accounts is not None:
+                    accounts.check_response(_get_time(), sent, response.status)
                 target = stamp.partition(".")[0]
                 if "Server-Leaving" in response.headers:
                     self.history.record_departure(_get_time(), target, sent.entry)
@@ -130,8 +127,6 @@
         self.site = site
         self.history = history
         self.random = random
-        self.accounts: AccountDraws | None = None
-        self.account_checks: AccountChecks | None = None
         self.version = 0
 
     async def run(self) -> None:
@@ -146,13 +141,10 @@
     async def put(self, session: ClientSession, version: int) -> None:
         """Send a document until it is acknowledged or rejected."""
         self.version = version
-        accounts = {}
-        if self.accounts is not None:
-            self.accounts.change()
-            accounts = self.accounts.accounts
-            self.account_checks.record_version(_get_time(), version, accounts)
-        document = create_document(version, accounts.values())
-        content = self.history.documents.setdefault(version, document)
+        tables = {}
+        if self.history.accounts is not None:
+            tables["tenants"] = self.history.accounts.draw_table(_get_time(), version)
+        content = self.history.documents.setdefault(version, create_document(version, **tables))
         while True:
             status, _ = await self._call(session, "/v1/config/put", content)
             if status == 200:
--- a/soak/_upgrade.py
+++ b/soak/_upgrade.py
@@ -229,6 +229,9 @@
         The builds in the order in which they run.
     """
 
+    # Earlier builds do not know accounts.
+    may_have_accounts = False
+
     def __init__(self, seed: int, folder: Path, *, upgrade: Upgrade, **sizes: int):
         self.upgrade = upgrade
         super().__init__(seed, folder, **sizes)
@@ -238,9 +241,6 @@
         history.has_relaying = self.upgrade.has_relaying
         return history
 
-    def _draw_accounts(self, seed: int) -> None:
-        """Earlier builds ignore accounts."""
-
     def _create_site(self, folder: Path, **options) -> Site:
         return UpgradeSite(folder, build=self.upgrade.builds[0], **options)
 
