--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -12,6 +12,8 @@
 import fire
 from aiohttp import ClientSession
 
+from ._accounts import AccountChecks, draw_accounts
+from ._bad_callers import BadCallers
 from ._faults import Fault, Injector, draw_faults, draw_final_fault, draw_replacements
 from ._history import History
 from ._site import Site, find_free_port
@@ -29,6 +31,8 @@
 class Soak:
     """One run: a site, its targets, an operator and callers."""
 
+    may_have_accounts = True
+
     def __init__(self, seed: int, folder: Path, *, controls: int, entries: int, targets: int):
         self.random = Random(seed)
         self.history = self._create_history()
@@ -48,6 +52,9 @@
             Caller(number, self.site, self.history, Random(self.random.random()))
             for number in range(2 * entries)
         ]
+        draws = draw_accounts(seed) if self.may_have_accounts else None
+        if draws is not None:
+            self.history.accounts = AccountChecks(self.history, draws)
 
     async def run(self, faults: list[Fault], final_fault: Fault | None = None) -> None:
         """Start the site, inject faults under load, and check that everything recovers.
@@ -65,6 +72,10 @@
             await self._wait_until_serving()
             changes = _create_task(self.operator.run())
             tasks += [changes, *(_create_task(item.run()) for item in self.callers)]
+            if self.history.accounts is not None:
+                draws = self.history.accounts.draws
+                caller = Caller(len(self.callers), self.site, self.history, draws.random)
+                tasks.append(_create_task(BadCallers(caller, draws).run()))
             tasks.append(_create_task(self._watch_processes()))
             injector = self._create_injector()
             tasks.append(_create_task(injector.watch_stalls()))
@@ -233,6 +244,7 @@
         ],
         "requests": soak.history.count_outcomes(),
         "versions": len(soak.history.acknowledged_versions),
+        "has_accounts": soak.history.accounts is not None,
         "stalls": soak.history.stalls,
         "broken": soak.history.violations,
         "folder": str(path),
--- a/soak/_history.py
+++ b/soak/_history.py
@@ -1,6 +1,7 @@
 """The requests, executions and reads of a run, and the guarantees checked on them."""
 
 from dataclasses import dataclass, field
+from typing import Any
 
 # Limits of the users' specification: a request sent this time after a drain was acknowledged does
 # not reach the target, and a read this time after a version was acknowledged returns no older one.
@@ -29,14 +30,17 @@
 PATH_FAILURES = 10
 PATH_FAILURE_DIVISOR = 50
 # Statuses that guarantee that a request was not run and never will be.
-NOT_RUN = frozenset({408, 421, 429, 503})
+NOT_RUN = frozenset({401, 408, 421, 429, 503})
+# Those of them by which an entry responds before the first attempt.
+NOT_ATTEMPTED = frozenset({401, 429})
 
 
 @dataclass(slots=True)
 class SentRequest:
     """One request of a caller; its status is None while it is open and 0 without a response.
 
-    ``version`` is the version by whose own route it was sent, or 0 for a route of all versions.
+    ``version`` is the version by whose own route it was sent, or 0 for a route of all versions;
+    ``key`` is the key of an account.
     """
 
     request_id: str
@@ -47,6 +51,7 @@
     version: int = 0
     status: int | None = None
     ended_at: float | None = None
+    key: str = ""
 
 
 @dataclass(slots=True)
@@ -103,6 +108,8 @@
     used_versions: dict[str, list[tuple[float, int]]] = field(default_factory=dict)
     # Number of times at which the soak stood still.
     stalls: int = 0
+    # The ``AccountChecks`` of a run whose document has accounts.
+    accounts: Any = None
     violations: list[str] = field(default_factory=list)
 
     def report_violation(self, guarantee: str, description: str) -> None:
@@ -148,6 +155,20 @@
         is_under_way = sum(at < since for at in times) % 2 == 1
         return not is_under_way and not any(since <= at <= until for at in times)
 
+    def is_due(
+        self, vm: str, at: float, since: float, until: float, seconds: float = APPLY_SECONDS
+    ) -> bool:
+        """Return whether a VM has to use a version that was acknowledged at a time.
+
+        It has to from ``seconds`` later on for whatever it does between two times, or later while
+        controls are disturbed; a VM that was disturbed itself does not.
+        """
+        stable_since = since - STABLE_SECONDS
+        is_late = at + APPLY_SECONDS + OUTER_SECONDS < since
+        has_majority = is_late and self.has_majority(min(at, stable_since), until)
+        is_stable = has_majority or self.is_core_stable(stable_since, until)
+        return at + seconds < since and is_stable and self.was_undisturbed(vm, stable_since, until)
+
     def record_limit(self, now: float, target: str, limit: float | None) -> None:
         """Record that a target begins to name a limit, changes it, or names none any more."""
         if limit is None:
@@ -244,7 +265,7 @@
                 self.report_violation(
                     "mixed", f"{sent.request_id} received {body!r} with stamp {stamp!r}"
                 )
-        elif status in NOT_RUN and executions and not sent.is_safe:
+        elif executions and status in (NOT_ATTEMPTED if sent.is_safe else NOT_RUN):
             self.report_violation(
                 "refused", f"{sent.request_id} ran on {executions[0].target} and received {status}"
             )
@@ -256,18 +277,11 @@
             for at, version in self.used_versions.get(sent.entry, [])
             if at + STALE_READ_SECONDS < sent.sent_at
         ]
-        stable_since = sent.sent_at - STABLE_SECONDS
-        if self.was_undisturbed(sent.entry, stable_since, now):
-            is_stable = self.is_core_stable(stable_since, now)
-            required += [
-                (version, f"version {version} was acknowledged {sent.sent_at - at:.2f} s before")
-                for at, version in self.acknowledged_versions
-                if (is_stable and at + APPLY_SECONDS < sent.sent_at)
-                or (
-                    at + APPLY_SECONDS + OUTER_SECONDS < sent.sent_at
-                    and self.has_majority(min(at, stable_since), now)
-                )
-            ]
+        required += [
+            (version, f"version {version} was acknowledged {sent.sent_at - at:.2f} s before")
+            for at, version in self.acknowledged_versions
+            if self.is_due(sent.entry, at, sent.sent_at, now)
+        ]
         if is_found:
             self.used_versions.setdefault(sent.entry, []).append((now, sent.version))
         newest, reason = max(required, default=(0, ""))
@@ -309,7 +323,7 @@
         """Check that callers of entries without a path to the targets were served all the same."""
         counts = {True: [0, 0], False: [0, 0]}
         for sent in self.sent.values():
-            if sent.ended_at is None or sent.version:
+            if sent.ended_at is None or sent.version or sent.status in NOT_ATTEMPTED:
                 continue
             since, until = sent.sent_at - STABLE_SECONDS, sent.ended_at
             sound = sum(self.was_undisturbed(vm, since, until) for vm in controls)
--- a/soak/_site.py
+++ b/soak/_site.py
@@ -65,8 +65,8 @@
     raise OSError(f"port {METRICS_PORT} is in use on all {LOOPBACK_NETWORKS} loopback networks")
 
 
-def create_document(version: int) -> bytes:
-    """Return a document of a version, with a route that only this version has."""
+def create_document(version: int, **tables: dict) -> bytes:
+    """Return a document of a version with a route that only this version has, and more tables."""
     rows = [
         ["r-orders", HOST, "/orders/", "unsafe", "2s", "orders", 2],
         ["r-lists", HOST, "/lists/", "safe", "2s", "lists", 2],
@@ -79,6 +79,7 @@
             "routes": {"columns": COLUMNS, "rows": rows},
             "services": services,
             "limits": LIMITS,
+            **tables,
         }
     ).encode()
 
--- a/soak/_targets.py
+++ b/soak/_targets.py
@@ -112,11 +112,14 @@
             )
         stamp = f"{self.name}.{request_id}.{self.random.getrandbits(32):08x}"
         self.history.record_execution(now, request_id, Execution(self.name, now, stamp), body)
+        if self.history.accounts is not None:
+            self.history.accounts.check_execution(now, request_id, request.headers.items())
         headers = {"Request-Id": request_id, "Response-Stamp": stamp, **state}
         if self.failure_mode and self.random.random() < FAILURE_SHARE:
             return await self._inject_failure(request, request_id, headers)
         await asyncio.sleep(self.response_seconds)
-        return web.Response(body=request_id.encode(), headers=headers)
+        padding = bytes(int(request.headers.get("Response-Bytes", "0")))
+        return web.Response(body=request_id.encode() + padding, headers=headers)
 
     async def _inject_failure(self, request, request_id, headers) -> web.StreamResponse:
         if self.failure_mode == "error":
--- a/soak/_traffic.py
+++ b/soak/_traffic.py
@@ -45,12 +45,12 @@
                 await asyncio.sleep(self.random.uniform(0.0, 2 * MEAN_PAUSE_SECONDS))
 
     async def send(
-        self, session: ClientSession, vm: str = "", version: int | None = None
+        self, session: ClientSession, vm: str = "", version: int | None = None, key: str = ""
     ) -> SentRequest:
         """Send one request and record its outcome.
 
         With ``version`` it is a lookup by that version's own route, or with 0 by one that all
-        versions have.
+        versions have. With accounts, a key is drawn unless it is given, or steady for a given VM.
         """
         self._count += 1
         now = asyncio.get_running_loop().time()
@@ -71,6 +71,11 @@
             "Request-Id": request_id,
             "Deadline-Ms": str(int(DEADLINE_SECONDS * 1000)),
         }
+        accounts = self.history.accounts
+        if accounts is not None:
+            steady_key = accounts.draws.steady_key if vm else ""
+            sent.key, key_headers = accounts.draws.draw_headers(key or steady_key)
+            headers |= key_headers
         url = f"http://{sent.entry}:{self.site.front_port}/{path}/1"
         timeout = ClientTimeout(DEADLINE_SECONDS + RESPONSE_GRACE_SECONDS)
         try:
@@ -79,6 +84,8 @@
                 content = await response.read()
                 stamp = response.headers.get("Response-Stamp", "")
                 self.history.record_response(_get_time(), sent, response.status, stamp, content)
+                if accounts is not None:
+                    accounts.check_response(_get_time(), sent, response.status)
                 target = stamp.partition(".")[0]
                 if "Server-Leaving" in response.headers:
                     self.history.record_departure(_get_time(), target, sent.entry)
@@ -134,7 +141,10 @@
     async def put(self, session: ClientSession, version: int) -> None:
         """Send a document until it is acknowledged or rejected."""
         self.version = version
-        content = self.history.documents.setdefault(version, create_document(version))
+        tables = {}
+        if self.history.accounts is not None:
+            tables["tenants"] = self.history.accounts.draw_table(_get_time(), version)
+        content = self.history.documents.setdefault(version, create_document(version, **tables))
         while True:
             status, _ = await self._call(session, "/v1/config/put", content)
             if status == 200:
--- a/soak/_upgrade.py
+++ b/soak/_upgrade.py
@@ -229,6 +229,9 @@
         The builds in the order in which they run.
     """
 
+    # Earlier builds do not know accounts.
+    may_have_accounts = False
+
     def __init__(self, seed: int, folder: Path, *, upgrade: Upgrade, **sizes: int):
         self.upgrade = upgrade
         super().__init__(seed, folder, **sizes)
