Failed trials do not count beside refusals; crowd tests take a network of their own

Ruled out: the crowd itself; the control never came up. Change: while a service has refusals, failures at targets that were not trusted are left out of its share; without refusals all count as before. The crowd tests lock one of 243 loopback networks; crowds and bounds are unchanged.

--- a/tarragonshelf/edge/_evidence.py
+++ b/tarragonshelf/edge/_evidence.py
@@ -70,9 +70,10 @@
             self._record_limit(now, item, source or "own")
             return
         held = self.targets.get(item.target)
-        if item.kind in FAILURE_EVIDENCE and held is not None:
-            self.failures.record_failure(now, held.service)
         before = self.avoidance.get_standing(now, item.target)
+        if item.kind in FAILURE_EVIDENCE and held is not None:
+            is_trial = before != Standing.TRUSTED
+            self.failures.record_failure(now, held.service, is_trial=is_trial)
         self.avoidance.record(now, item, source)
         self._emit_standing_change(now, item, before, source or "own")
         if item.kind == EvidenceKind.BROKEN:
--- a/tarragonshelf/forwarding/_meter.py
+++ b/tarragonshelf/forwarding/_meter.py
@@ -33,6 +33,10 @@
         return self._value * exp(-max(0.0, now - self._at) / self.seconds)
 
 
+def _add(rates: dict[str, _DecayingRate], now: float, service: str, seconds: float) -> None:
+    rates.setdefault(service, _DecayingRate(now, seconds)).add(now)
+
+
 class FailureMeter:
     """Compares failures reported by all entries with the requests of this entry.
 
@@ -45,24 +49,21 @@
         self._failures: dict[str, _DecayingRate] = {}
         self._requests: dict[str, _DecayingRate] = {}
         self._refusals: dict[str, _DecayingRate] = {}
+        self._failed_trials: dict[str, _DecayingRate] = {}
 
     def record_request(self, now: float, service: str) -> None:
         """Record the start of a request at this entry."""
-        self._requests.setdefault(service, _DecayingRate(now, REQUEST_TIME_CONSTANT_SECONDS)).add(
-            now
-        )
+        _add(self._requests, now, service, REQUEST_TIME_CONSTANT_SECONDS)
 
-    def record_failure(self, now: float, service: str) -> None:
-        """Record a failed request at any entry."""
-        self._failures.setdefault(service, _DecayingRate(now, FAILURE_TIME_CONSTANT_SECONDS)).add(
-            now
-        )
+    def record_failure(self, now: float, service: str, *, is_trial: bool = False) -> None:
+        """Record a failed request at any entry; ``is_trial`` if its target was not trusted."""
+        _add(self._failures, now, service, FAILURE_TIME_CONSTANT_SECONDS)
+        if is_trial:
+            _add(self._failed_trials, now, service, FAILURE_TIME_CONSTANT_SECONDS)
 
     def record_refusal(self, now: float, service: str) -> None:
         """Record a request that this entry refused without sending it to a target."""
-        self._refusals.setdefault(service, _DecayingRate(now, REFUSAL_TIME_CONSTANT_SECONDS)).add(
-            now
-        )
+        _add(self._refusals, now, service, REFUSAL_TIME_CONSTANT_SECONDS)
 
     def estimate_failure_share(self, now: float, service: str) -> float:
         """Return the share of a service's requests that fail, from 0 to 1.
@@ -76,4 +77,8 @@
         failed = self._failures[service].get(now) if service in self._failures else 0.0
         if service in self._refusals:
             failed += self._refusals[service].get(now) * self.entries
+            # Refusals bring the share close to where trials begin. If failed trials counted then,
+            # they would cause further ones.
+            if service in self._failed_trials:
+                failed -= self._failed_trials[service].get(now)
         return min(1.0, failed / max(requests.get(now) * self.entries, 1e-9))
--- a/tests/test_callers_beyond_limits.py
+++ b/tests/test_callers_beyond_limits.py
@@ -7,6 +7,7 @@
 import contextlib
 import json
 import os
+import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -14,9 +15,22 @@
 import pytest
 from aiohttp import ClientSession, web
 
-from soak._site import find_free_port
+from soak._site import METRICS_PORT, find_free_port
 
-CONTROL, ENTRY = "127.0.7.2", "127.0.7.5"
+# Loopback networks ``127.0.N.0/24``, of which each run takes one that no other run uses.
+NETWORKS = range(7, 250)
+
+
+def take_network() -> tuple[socket.socket, str]:
+    """Return a listening socket that keeps other runs from a network, and its prefix."""
+    for number in NETWORKS:
+        with contextlib.suppress(OSError):
+            return socket.create_server((f"127.0.{number}.1", METRICS_PORT)), f"127.0.{number}"
+    raise OSError(f"all networks from 127.0.{NETWORKS[0]} to 127.0.{NETWORKS[-1]} are in use")
+
+
+_LOCK, _NETWORK = take_network()
+CONTROL, ENTRY = f"{_NETWORK}.2", f"{_NETWORK}.5"
 COLUMNS = ["name", "host", "path_prefix", "kind", "timeout", "service", "max_attempts"]
 MEMORY_MB = 110
 MAXIMUM_DESCRIPTORS = 120
