One place reports connections closed for a limit; remove a query nobody makes

Cause: entries and hubs each had the same method for the log line and the count, and AdmissionController.is_short and EntryAdmission.is_short had no caller. Ruled out: one _schedule for permits and allowances: they differ in what a refused caller takes and in the bound of the schedule, so a shared one needs a flag. Change: CallerConnections reports by itself, given the log and the metrics. Conclusion: behaviour is unchanged.

--- a/tarragonshelf/admission/_controller.py
+++ b/tarragonshelf/admission/_controller.py
@@ -142,11 +142,6 @@
         level = self._get_state(service).pressure.estimate_level(now, load)
         return self._refuse(now, service, rank, load, level, OverloadCause.FULL)
 
-    def is_short(self, now: float, service: str, load: ServiceLoad) -> bool:
-        """Return whether a service has no room to spare."""
-        state = self._services.get(service)
-        return state is not None and state.pressure.estimate_level(now, load) > 0
-
     def record_start(self, now: float, service: str) -> None:
         """Count an attempt at a target of a service."""
         if self.covers(service):
--- a/tarragonshelf/edge/_admission.py
+++ b/tarragonshelf/edge/_admission.py
@@ -60,11 +60,6 @@
             return controller.refuse_full(now, request.service, rank, load)
         return controller.decide(now, request.service, rank, request.account, load)
 
-    def is_short(self, now: float, request: ForwardRequest, profile: ServiceProfile) -> bool:
-        """Return whether the service of a request has no room to spare."""
-        load = self.measure_load(now, request, profile)
-        return self._update().is_short(now, request.service, load)
-
     def record_start(self, now: float, service: str) -> None:
         """Count an attempt at a target of a service."""
         self._controller.record_start(now, service)
--- a/tarragonshelf/site/_caller_connection.py
+++ b/tarragonshelf/site/_caller_connection.py
@@ -25,6 +25,7 @@
     set_state,
 )
 from ..catalogue import CallerLimits
+from ..telemetry import Metrics
 from ._process import MemoryTrimmer, read_resident_bytes
 
 # Limit for the request line and the empty lines before it, in addition to the catalogue's limit on
@@ -84,19 +85,24 @@
         Grants memory.
     get_limits : callable
         Returns the limits of the catalogue in force.
-    report_closed : callable
-        Receives the reason for which a connection was closed.
+    report : callable
+        Logs an event, given by its name and fields.
+    metrics : Metrics
+        Counts the connections that were closed, by reason.
     """
 
     def __init__(
         self,
         budget: BufferBudget,
         get_limits: Callable[[], CallerLimits],
-        report_closed: Callable[[str], None],
+        *,
+        report: Callable[..., None],
+        metrics: Metrics,
     ):
         self.budget = budget
         self.get_limits = get_limits
-        self.report_closed = report_closed
+        self.report = report
+        self.metrics = metrics
         self.trimmer = MemoryTrimmer()
         # Shared by all connections, as each read is copied before the next one begins.
         self.read_buffer = memoryview(bytearray(LARGE_READ_BYTES))
@@ -136,6 +142,16 @@
         self.close_evicted(reservation)
         return reservation.is_granted
 
+    def report_closed(self, reason: str) -> None:
+        """Report a connection that was closed for a limit."""
+        self.metrics.count("caller_refusals_total", ("reason", reason))
+        self.report(
+            "caller_closed",
+            reason=reason,
+            held_bytes=self.budget.held_bytes,
+            connections=self.budget.connection_count,
+        )
+
     def close_evicted(self, reservation: Reservation) -> None:
         """Close the connections that have lost their place."""
         for holding in reservation.evicted:
--- a/tarragonshelf/site/_caller_server.py
+++ b/tarragonshelf/site/_caller_server.py
@@ -115,7 +115,8 @@
         self.connections = CallerConnections(
             budget or BufferBudget(compute_limits(None, 0, None)),
             self._get_limits,
-            self._report_closed,
+            report=report,
+            metrics=metrics,
         )
 
     def _get_limits(self) -> CallerLimits:
@@ -309,17 +310,6 @@
         )
         return self.dialect.create_refusal(refuse, request_id)
 
-    def _report_closed(self, reason: str) -> None:
-        """Report a caller's connection that was closed for a limit."""
-        self.metrics.count("caller_refusals_total", ("reason", reason))
-        budget = self.connections.budget
-        self.report(
-            "caller_closed",
-            reason=reason,
-            held_bytes=budget.held_bytes,
-            connections=budget.connection_count,
-        )
-
     def _finish_request(
         self, forward_request: ForwardRequest, request_id: bytes, result: RespondWith | Refuse
     ) -> web.Response:
--- a/tarragonshelf/site/_hub.py
+++ b/tarragonshelf/site/_hub.py
@@ -175,7 +175,10 @@
             on_close=self._remove_subscriber,
         )
         self.callers = CallerConnections(
-            BufferBudget(self._compute_limits()), CallerLimits, self._report_closed
+            BufferBudget(self._compute_limits()),
+            CallerLimits,
+            report=self._report,
+            metrics=self.metrics,
         )
         self.api_server = HttpServer(self._handle_request, self.callers)
         self.administration = AdministrationServer(
@@ -257,17 +260,6 @@
             memory_bytes = base_bytes + int(free * CALLERS_SHARE)
         return compute_limits(memory_bytes, base_bytes, settings.maximum_descriptors)
 
-    def _report_closed(self, reason: str) -> None:
-        """Report a connection of a target or operator that was closed for a limit."""
-        self.metrics.count("caller_refusals_total", ("reason", reason))
-        budget = self.callers.budget
-        self._report(
-            "caller_closed",
-            reason=reason,
-            held_bytes=budget.held_bytes,
-            connections=budget.connection_count,
-        )
-
     def _finish_peer_call(
         self, address: str, request: Message, reply: Message | None, problem: str
     ) -> None:
