--- /dev/null
+++ b/review/stand_ins_2/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, backends and clients; they need only the standard library."""
