--- a/review/stand_ins_2/backend.py
+++ b/review/stand_ins_2/backend.py
@@ -9,6 +9,8 @@
 from .site import Record, Site, call
 
 HEARTBEAT_SECONDS = 1.5
+# Requests that wait for a slot, for each slot; a further one is rejected.
+QUEUE_PER_SLOT = 4
 # Stated in ``Keep-Alive``; idle connections are closed after it.
 IDLE_SECONDS = 10
 
@@ -43,6 +45,8 @@
         self.state = "ready"
         self.work_seconds = 0.05
         self.slots = 3
+        self._free_slots = asyncio.Semaphore(self.slots)
+        self._held = 0
         self.arrivals: list[Request] = []
         self.runs: list[Request] = []
         self.acknowledged: dict[str, float] = {}
@@ -130,7 +134,15 @@
             self._write(writer, 400, "", b"", "Not-Executed: 1\r\n")
             return True
         self.arrivals.append(request)
-        return await self.run(request, writer)
+        if self._held >= self.slots * (1 + QUEUE_PER_SLOT):
+            self._write(writer, 503, identity, b"", "Not-Executed: 1\r\n")
+            return True
+        self._held += 1
+        try:
+            async with self._free_slots:
+                return await self.run(request, writer)
+        finally:
+            self._held -= 1
 
     async def run(self, request: Request, writer: asyncio.StreamWriter) -> bool:
         """Run a request and answer it; return whether the connection stays open."""
