--- a/review/stand_ins_2/backend.py
+++ b/review/stand_ins_2/backend.py
@@ -71,11 +71,9 @@
         for writer in list(self._connections):
             writer.transport.abort()
 
-    async def beat(self) -> bool:
-        """Send one heartbeat; return whether a control acknowledged it."""
-        self._sequence += 1
-        state = self.state
-        body = {
+    def describe(self) -> dict:
+        """Return the body of a ping."""
+        return {
             "address": self.address,
             "born": self.born,
             "info": {
@@ -84,8 +82,13 @@
                 "zone": self.zone,
                 "slots": self.slots,
             },
-            "status": {"state": state, "seq": self._sequence, "warmup_left": "0ms"},
+            "status": {"state": self.state, "seq": self._sequence, "warmup_left": "0ms"},
         }
+
+    async def beat(self) -> bool:
+        """Send one heartbeat; return whether a control acknowledged it."""
+        self._sequence += 1
+        state, body = self.state, self.describe()
         controls = [f"{item}:{self.site.control_port}" for item in self.site.controls]
         addresses = [self._beat_address, *controls] if self._beat_address else controls
         path = f"/v1/instances/{self.identity}/heartbeat"
--- a/review/stand_ins_2/case.py
+++ b/review/stand_ins_2/case.py
@@ -43,7 +43,7 @@
         return COULD_NOT_RUN
     finally:
         if site is not None:
-            site.stop()
+            site.stop(keep_logs=bool(os.environ.get("KEEP")))
     for item in breaks:
         record.add("rule_broken", what=item)
         print(item)
--- a/review/stand_ins_2/site.py
+++ b/review/stand_ins_2/site.py
@@ -130,6 +130,9 @@
         )
         self.processes: dict[str, subprocess.Popen] = {}
         self.is_first_start = True
+        # Whether entries reach backends from the address of their machine, as on real machines.
+        # The kernel would choose another one on loopback.
+        self.tells_sources = False
         self._roles = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["roles"]
 
     @property
@@ -150,7 +153,6 @@
                         "PATH": os.environ["PATH"],
                         "HOME": os.environ.get("HOME", "/"),
                         "PYTHONPATH": str(ROOT / "target" / "deps"),
-                        "PYTHONDONTWRITEBYTECODE": "1",
                         **self._roles[role].get("env", {}),
                         "TARRAGONSHELF_NODE_FILE": str(self._get_settings_path(machine)),
                     },
@@ -255,6 +257,8 @@
             "bounds": [f"{name}={value}" for name, value in BOUNDS.items()],
             "config_mode": "highest",
         }
+        if self.tells_sources and not is_control:
+            settings["source_ip"] = machine
         self._get_settings_path(machine).write_text(json.dumps(settings))
 
 
