--- a/tests/processes.py
+++ b/tests/processes.py
@@ -46,3 +46,10 @@
     for target in fleet["targets"]:
         lines += Path(target["record"]).read_text().splitlines()
     return [json.loads(line) for line in lines]
+
+
+def read_memory_mb(pid: int, name: str) -> float:
+    """Return a field of a process's status, such as its peak ``VmHWM``, in MiB."""
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    line = next(item for item in lines if item.startswith(f"{name}:"))
+    return int(line.split()[1]) / 1024
--- a/tests/test_callers_beyond_limits.py
+++ b/tests/test_callers_beyond_limits.py
@@ -122,7 +122,7 @@
 
     async def begin(self, session: ClientSession) -> None:
         self._target = await asyncio.get_running_loop().create_server(
-            web.Server(self._serve), "127.0.0.1", 0
+            self.create_target(), "127.0.0.1", 0
         )
         self.start("control", CONTROL)
         self.start("entry", ENTRY)
@@ -145,6 +145,9 @@
             process.wait()
         self._target.close()
 
+    def create_target(self) -> web.Server:
+        return web.Server(self._serve)
+
     async def _post(self, session, path, content) -> bool:
         url = f"http://{CONTROL}:{self.ports['call']}{path}"
         async with session.post(url, data=content) as response:
