Package serving holds the connections of HTTP servers and their memory

Moved only: CallerConnection and HttpServer from site, and the memory of a process from site/_process. The own interface in daemons can use them there without the code of a site. No behaviour changed.

--- /dev/null
+++ b/tarragonshelf/serving/__init__.py
@@ -0,0 +1,21 @@
+"""HTTP servers of a process, whose connections share one budget for memory."""
+
+from ._connections import (
+    MAXIMUM_REQUEST_LINE_BYTES,
+    CallerConnection,
+    CallerConnections,
+    is_idle,
+    listen,
+)
+from ._http_server import HttpServer
+from ._memory import read_resident_bytes
+
+__all__ = [
+    "MAXIMUM_REQUEST_LINE_BYTES",
+    "CallerConnection",
+    "CallerConnections",
+    "HttpServer",
+    "is_idle",
+    "listen",
+    "read_resident_bytes",
+]
--- a/tarragonshelf/site/_caller_connection.py
+++ b/tarragonshelf/serving/_connections.py
@@ -26,7 +26,7 @@
 )
 from ..catalogue import CallerLimits
 from ..telemetry import Metrics
-from ._process import MemoryTrimmer, read_resident_bytes
+from ._memory import MemoryTrimmer, read_resident_bytes
 
 # Limit for the request line and the empty lines before it, in addition to the catalogue's limit on
 # the header fields, which is checked after parsing.
--- a/tarragonshelf/site/_http_server.py
+++ b/tarragonshelf/serving/_http_server.py
@@ -5,7 +5,7 @@
 
 from aiohttp import web
 
-from ._caller_connection import CallerConnection, CallerConnections, listen
+from ._connections import CallerConnection, CallerConnections, listen
 
 # Sent with a refusal for lack of memory; stalled requests have lost their place by then.
 NO_MEMORY_RETRY_AFTER_SECONDS = 2
--- /dev/null
+++ b/tarragonshelf/serving/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of ``tarragonshelf.serving``."""
--- a/tarragonshelf/site/_caller_server.py
+++ b/tarragonshelf/site/_caller_server.py
@@ -18,15 +18,15 @@
     RespondWith,
     UnansweredAttempt,
 )
-from ..telemetry import Metrics
-from ..utils import compute_short_digest
-from ._caller_connection import (
+from ..serving import (
     MAXIMUM_REQUEST_LINE_BYTES,
     CallerConnection,
     CallerConnections,
     is_idle,
     listen,
 )
+from ..telemetry import Metrics
+from ..utils import compute_short_digest
 from ._exchange import WRITE_BYTES
 from ._forwarder import Forwarder
 from ._interfaces import CallerFields, HttpDialect, RawHeaders, RequestContent
--- a/tarragonshelf/site/_edge.py
+++ b/tarragonshelf/site/_edge.py
@@ -32,6 +32,7 @@
 from ..registry import TargetEntry
 from ..relaying import CheckTargets, CloseIdleConnections
 from ..replication import EmitEvent
+from ..serving import HttpServer, read_resident_bytes
 from ..telemetry import (
     AdministrationServer,
     LogRateLimiter,
@@ -52,10 +53,9 @@
 from ._caller_server import CallerServer
 from ._exchange import ResponseBufferQuota
 from ._forwarder import Forwarder
-from ._http_server import HttpServer
 from ._interfaces import DiscoveryHandler, EdgeQueries, HttpDialect, RequestContent
 from ._pool import ConnectionPool
-from ._process import read_resident_bytes, read_time
+from ._process import read_time
 from ._relay_client import RelayClient
 from ._relay_server import RelayServer
 
--- a/tarragonshelf/site/_hub.py
+++ b/tarragonshelf/site/_hub.py
@@ -40,6 +40,7 @@
     Reply,
     StopRequested,
 )
+from ..serving import CallerConnections, HttpServer, read_resident_bytes
 from ..storage import CorruptionError, RestoredState
 from ..telemetry import (
     AdministrationServer,
@@ -62,11 +63,9 @@
     UnreachableError,
     create_codec,
 )
-from ._caller_connection import CallerConnections
-from ._http_server import HttpServer
 from ._hub_disk import HubDisk
 from ._interfaces import HubCommands, HubRequestHandler
-from ._process import read_resident_bytes, read_time
+from ._process import read_time
 
 TICK_SECONDS = 0.05
 # Time-outs of callers are checked this often, and are known to within this time.
--- a/tarragonshelf/site/tests/test_caller_limits.py
+++ b/tarragonshelf/site/tests/test_caller_limits.py
@@ -14,9 +14,9 @@
 )
 from ...buffering._budget import CONNECTION_BYTES
 from ...forwarding import RespondWith, TargetAnswer
-from .._caller_connection import PIPELINED_BYTES
+from ...serving._connections import PIPELINED_BYTES
+from ...serving._memory import TRIM_INTERVAL_SECONDS, MemoryTrimmer
 from .._exchange import WRITE_BYTES
-from .._process import TRIM_INTERVAL_SECONDS, MemoryTrimmer
 from .test_caller_server import Fixture, create_request, read_response, run
 
 MEBIBYTE = 1 << 20
