Requests that no target can answer are rejected by the entry

Callers saw: requests without an id made targets look busy or broken, so that ordinary ones were refused.

Change: after the route and the key are known, a request without exactly one id gets 400 and CONNECT gets 501.

--- a/tarragonshelf/platform/_entry_http.py
+++ b/tarragonshelf/platform/_entry_http.py
@@ -4,7 +4,14 @@
 
 from ..forwarding import AttemptOutcome, RefusalReason, Refuse, TargetAnswer
 from ..registry import TargetEntry
-from ..site import CallerFields, DiscoveryHandler, EdgeQueries, HttpDialect, RawHeaders
+from ..site import (
+    CallerFields,
+    DiscoveryHandler,
+    EdgeQueries,
+    HttpDialect,
+    RawHeaders,
+    RequestProblem,
+)
 from ..throttling import LimitStatement, PauseStatement
 from ._values import (
     MalformedError,
@@ -70,6 +77,19 @@
         request_id = _get_header(headers, REQUEST_ID_HEADER)
         return CallerFields(request_id, remaining_seconds, _read_key_digest(headers))
 
+    def find_request_problem(self, method: str, headers: RawHeaders) -> RequestProblem | None:
+        """Return why no target can run a request and respond to it, or None if one can.
+
+        A target refuses a request without an id, and copies only one of several to its response.
+        The response to CONNECT would end HTTP on the connection to the target.
+        """
+        if method == "CONNECT":
+            return RequestProblem(501, "no-tunnels")
+        count = sum(1 for name, _ in headers if name.lower() == REQUEST_ID_HEADER)
+        if count != 1 or not _get_header(headers, REQUEST_ID_HEADER):
+            return RequestProblem(400, "no-id" if count < 2 else "several-ids")
+        return None
+
     def filter_request_headers(self, headers: RawHeaders) -> RawHeaders:
         """Return the headers of a caller's request that are forwarded to a target.
 
--- a/tarragonshelf/platform/tests/test_platform.py
+++ b/tarragonshelf/platform/tests/test_platform.py
@@ -282,6 +282,22 @@
             b"Content-Length": b"3",
         }
 
+    # Guards against requests that make each target refuse or misname its response.
+    @pytest.mark.parametrize(
+        ("method", "ids", "status"),
+        [
+            ("GET", ["q"], None),
+            ("GET", [], 400),
+            ("GET", [""], 400),
+            ("GET", ["q", "r"], 400),
+            ("CONNECT", ["q"], 501),
+        ],
+    )
+    def test_request_that_no_target_can_answer_is_a_problem(self, method, ids, status):
+        headers = [(b"request-ID", name.encode()) for name in ids]
+        problem = PlatformDialect().find_request_problem(method, headers)
+        assert (problem and problem.status) == status
+
     def test_connection_header_removes_nothing_that_the_request_needs(self):
         headers = [
             (b"Host", b"h"),
--- a/tarragonshelf/site/__init__.py
+++ b/tarragonshelf/site/__init__.py
@@ -13,6 +13,7 @@
             "HubRequestHandler",
             "HubCommands",
             "RawHeaders",
+            "RequestProblem",
             "HttpDialect",
         ),
         "_edge": ("EdgeAddresses", "EdgeService"),
@@ -32,6 +33,7 @@
     "HubService",
     "HubSettings",
     "RawHeaders",
+    "RequestProblem",
     "HttpDialect",
     "run_site_service",
 ]
--- a/tarragonshelf/site/_caller_server.py
+++ b/tarragonshelf/site/_caller_server.py
@@ -238,6 +238,9 @@
             return self._reject_unknown(
                 arrived_at, 401, "unknown-key", request.raw_path, fields.request_id
             )
+        problem = self.dialect.find_request_problem(request.method, request.raw_headers)
+        if problem is not None:
+            return self._reject(problem.status, problem.reason)
         account = authentication.account.name if authentication.account else ""
         headers = self.dialect.filter_request_headers(request.raw_headers)
         if node.active.needs_keys:
--- a/tarragonshelf/site/_interfaces.py
+++ b/tarragonshelf/site/_interfaces.py
@@ -28,6 +28,14 @@
     key_digest: bytes = b""
 
 
+@dataclass(frozen=True, slots=True)
+class RequestProblem:
+    """Status and reason with which the entry itself rejects a request."""
+
+    status: int
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class RequestContent:
     """Parts of a caller's request that each attempt sends to a target or to another entry."""
@@ -48,6 +56,10 @@
     def read_caller_fields(self, headers: RawHeaders) -> CallerFields:
         """Return the fields that a caller set in the headers of its request."""
 
+    @abstractmethod
+    def find_request_problem(self, method: str, headers: RawHeaders) -> RequestProblem | None:
+        """Return why no target can run a request and respond to it, or None if one can."""
+
     @abstractmethod
     def filter_request_headers(self, headers: RawHeaders) -> RawHeaders:
         """Return the headers of a caller's request that are forwarded to a target.
