Targets are asked for bodies without an encoding, whatever the client accepts

Callers saw: a client with `Accept-Encoding: gzip`, the default of many libraries, made each target that encodes on request look broken, as the entry takes no response with an encoding. Cause: the header was passed on, though the entry is who cannot use the response. Now its value becomes `identity`.

--- a/tarragonshelf/platform/_entry_http.py
+++ b/tarragonshelf/platform/_entry_http.py
@@ -94,11 +94,16 @@
         """Return the headers of a caller's request that are forwarded to a target.
 
         A Connection header removes only what the caller itself sent, and nothing that a request
-        to a target needs.
+        to a target needs. A body with an encoding cannot be told from a broken one, so a target is
+        asked for none even if the caller accepts some.
         """
         options = _read_connection_options(headers) - END_TO_END_HEADERS
         dropped = HOP_BY_HOP_HEADERS | REPLACED_HEADERS | options
-        return tuple((name, value) for name, value in headers if name.lower() not in dropped)
+        return tuple(
+            (name, b"identity" if name.lower() == b"accept-encoding" else value)
+            for name, value in headers
+            if name.lower() not in dropped
+        )
 
     def replace_credentials(self, headers: RawHeaders, account: str) -> RawHeaders:
         """Return headers without the caller's credentials, and with the name of its account."""
--- a/tarragonshelf/platform/tests/test_platform.py
+++ b/tarragonshelf/platform/tests/test_platform.py
@@ -282,6 +282,10 @@
             b"Content-Length": b"3",
         }
 
+    def test_targets_are_asked_for_bodies_without_an_encoding(self):
+        kept = PlatformDialect().filter_request_headers([(b"accept-Encoding", b"gzip, br")])
+        assert kept == ((b"accept-Encoding", b"identity"),)
+
     # Guards against requests that make each target refuse or misname its response.
     @pytest.mark.parametrize(
         ("method", "ids", "status"),
