One factory creates the HTTP servers of a process, none with the library's defaults

Callers saw: compressed bodies took a control of 110 MB to 512 MB, as aiohttp decompressed them past the count of received bytes. Each malformed head wrote a traceback to standard error, 22 MB in 15 s. Cause: the server for callers had settings of its own, the others aiohttp's defaults, and what aiohttp logs went past the log's rate limit.

Change: create_web_server is used for all of them. What aiohttp reports becomes request_malformed or request_crashed in the log of the process.

--- a/tarragonshelf/platform/_hub_requests.py
+++ b/tarragonshelf/platform/_hub_requests.py
@@ -49,6 +49,8 @@
 
     async def handle(self, request: web.BaseRequest, hub: HubCommands) -> web.Response:
         """Return the response to one request."""
+        if request.headers.get("Content-Encoding", "identity").lower() != "identity":
+            return _create_error(415, "the body has a Content-Encoding")
         try:
             content = await _read_content(request)
         except web.RequestPayloadError as error:
--- a/tarragonshelf/platform/tests/test_odd_values.py
+++ b/tarragonshelf/platform/tests/test_odd_values.py
@@ -105,6 +105,7 @@
 class FakeRequest:
     def __init__(self, path: str, content: bytes):
         self.path = path
+        self.headers: dict[str, str] = {}
         self.content = FakeContent(content)
 
 
--- a/tarragonshelf/serving/__init__.py
+++ b/tarragonshelf/serving/__init__.py
@@ -7,7 +7,7 @@
     is_idle,
     listen,
 )
-from ._http_server import HttpServer
+from ._http_server import HttpServer, create_web_server
 from ._memory import read_resident_bytes
 
 __all__ = [
@@ -15,6 +15,7 @@
     "CallerConnection",
     "CallerConnections",
     "HttpServer",
+    "create_web_server",
     "is_idle",
     "listen",
     "read_resident_bytes",
--- a/tarragonshelf/serving/_http_server.py
+++ b/tarragonshelf/serving/_http_server.py
@@ -1,16 +1,55 @@
 """HTTP server for short requests of the platform, targets and operators."""
 
 import asyncio
+import logging
 from collections.abc import Awaitable, Callable
 
 from aiohttp import web
+from aiohttp.http import HttpProcessingError
 
 from ._connections import CallerConnection, CallerConnections, listen
 
 # Sent with a refusal for lack of memory; stalled requests have lost their place by then.
 NO_MEMORY_RETRY_AFTER_SECONDS = 2
-# How long aiohttp reads and drops the rest of a body after an early response.
+# How long aiohttp reads and drops the rest of a body after an early response, which the caller may
+# read only once it has sent all.
 LINGER_SECONDS = 2.0
+# Limit of aiohttp for each line of a head, beyond those of the connection.
+MAXIMUM_PARSED_LINE_BYTES = 1 << 30
+# Buffer of aiohttp for the part of a body that was not read from it yet.
+PARSED_BODY_BYTES = 64 << 10
+# Keep-alive time-out of aiohttp, which is fixed when the server starts.
+MAXIMUM_KEEPALIVE_SECONDS = 600.0
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+def create_web_server(
+    handler: Handler, report: Callable[..., None], *, handler_cancellation: bool = False
+) -> web.Server:
+    """Return aiohttp's server for connections that are bounded by ``CallerConnection``.
+
+    Bodies are passed on as they were received: what grows when it is decompressed would not be
+    bounded.
+    """
+    return web.Server(
+        handler,
+        handler_cancellation=handler_cancellation,
+        access_log=None,
+        logger=_create_logger(report),
+        keepalive_timeout=MAXIMUM_KEEPALIVE_SECONDS,
+        max_line_size=MAXIMUM_PARSED_LINE_BYTES,
+        max_field_size=MAXIMUM_PARSED_LINE_BYTES,
+        auto_decompress=False,
+        lingering_time=LINGER_SECONDS,
+        read_bufsize=PARSED_BODY_BYTES,
+    )
+
+
+def create_memory_refusal() -> web.Response:
+    """Return the response to a request that does not fit into the memory, and was not run."""
+    headers = {"Retry-After": str(NO_MEMORY_RETRY_AFTER_SECONDS)}
+    return web.Response(status=503, headers=headers, text="no-memory")
 
 
 class HttpServer:
@@ -26,12 +65,12 @@
 
     def __init__(
         self,
-        handler: Callable[[web.BaseRequest], Awaitable[web.Response]],
+        handler: Handler,
         connections: CallerConnections,
     ):
         self._handler = handler
         self.connections = connections
-        self._web_server = web.Server(self._serve, access_log=None, lingering_time=LINGER_SECONDS)
+        self._web_server = create_web_server(self._serve, connections.report)
         self._listener: asyncio.Server | None = None
 
     async def start(self, address: str) -> None:
@@ -58,11 +97,11 @@
         response_bytes = 0
         try:
             response = await self._respond(request, connection)
+            if not request.content.is_eof():
+                response.force_close()
             response_bytes = response.content_length or 0
         finally:
             connection.end(response_bytes)
-        if not request.content.is_eof():
-            response.force_close()
         return response
 
     async def _respond(
@@ -72,6 +111,25 @@
         # A body that never fits is left to the handler, which has a limit of its own.
         may_fit = size <= self.connections.budget.limits.maximum_bytes
         if size and may_fit and not connection.reserve_body(size):
-            headers = {"Retry-After": str(NO_MEMORY_RETRY_AFTER_SECONDS)}
-            return web.Response(status=503, headers=headers, text="no-memory")
+            return create_memory_refusal()
         return await self._handler(request)
+
+
+class _ReportHandler(logging.Handler):
+    """Passes what aiohttp logs of requests to the log of the process, which has a rate limit."""
+
+    def __init__(self, report: Callable[..., None]):
+        super().__init__(logging.WARNING)
+        self._report = report
+
+    def emit(self, record: logging.LogRecord) -> None:
+        error = record.exc_info[1] if record.exc_info else None
+        is_malformed = isinstance(error, HttpProcessingError)
+        event = "request_malformed" if is_malformed else "request_crashed"
+        self._report(event, problem=record.getMessage() if error is None else repr(error))
+
+
+def _create_logger(report: Callable[..., None]) -> logging.Logger:
+    logger = logging.Logger(__name__, logging.WARNING)
+    logger.addHandler(_ReportHandler(report))
+    return logger
--- a/tarragonshelf/site/_caller_server.py
+++ b/tarragonshelf/site/_caller_server.py
@@ -22,6 +22,7 @@
     MAXIMUM_REQUEST_LINE_BYTES,
     CallerConnection,
     CallerConnections,
+    create_web_server,
     is_idle,
     listen,
 )
@@ -35,9 +36,6 @@
 NO_DEADLINE = float("inf")
 # Subtracted from the caller's deadline, so that the response reaches the caller in time.
 REPLY_MARGIN_SECONDS = 0.02
-# Keep-alive time-out of aiohttp, which is fixed when the server starts. The catalogue's idle
-# time-out may change at run time, and is enforced by ``CallerServer.close_idle``.
-MAXIMUM_KEEPALIVE_SECONDS = 600.0
 # Targets that one log line lists at most.
 MAXIMUM_LOGGED_TARGETS = 16
 # Idle connections are checked once per second, so their idle time is known to within 1 s.
@@ -47,14 +45,6 @@
 # A caller that was refused for lack of memory is told to come back when stalled bodies have lost
 # their place.
 NO_MEMORY_RETRY_AFTER_SECONDS = 2.0
-# How long aiohttp reads and drops the rest of a body after an early response, which the caller may
-# read only once it has sent all.
-LINGER_SECONDS = 2.0
-# Limit of aiohttp for each line of a head, beyond those of the server: it would log a longer one
-# as a whole, with a traceback.
-MAXIMUM_PARSED_LINE_BYTES = 1 << 30
-# Buffer of aiohttp for the part of a body that was not read from it yet.
-PARSED_BODY_BYTES = 64 << 10
 # Bodies of at most this size are passed on as immutable copies.
 COPIED_BODY_BYTES = 256 << 10
 METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH", "DELETE"})
@@ -129,17 +119,7 @@
 
     async def start(self, address: str) -> None:
         """Listen on ``HOST:PORT``."""
-        self._web_server = web.Server(
-            self._serve,
-            handler_cancellation=True,
-            access_log=None,
-            keepalive_timeout=MAXIMUM_KEEPALIVE_SECONDS,
-            max_line_size=MAXIMUM_PARSED_LINE_BYTES,
-            max_field_size=MAXIMUM_PARSED_LINE_BYTES,
-            auto_decompress=False,
-            lingering_time=LINGER_SECONDS,
-            read_bufsize=PARSED_BODY_BYTES,
-        )
+        self._web_server = create_web_server(self._serve, self.report, handler_cancellation=True)
         self._listener = await listen(
             address, lambda: CallerConnection(self.connections, self._web_server())
         )
