Long texts in log lines are cut

Lines have a limit by event and second, but clients choose the length of paths, ids and hosts in them: 404s with paths of 60 KB wrote 58 MB in 15 s. A text has at most 2,048 characters now, in each line of each process. Text that is not UTF-8 was an error of the logger in the middle of a request; it is escaped.

--- a/tarragonshelf/telemetry/_logs.py
+++ b/tarragonshelf/telemetry/_logs.py
@@ -1,5 +1,6 @@
 """Logs as JSON lines with stamps of a hybrid logical clock."""
 
+import json
 import sys
 import time
 
@@ -8,6 +9,9 @@
 
 from ..utils import HybridClock, TokenBuckets, format_stamp
 
+# Longer texts are cut, as clients choose some of them.
+MAXIMUM_TEXT_CHARACTERS = 2048
+
 
 def create_logger(*, vm: str, role: str, clock: HybridClock):
     """Return a logger that writes JSON lines with VM, role and stamp to standard output."""
@@ -18,13 +22,25 @@
 
     return structlog.wrap_logger(
         structlog.BytesLogger(sys.stdout.buffer),
-        processors=[add_stamp, structlog.processors.JSONRenderer(_serialize)],
+        processors=[add_stamp, _shorten_texts, structlog.processors.JSONRenderer(_serialize)],
         wrapper_class=structlog.BoundLogger,
     ).bind(vm=vm, role=role)
 
 
 def _serialize(fields, **options) -> bytes:
-    return orjson.dumps(fields, default=str, option=orjson.OPT_SORT_KEYS)
+    try:
+        return orjson.dumps(fields, default=str, option=orjson.OPT_SORT_KEYS)
+    except TypeError:
+        # Text of a client with bytes that are not UTF-8, which were decoded as surrogates.
+        return json.dumps(fields, default=str, sort_keys=True).encode()
+
+
+def _shorten_texts(logger, method, fields):
+    """Keep only the beginning and the length of long texts."""
+    for name, value in fields.items():
+        if isinstance(value, str) and len(value) > MAXIMUM_TEXT_CHARACTERS:
+            fields[name] = f"{value[:MAXIMUM_TEXT_CHARACTERS]}... ({len(value)} characters)"
+    return fields
 
 
 def create_clock() -> HybridClock:
