Large responses of the short-request servers are reserved, and written in parts

Callers saw: 40 clients that requested the document and read none of it took a control of 110 MB to 142 MB. Cause: the budget counted a response only once it was written, twice in the transport, and refused none. Change: a response above 256 KiB is reserved before it is written, or gets 503 (a read; nothing ran), and is written as its caller reads, by the function that the server for callers had.

--- a/tarragonshelf/serving/__init__.py
+++ b/tarragonshelf/serving/__init__.py
@@ -7,11 +7,12 @@
     is_idle,
     listen,
 )
-from ._http_server import HttpServer, create_web_server
+from ._http_server import WRITE_BYTES, HttpServer, create_web_server, write_in_parts
 from ._memory import read_resident_bytes
 
 __all__ = [
     "MAXIMUM_REQUEST_LINE_BYTES",
+    "WRITE_BYTES",
     "CallerConnection",
     "CallerConnections",
     "HttpServer",
@@ -19,4 +20,5 @@
     "is_idle",
     "listen",
     "read_resident_bytes",
+    "write_in_parts",
 ]
--- a/tarragonshelf/serving/_connections.py
+++ b/tarragonshelf/serving/_connections.py
@@ -299,6 +299,12 @@
         self._reserved += missing
         return True
 
+    def reserve(self, size: int) -> bool:
+        """Reserve memory for a response; return False if it does not fit."""
+        return self._holding is not None and self.connections.reserve(
+            _read_time(), self._holding, size
+        )
+
     def begin_running(self) -> None:
         """Keep the memory of the request until it ends."""
         if self._holding is not None:
--- a/tarragonshelf/serving/_http_server.py
+++ b/tarragonshelf/serving/_http_server.py
@@ -20,6 +20,9 @@
 PARSED_BODY_BYTES = 64 << 10
 # Keep-alive time-out of aiohttp, which is fixed when the server starts.
 MAXIMUM_KEEPALIVE_SECONDS = 600.0
+# Responses above this size are written in parts as the caller reads them, so that the transport
+# holds no second copy.
+WRITE_BYTES = 256 << 10
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
@@ -100,6 +103,9 @@
             if not request.content.is_eof():
                 response.force_close()
             response_bytes = response.content_length or 0
+            if response_bytes > WRITE_BYTES:
+                response = await write_in_parts(request, response, connection)
+                response_bytes = 0
         finally:
             connection.end(response_bytes)
         return response
@@ -112,7 +118,30 @@
         may_fit = size <= self.connections.budget.limits.maximum_bytes
         if size and may_fit and not connection.reserve_body(size):
             return create_memory_refusal()
-        return await self._handler(request)
+        response = await self._handler(request)
+        is_large = (response.content_length or 0) > WRITE_BYTES
+        if is_large and not connection.reserve(response.content_length):
+            return create_memory_refusal()
+        return response
+
+
+async def write_in_parts(
+    request: web.BaseRequest, response: web.Response, connection: CallerConnection
+) -> web.StreamResponse:
+    """Write a response as its caller reads it, so that the transport holds no second copy."""
+    written = web.StreamResponse(status=response.status, headers=response.headers)
+    written.content_length = len(response.body)
+    if response.keep_alive is False:
+        written.force_close()
+    connection.begin_writing(len(response.body))
+    await written.prepare(request)
+    parts = memoryview(response.body)
+    for at in range(0, len(parts), WRITE_BYTES):
+        part = parts[at : at + WRITE_BYTES]
+        await written.write(part)
+        connection.record_written(len(part))
+    await written.write_eof()
+    return written
 
 
 class _ReportHandler(logging.Handler):
--- a/tarragonshelf/site/_caller_server.py
+++ b/tarragonshelf/site/_caller_server.py
@@ -20,15 +20,16 @@
 )
 from ..serving import (
     MAXIMUM_REQUEST_LINE_BYTES,
+    WRITE_BYTES,
     CallerConnection,
     CallerConnections,
     create_web_server,
     is_idle,
     listen,
+    write_in_parts,
 )
 from ..telemetry import Metrics
 from ..utils import compute_short_digest
-from ._exchange import WRITE_BYTES
 from ._forwarder import Forwarder
 from ._interfaces import CallerFields, HttpDialect, RawHeaders, RequestContent
 
@@ -181,7 +182,7 @@
                 response.force_close()
             response_bytes = response.content_length or 0
             if response_bytes > WRITE_BYTES:
-                response = await _write_large(request, response, connection)
+                response = await write_in_parts(request, response, connection)
                 response_bytes = 0
         finally:
             self.in_flight -= 1
@@ -460,25 +461,6 @@
     )
 
 
-async def _write_large(
-    request: web.BaseRequest, response: web.Response, connection: CallerConnection
-) -> web.StreamResponse:
-    """Write a response as its caller reads it, so that the transport holds no second copy."""
-    written = web.StreamResponse(status=response.status, headers=response.headers)
-    written.content_length = len(response.body)
-    if response.keep_alive is False:
-        written.force_close()
-    connection.begin_writing(len(response.body))
-    await written.prepare(request)
-    parts = memoryview(response.body)
-    for at in range(0, len(parts), WRITE_BYTES):
-        part = parts[at : at + WRITE_BYTES]
-        await written.write(part)
-        connection.record_written(len(part))
-    await written.write_eof()
-    return written
-
-
 async def _read_body(
     request: web.BaseRequest, connection: CallerConnection, limits: CallerLimits
 ) -> bytes | bytearray:
