Metrics and health checks are served under the limits of their process

Callers saw: 240 half heads at the port for metrics kept 252 of 120 descriptors, without an end. Cause: the server was created apart, by aiohttp's application runner. Change: AdministrationServer is an HttpServer on the connections that the other servers of the process share. An entry also checks the time-outs before it has a catalogue.

--- a/tarragonshelf/serving/__init__.py
+++ b/tarragonshelf/serving/__init__.py
@@ -1,5 +1,6 @@
 """HTTP servers of a process, whose connections share one budget for memory."""
 
+from ._administration import AdministrationServer
 from ._connections import (
     MAXIMUM_REQUEST_LINE_BYTES,
     CallerConnection,
@@ -13,6 +14,7 @@
 __all__ = [
     "MAXIMUM_REQUEST_LINE_BYTES",
     "WRITE_BYTES",
+    "AdministrationServer",
     "CallerConnection",
     "CallerConnections",
     "HttpServer",
--- a/tarragonshelf/serving/_http_server.py
+++ b/tarragonshelf/serving/_http_server.py
@@ -76,6 +76,11 @@
         self._web_server = create_web_server(self._serve, connections.report)
         self._listener: asyncio.Server | None = None
 
+    @property
+    def port(self) -> int:
+        """The port on which this server listens."""
+        return self._listener.sockets[0].getsockname()[1]
+
     async def start(self, address: str) -> None:
         """Listen on ``HOST:PORT``."""
         self._listener = await listen(
--- a/tarragonshelf/site/_caller_server.py
+++ b/tarragonshelf/site/_caller_server.py
@@ -155,10 +155,10 @@
         return any(not is_idle(item) for item in self._web_server.connections)
 
     def close_idle(self, now: float) -> None:
-        """Close connections that exceed the idle time-out of the catalogue."""
+        """Close connections that exceed the time-outs of the catalogue."""
+        self.connections.check(now, IDLE_MARGIN_SECONDS)
         if self._web_server is None or self.node.catalogue is None:
             return
-        self.connections.check(now, IDLE_MARGIN_SECONDS)
         limit = self.node.catalogue.limits.idle_seconds + IDLE_MARGIN_SECONDS
         idle = [item for item in self._web_server.connections if is_idle(item)]
         self._idle_since = {item: self._idle_since.get(item, now) for item in idle}
--- a/tarragonshelf/site/_edge.py
+++ b/tarragonshelf/site/_edge.py
@@ -32,9 +32,8 @@
 from ..registry import TargetEntry
 from ..relaying import CheckTargets, CloseIdleConnections
 from ..replication import EmitEvent
-from ..serving import HttpServer, read_resident_bytes
+from ..serving import AdministrationServer, HttpServer, read_resident_bytes
 from ..telemetry import (
-    AdministrationServer,
     LogRateLimiter,
     Metrics,
     create_clock,
@@ -183,6 +182,7 @@
             metrics=self.metrics,
             is_ready=lambda: self.is_ready,
             refresh=self._refresh,
+            connections=self.caller_server.connections,
             explain=self._explain_placement,
         )
         self._hub_connection: Connection | None = None
--- a/tarragonshelf/site/_hub.py
+++ b/tarragonshelf/site/_hub.py
@@ -40,10 +40,9 @@
     Reply,
     StopRequested,
 )
-from ..serving import CallerConnections, HttpServer, read_resident_bytes
+from ..serving import AdministrationServer, CallerConnections, HttpServer, read_resident_bytes
 from ..storage import CorruptionError, RestoredState
 from ..telemetry import (
-    AdministrationServer,
     LogRateLimiter,
     Metrics,
     create_clock,
@@ -181,7 +180,10 @@
         )
         self.api_server = HttpServer(self._handle_request, self.callers)
         self.administration = AdministrationServer(
-            metrics=self.metrics, is_ready=self._is_ready, refresh=self._refresh
+            metrics=self.metrics,
+            is_ready=self._is_ready,
+            refresh=self._refresh,
+            connections=self.callers,
         )
         self.seeds = list(settings.seeds)
         self.node: HubNode | None = None
--- a/tarragonshelf/site/tests/test_placement.py
+++ b/tarragonshelf/site/tests/test_placement.py
@@ -4,14 +4,16 @@
 
 import pytest
 
+from ...buffering import BufferBudget, compute_limits
+from ...catalogue import CallerLimits
 from ...commands import RefusedError
 from ...edge import HubReceived, explain_placement
 from ...forwarding import ForwardRequest, ServiceProfile
 from ...forwarding.tests.fakes import create_target
 from ...queries import fetch_placement, format_placement
 from ...registry import TargetNews
+from ...serving import AdministrationServer, CallerConnections
 from ...telemetry import Metrics
-from ...telemetry._administration import AdministrationServer
 from .test_relay import create_node
 
 
@@ -26,6 +28,13 @@
     return node
 
 
+def create_connections() -> CallerConnections:
+    """Return connections without a limit."""
+    budget = BufferBudget(compute_limits(None, 0, None))
+    metrics = Metrics()
+    return CallerConnections(budget, CallerLimits, report=lambda *a, **f: None, metrics=metrics)
+
+
 def explain(node, path="/x"):
     return explain_placement(node, 0.1, host="h", path=path, account="")
 
@@ -61,13 +70,14 @@
                 metrics=Metrics(),
                 is_ready=lambda: True,
                 refresh=lambda: None,
+                connections=create_connections(),
                 explain=lambda query: (
                     explain(node, query["path"])
                     and {**dict(query), **explain(node, query["path"])}
                 ),
             )
             await server.start("127.0.0.1:0")
-            port = server._runner.addresses[0][1]
+            port = server.server.port
 
             def fetch(path):
                 return fetch_placement(f"127.0.0.1:{port}", method="GET", host="h", path=path)
