Handshakes between processes have a limit, and malformed frames no other error

Seen: 240 connections that sent half a handshake kept 252 of 120 descriptors for 2 s, and again. Cause: only the time of a handshake had a limit. Change: a number of handshakes may be incomplete (max_fds / 16, at least 8); a further one takes the place of the oldest, as that of a peer takes a round trip; a few connections are accepted in each turn of the event loop, as at the HTTP servers.

--- a/tarragonshelf/serving/__init__.py
+++ b/tarragonshelf/serving/__init__.py
@@ -6,7 +6,6 @@
     CallerConnection,
     CallerConnections,
     is_idle,
-    listen,
 )
 from ._http_server import WRITE_BYTES, HttpServer, create_web_server, write_in_parts
 from ._memory import read_resident_bytes
@@ -20,7 +19,6 @@
     "HttpServer",
     "create_web_server",
     "is_idle",
-    "listen",
     "read_resident_bytes",
     "write_in_parts",
 ]
--- a/tarragonshelf/serving/_connections.py
+++ b/tarragonshelf/serving/_connections.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import socket
 from collections.abc import Callable
 
 from aiohttp import StreamReader, web
@@ -35,10 +34,6 @@
 # read until the response, so its disconnection is noticed only then.
 PIPELINED_BYTES = 64 << 10
 
-# Connections that are accepted in one turn of the event loop, before those beyond the limit are
-# closed, and connections that wait for that in the kernel.
-ACCEPT_BATCH = 8
-ACCEPT_QUEUE = 512
 # Share of the bytes for callers above which free memory is returned to the operating system.
 TRIM_SHARE = 0.75
 
@@ -63,19 +58,6 @@
     return waiter is not None and waiter.done()
 
 
-async def listen(
-    address: str, create_connection: Callable[[], "CallerConnection"]
-) -> asyncio.Server:
-    """Accept connections on ``HOST:PORT``, a few in each turn of the event loop."""
-    host, _, port = address.rpartition(":")
-    listener = socket.create_server((host, int(port)))
-    loop = asyncio.get_running_loop()
-    server = await loop.create_server(create_connection, sock=listener, backlog=ACCEPT_BATCH)
-    # asyncio accepts as many connections in one turn as its backlog, so that is not the queue.
-    listener.listen(ACCEPT_QUEUE)
-    return server
-
-
 class CallerConnections:
     """The connections of callers, and the budget that they share.
 
--- a/tarragonshelf/serving/_http_server.py
+++ b/tarragonshelf/serving/_http_server.py
@@ -7,7 +7,8 @@
 from aiohttp import web
 from aiohttp.http import HttpProcessingError
 
-from ._connections import CallerConnection, CallerConnections, listen
+from ..transport import listen
+from ._connections import CallerConnection, CallerConnections
 
 # Sent with a refusal for lack of memory; stalled requests have lost their place by then.
 NO_MEMORY_RETRY_AFTER_SECONDS = 2
--- a/tarragonshelf/site/_caller_server.py
+++ b/tarragonshelf/site/_caller_server.py
@@ -25,10 +25,10 @@
     CallerConnections,
     create_web_server,
     is_idle,
-    listen,
     write_in_parts,
 )
 from ..telemetry import Metrics
+from ..transport import listen
 from ..utils import compute_short_digest
 from ._forwarder import Forwarder
 from ._interfaces import CallerFields, HttpDialect, RawHeaders, RequestContent
--- a/tarragonshelf/site/_edge.py
+++ b/tarragonshelf/site/_edge.py
@@ -47,6 +47,7 @@
     PeerLinks,
     PeerServer,
     UnreachableError,
+    compute_maximum_handshakes,
     create_codec,
 )
 from ._caller_server import CallerServer
@@ -161,6 +162,7 @@
                 frames=self.links.frames,
                 clock=self.clock,
                 report=self._report,
+                maximum_handshakes=compute_maximum_handshakes(addresses.maximum_descriptors),
                 **handlers,
             ),
             buffer_quota=self.pool.buffer_quota,
--- a/tarragonshelf/site/_hub.py
+++ b/tarragonshelf/site/_hub.py
@@ -60,6 +60,7 @@
     PeerLinks,
     PeerServer,
     UnreachableError,
+    compute_maximum_handshakes,
     create_codec,
 )
 from ._hub_disk import HubDisk
@@ -171,6 +172,7 @@
             handler=self._receive,
             report=self._report,
             on_close=self._remove_subscriber,
+            maximum_handshakes=compute_maximum_handshakes(settings.maximum_descriptors),
         )
         self.callers = CallerConnections(
             BufferBudget(self._compute_limits()),
--- a/tarragonshelf/transport/__init__.py
+++ b/tarragonshelf/transport/__init__.py
@@ -9,11 +9,13 @@
     PeerServer,
     UnknownReplyError,
     UnreachableError,
+    compute_maximum_handshakes,
     set_user_timeout,
 )
 from ._frames import Frame, FrameCodec, UnknownMessage
 from ._handshake import Challenge, Proof, Welcome, compute_proof
 from ._links import PeerLinks
+from ._listening import listen
 from ._peer_calls import PeerCalls
 
 __all__ = [
@@ -36,7 +38,9 @@
     "UnknownReplyError",
     "UnreachableError",
     "Welcome",
+    "compute_maximum_handshakes",
     "compute_proof",
     "create_codec",
+    "listen",
     "set_user_timeout",
 ]
--- a/tarragonshelf/transport/_codec.py
+++ b/tarragonshelf/transport/_codec.py
@@ -237,7 +237,11 @@
         finally:
             self._skipped.problems = None
         if message is None:
-            return envelope, None, [self._create_unknown_kind(_read_kind(content))]
+            try:
+                kind = _read_kind(content)
+            except Exception as error:  # The library raises many types on malformed content.
+                raise FrameError(f"malformed Envelope: {error}") from error
+            return envelope, None, [self._create_unknown_kind(kind)]
         if not problems:
             return envelope, message, []
         kind = self._kinds[self._fields[type(message)][0]]
--- a/tarragonshelf/transport/_connection.py
+++ b/tarragonshelf/transport/_connection.py
@@ -4,7 +4,7 @@
 import contextlib
 import secrets
 import socket
-from asyncio import StreamReader, StreamWriter
+from asyncio import StreamReader, StreamReaderProtocol, StreamWriter
 from collections.abc import Awaitable, Callable
 
 from ..base import FrameError, Message
@@ -20,11 +20,17 @@
     compute_proof,
     is_digest_valid,
 )
+from ._listening import listen
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 HANDSHAKE_TIMEOUT_SECONDS = 2.0
 MAXIMUM_QUEUED_BYTES = 8 << 20
 REDIAL_DELAY_SECONDS = 0.1
+# Incoming connections whose handshake is not complete: a number for a process without a limit on
+# descriptors, and otherwise a share of that limit and at least so many.
+MAXIMUM_HANDSHAKES = 256
+HANDSHAKES_SHARE = 1 / 16
+MINIMUM_HANDSHAKES = 8
 # One-way messages that are buffered while a connection is being established.
 MAXIMUM_WAITING_MESSAGES = 64
 # Peers and targets acknowledge TCP segments within about 50 ms. On a link that silently drops
@@ -247,6 +253,9 @@
         Called with an event name and fields when a handshake is refused or a frame is malformed.
     on_close : callable, optional
         Called with each authenticated connection after it was closed.
+    maximum_handshakes : int, optional
+        Number of connections whose handshake may be incomplete. A further one takes the place of
+        the oldest: a handshake of a peer takes one round trip.
     """
 
     def __init__(
@@ -259,7 +268,9 @@
         handler: Handler,
         report: Callable[..., None],
         on_close: Callable[["Connection"], None] | None = None,
+        maximum_handshakes: int = MAXIMUM_HANDSHAKES,
     ):
+        self.maximum_handshakes = maximum_handshakes
         self.vm = vm
         self.secret = secret
         self.frames = frames
@@ -269,10 +280,14 @@
         self.on_close = on_close
         self._server: asyncio.Server | None = None
         self._connections: set[Connection] = set()
+        # Connections whose handshake is not complete, the oldest first.
+        self._handshakes: dict[StreamWriter, None] = {}
 
     async def start(self, host: str, port: int) -> int:
         """Start listening and return the port."""
-        self._server = await asyncio.start_server(self._serve, host, port)
+        self._server = await listen(
+            f"{host}:{port}", lambda: StreamReaderProtocol(StreamReader(), self._serve)
+        )
         return self._server.sockets[0].getsockname()[1]
 
     async def stop(self) -> None:
@@ -284,10 +299,12 @@
 
     async def _serve(self, reader: StreamReader, writer: StreamWriter) -> None:
         connection = None
+        self._begin_handshake(writer)
         try:
             connection = await asyncio.wait_for(
                 self._authenticate_peer(reader, writer), HANDSHAKE_TIMEOUT_SECONDS
             )
+            self._handshakes.pop(writer, None)
             if connection is not None:
                 self._connections.add(connection)
                 await connection.read(self.handler)
@@ -296,11 +313,21 @@
         except (ConnectionError, TimeoutError):
             pass
         finally:
+            self._handshakes.pop(writer, None)
             self._connections.discard(connection)
             writer.close()
             if connection is not None and self.on_close is not None:
                 self.on_close(connection)
 
+    def _begin_handshake(self, writer: StreamWriter) -> None:
+        """Count a new connection, in place of the oldest one if there are too many."""
+        if len(self._handshakes) >= self.maximum_handshakes:
+            oldest = next(iter(self._handshakes))
+            del self._handshakes[oldest]
+            oldest.transport.abort()
+            self.report("peer_refused", problem="too many incomplete handshakes")
+        self._handshakes[writer] = None
+
     async def _authenticate_peer(
         self, reader: StreamReader, writer: StreamWriter
     ) -> Connection | None:
@@ -496,6 +523,13 @@
         return frame.message
 
 
+def compute_maximum_handshakes(maximum_descriptors: int | None) -> int:
+    """Return how many handshakes may be incomplete in a process that may open some descriptors."""
+    if maximum_descriptors is None:
+        return MAXIMUM_HANDSHAKES
+    return max(MINIMUM_HANDSHAKES, int(maximum_descriptors * HANDSHAKES_SHARE))
+
+
 def set_user_timeout(transport: asyncio.BaseTransport) -> None:
     """Let the kernel close a connection whose sent data stays unacknowledged for the time-out.
 
--- a/tarragonshelf/transport/tests/test_connection.py
+++ b/tarragonshelf/transport/tests/test_connection.py
@@ -1,12 +1,16 @@
 """Connections to peers."""
 
 import asyncio
+import contextlib
+from random import Random
 
 import pytest
 
+from ...base import FrameError
 from ...replication import Join
 from ...utils import HybridClock
-from .._connection import UnreachableError
+from .._codec import SITE_PACKAGES, create_codec
+from .._connection import PeerServer, UnreachableError
 from .._links import PeerLinks
 
 
@@ -27,3 +31,45 @@
             links.close()
 
         asyncio.run(run())
+
+
+class TestMalformedFrames:
+    # Guards against an error that ends the task of a connection and is logged without a limit.
+    def test_any_bytes_are_a_frame_or_a_frame_error(self):
+        codec, random = create_codec(SITE_PACKAGES), Random(1)
+        for _ in range(5000):
+            with contextlib.suppress(FrameError):
+                codec.decode_envelope(random.randbytes(random.randrange(1, 60)))
+
+
+class TestHandshakes:
+    # Guards against connections without a handshake that use up the descriptors of a process.
+    def test_a_connection_takes_the_place_of_the_oldest_incomplete_one(self):
+        async def run():
+            clock, reports = HybridClock(lambda: 1.0), []
+            links = PeerLinks(vm="a", role="control", secret=b"s" * 16, clock=clock)
+            server = PeerServer(
+                vm="b",
+                secret=b"s" * 16,
+                frames=links.frames,
+                clock=clock,
+                handler=lambda connection, frame: None,
+                report=lambda event, **fields: reports.append(fields["problem"]),
+                maximum_handshakes=2,
+            )
+            port = await server.start("127.0.0.1", 0)
+            silent = [await asyncio.open_connection("127.0.0.1", port) for _ in range(3)]
+            # The reset may come before or after the challenge was read.
+            with contextlib.suppress(ConnectionError):
+                async with asyncio.timeout(5.0):
+                    await silent[0][0].read()
+            assert "too many incomplete handshakes" in reports
+            assert (await silent[2][0].read(1)) != b""
+            connection = await links.open(f"127.0.0.1:{port}")
+            assert connection.is_open
+            connection.close()
+            await server.stop()
+            for _, writer in silent:
+                writer.close()
+
+        asyncio.run(run())
