Hubs keep records of a limited number of targets

Cause: each identity is a record in all processes for 150 s, and each announcement was accepted. Change: an unknown identity gets 503 when 16,384 are known, or what a quarter of a control's free memory holds; known ones are not affected. The size to design for is 3,900. Weighed: taking the place of departed records, which keep late announcements from bringing a target back.

--- a/tarragonshelf/hub/__init__.py
+++ b/tarragonshelf/hub/__init__.py
@@ -31,6 +31,7 @@
             "SubscriberReceived",
         ),
         "_node": ("HubNode", "create_first_membership"),
+        "_targets": ("compute_maximum_targets",),
         "_state": ("FIRST_INCARNATION", "NO_RETRY_BUDGET", "SAVED_MESSAGE_NAMES"),
     },
 )
@@ -61,5 +62,6 @@
     "Subscribe",
     "SubscriberLost",
     "SubscriberReceived",
+    "compute_maximum_targets",
     "create_first_membership",
 ]
--- a/tarragonshelf/hub/_node.py
+++ b/tarragonshelf/hub/_node.py
@@ -103,6 +103,8 @@
         Retry budget of the whole site.
     seeds : tuple of str, optional
         Peer addresses of some hubs.
+    maximum_targets : int, optional
+        Number of targets beyond which an unknown one is refused; by default there is no limit.
     hard_state, snapshot, entries
         Content of the data folder.
     """
--- a/tarragonshelf/hub/_state.py
+++ b/tarragonshelf/hub/_state.py
@@ -1,5 +1,6 @@
 """State of a hub, and helpers shared by its mixins."""
 
+from math import inf
 from random import Random
 
 from ..allowances import AllowanceAllocator, AllowanceRequests
@@ -57,6 +58,7 @@
         timing: Timing = Timing(),
         budget: RetryBudgetSettings = NO_RETRY_BUDGET,
         seeds: tuple[str, ...] = (),
+        maximum_targets: int | None = None,
     ):
         super().__init__(
             identity=f"{record.vm}/{incarnation}",
@@ -76,6 +78,7 @@
         if snapshot is not None:
             self.register.restore(codec.decode(snapshot.data))
         self.targets = TargetRegistry()
+        self.maximum_targets = inf if maximum_targets is None else maximum_targets
         self.registrar = Registrar(record, regions)
         self.subscribers = Subscribers(record.data_centre)
         self.loads = LoadAggregator(record.vm)
--- a/tarragonshelf/hub/_targets.py
+++ b/tarragonshelf/hub/_targets.py
@@ -9,9 +9,7 @@
     TargetNewsReceived,
     TargetState,
 )
-from ..replication import (
-    EmitEvent,
-)
+from ..replication import EmitEvent, Refused, RefusedReason
 from ._messages import (
     AnnounceReply,
     AnnounceTarget,
@@ -20,6 +18,12 @@
 )
 from ._state import TARGETS_FILE, HubState
 
+# Targets that hubs keep records of at most, departed ones included, and the share of the memory
+# that these may take. The size to design for is 3,900 targets.
+MAXIMUM_TARGETS = 1 << 14
+TARGETS_SHARE = 0.25
+# Memory of a record with long names, in the registry and in messages on their way.
+TARGET_BYTES = 4 << 10
 # All targets are requested from a peer after this number of digest mismatches in a row.
 MISMATCH_THRESHOLD = 2
 # A request to one peer postpones those to the others for this long, up to so many mismatches.
@@ -27,11 +31,25 @@
 MAXIMUM_MISMATCHES = 4
 
 
+def compute_maximum_targets(free_bytes: int | None) -> int:
+    """Return how many targets a hub may keep records of, given its memory without any."""
+    if free_bytes is None:
+        return MAXIMUM_TARGETS
+    return min(MAXIMUM_TARGETS, int(free_bytes * TARGETS_SHARE) // TARGET_BYTES)
+
+
 class TargetsMixin(HubState):
     """Handles announcements of targets and reconciles targets with the other hubs."""
 
     def _handle_announcement(self, now: float, call: int, message: AnnounceTarget) -> None:
         announced = message.target
+        is_known = self.targets.get(announced.identity) is not None
+        if not is_known and self.targets.count >= self.maximum_targets:
+            detail = f"there are {self.targets.count} targets already"
+            fields = {"target": announced.identity, "maximum": self.maximum_targets}
+            self._effects.append(EmitEvent("target_refused", fields))
+            self._reply(call, Refused(RefusedReason.BUSY, detail=detail))
+            return
         is_leaving = announced.state != TargetState.READY
         if is_leaving:
             self._emit_departure(announced)
--- a/tarragonshelf/registry/_registry.py
+++ b/tarragonshelf/registry/_registry.py
@@ -60,6 +60,11 @@
                 self._digest ^= crc32(text.encode())
         return self._digest
 
+    @property
+    def count(self) -> int:
+        """The number of targets, including departed ones."""
+        return len(self._by_identity)
+
     def get(self, identity: str) -> TargetEntry | None:
         """Return the record of an identity, or None."""
         return self._by_identity.get(identity)
--- a/tarragonshelf/site/_hub.py
+++ b/tarragonshelf/site/_hub.py
@@ -26,6 +26,7 @@
     Subscribe,
     SubscriberLost,
     SubscriberReceived,
+    compute_maximum_targets,
     create_first_membership,
 )
 from ..registry import TargetEntry, TargetNews
@@ -163,6 +164,10 @@
         self.peer_calls = PeerCalls(
             self.links, timeout=PEER_CALL_TIMEOUT_SECONDS, on_end=self._finish_peer_call
         )
+        # Memory beyond that at the start, or None if there is no limit.
+        self._free_bytes: int | None = None
+        if settings.memory_bytes is not None:
+            self._free_bytes = max(0, settings.memory_bytes - read_resident_bytes())
         self.outbox = MessageBatcher(self.links.frames, self.clock)
         self.server = PeerServer(
             vm=settings.record.vm,
@@ -257,11 +262,11 @@
 
     def _compute_limits(self) -> BufferLimits:
         """Return the limits on what is held for targets and operators."""
-        settings, memory_bytes, base_bytes = self.settings, None, read_resident_bytes()
-        if settings.memory_bytes is not None:
-            free = max(0, settings.memory_bytes - base_bytes)
+        memory_bytes, base_bytes = None, read_resident_bytes()
+        if self.settings.memory_bytes is not None:
+            free = max(0, self.settings.memory_bytes - base_bytes)
             memory_bytes = base_bytes + int(free * CALLERS_SHARE)
-        return compute_limits(memory_bytes, base_bytes, settings.maximum_descriptors)
+        return compute_limits(memory_bytes, base_bytes, self.settings.maximum_descriptors)
 
     def _finish_peer_call(
         self, address: str, request: Message, reply: Message | None, problem: str
@@ -318,6 +323,7 @@
             ),
             budget=self.settings.budget,
             seeds=self._list_seed_addresses(),
+            maximum_targets=compute_maximum_targets(self._free_bytes),
         )
         if previous is not None:
             # State that is kept only in memory stays valid when writes to disk fail.
