The number of header fields has no limit but the bytes of the head

Callers saw: 400 for more than 128 fields, also inside max_header_bytes (aiohttp's default). Only that limit raised, a read of 64 KB after a body would parse 12,000 fields of later requests, some 350 bytes each. So each field beyond 128 is reserved, and what follows a request is parsed once it has ended (before, up to 64 KB were parsed ahead).

--- a/tarragonshelf/serving/_connections.py
+++ b/tarragonshelf/serving/_connections.py
@@ -33,6 +33,10 @@
 # Bytes of later requests that are read while one is under way. A caller that sends more is not
 # read until the response, so its disconnection is noticed only then.
 PIPELINED_BYTES = 64 << 10
+# Header fields whose memory is part of that of a connection, and the memory of each further one:
+# the objects of aiohttp and h11.
+ORDINARY_FIELDS = 128
+FIELD_BYTES = 512
 
 # Share of the bytes for callers above which free memory is returned to the operating system.
 TRIM_SHARE = 0.75
@@ -58,6 +62,14 @@
     return waiter is not None and waiter.done()
 
 
+def has_queued_request(handler: web.RequestHandler) -> bool:
+    """Return whether a head was parsed whose request has not begun.
+
+    aiohttp has no public attribute for this, either.
+    """
+    return bool(handler._messages)
+
+
 class CallerConnections:
     """The connections of callers, and the budget that they share.
 
@@ -252,7 +264,11 @@
         self._connection_bytes = 0
         # Whether the rest of a body is dropped, as the response was given before its end.
         self._is_discarding = False
-        self._pipelined = 0
+        # Lines of its head, and the length of its body if that was declared.
+        self._head_lines = 0
+        self._declared = 0
+        # Later requests, which aiohttp gets after the response.
+        self._later = b""
         self._unsent = 0
         self._response_bytes = 0
         self._is_paused_by_handler = False
@@ -269,6 +285,8 @@
         if self._holding is not None:
             set_state(self._received_at, self._holding, HoldingState.RECEIVING)
             self._begin_running_if_complete()
+        if self._later:
+            asyncio.get_running_loop().call_soon(self._pass_later)
 
     def reserve_body(self, size: int) -> bool:
         """Reserve memory for a body of known size; return False if it does not fit."""
@@ -279,6 +297,7 @@
             self.is_refused = True
             return False
         self._reserved += missing
+        self._declared = size
         return True
 
     def reserve(self, size: int) -> bool:
@@ -316,16 +335,16 @@
         self._is_discarding = self._content is not None and not self._content.is_eof()
         self._content = None
         self._received = self._reserved = self._decoded = 0
-        self._body_bytes = self._pipelined = self._received_with_content = 0
+        self._body_bytes = self._received_with_content = 0
+        self._head_lines = self._declared = 0
         self._read_size = SMALL_READ_BYTES
         if self._holding is not None:
             set_state(_read_time(), self._holding, HoldingState.IDLE)
             self.connections.budget.release_framing_place(self._holding)
             base = self._connection_bytes + response_bytes
             self.connections.budget.set_size(self._holding, base)
-        if self._is_paused_by_pipelining:
-            self._is_paused_by_pipelining = False
-            self.resume(is_handler=False)
+        if self._later:
+            asyncio.get_running_loop().call_soon(self._pass_later)
 
     def check(self, now: float, margin: float) -> None:
         """Close the connection if its head or its body takes too long."""
@@ -406,9 +425,51 @@
         """Pass received bytes to aiohttp within the limits."""
         if self._holding is None or self._transport.is_closing():
             return
-        now = _read_time()
         data = bytes(self.connections.read_buffer[:size])
-        if not self._count(now, size):
+        if self._later or self._is_complete():
+            self._keep_for_later(data)
+        else:
+            self._pass(_read_time(), data)
+
+    def _is_complete(self) -> bool:
+        return self._content is not None and self._content.is_eof()
+
+    def _pass(self, now: float, data: bytes) -> None:
+        """Pass received bytes to aiohttp in parts, up to the end of the request under way.
+
+        A later request would be parsed at once, and hold memory for each of its header fields.
+        """
+        is_body = self._content is not None and not self._is_discarding
+        is_within_body = is_body and self._declared - self._content.total_bytes >= len(data)
+        step = len(data) if is_within_body else SMALL_READ_BYTES
+        for at in range(0, len(data), step):
+            if self._holding is None or self._transport.is_closing():
+                return
+            is_next = self._content is None and has_queued_request(self._handler)
+            if at and (is_next or self._is_complete()):
+                self._keep_for_later(data[at:])
+                return
+            self._pass_part(now, data[at : at + step])
+
+    def _keep_for_later(self, data: bytes) -> None:
+        self._later += data
+        if len(self._later) > PIPELINED_BYTES and not self._is_paused_by_pipelining:
+            self._is_paused_by_pipelining = True
+            self.pause(is_handler=False)
+
+    def _pass_later(self) -> None:
+        """Pass on what was kept, once a request has begun or ended."""
+        if self._holding is None or self._is_complete():
+            return
+        later, self._later = self._later, b""
+        self._pass(_read_time(), later)
+        if self._is_paused_by_pipelining and len(self._later) <= PIPELINED_BYTES:
+            self._is_paused_by_pipelining = False
+            self.resume(is_handler=False)
+
+    def _pass_part(self, now: float, data: bytes) -> None:
+        size = len(data)
+        if not self._count(now, data):
             return
         self._handler.data_received(data)
         content = self._content
@@ -444,17 +505,11 @@
 
     # Limits
 
-    def _count(self, now: float, size: int) -> bool:
+    def _count(self, now: float, data: bytes) -> bool:
         """Count received bytes; return False if the connection was closed for them."""
-        content = self._content
+        content, size = self._content, len(data)
         if self._is_discarding:
             return True
-        if content is not None and content.is_eof():
-            self._pipelined += size
-            if self._pipelined > PIPELINED_BYTES and not self._is_paused_by_pipelining:
-                self._is_paused_by_pipelining = True
-                self.pause(is_handler=False)
-            return True
         self._received += size
         self._received_at = now
         record_progress(now, self._holding, size)
@@ -462,10 +517,12 @@
         if content is None:
             # aiohttp keeps a head as it was received, and decoded.
             self._decoded += size
-        needed = self._received + self._decoded
+            self._head_lines += data.count(b"\n")
+        fields = FIELD_BYTES * max(0, self._head_lines - ORDINARY_FIELDS)
+        needed = self._received + self._decoded + fields
         if content is not None:
             # Framing is dropped once parsed; what is left of it are the chunks not read yet.
-            parsed = 2 * self._decoded + content.total_bytes
+            parsed = 2 * self._decoded + fields + content.total_bytes
             needed = min(needed, parsed + size + FRAMED_CONNECTION_BYTES)
         missing = needed - self._reserved
         if missing <= 0 or self.is_refused:
--- a/tarragonshelf/serving/_http_server.py
+++ b/tarragonshelf/serving/_http_server.py
@@ -15,8 +15,9 @@
 # How long aiohttp reads and drops the rest of a body after an early response, which the caller may
 # read only once it has sent all.
 LINGER_SECONDS = 2.0
-# Limit of aiohttp for each line of a head, beyond those of the connection.
+# Limits of aiohttp for each line of a head and for their number, beyond those of the connection.
 MAXIMUM_PARSED_LINE_BYTES = 1 << 30
+MAXIMUM_PARSED_FIELDS = 1 << 20
 # Buffer of aiohttp for the part of a body that was not read from it yet.
 PARSED_BODY_BYTES = 64 << 10
 # Keep-alive time-out of aiohttp, which is fixed when the server starts.
@@ -44,6 +45,7 @@
         keepalive_timeout=MAXIMUM_KEEPALIVE_SECONDS,
         max_line_size=MAXIMUM_PARSED_LINE_BYTES,
         max_field_size=MAXIMUM_PARSED_LINE_BYTES,
+        max_headers=MAXIMUM_PARSED_FIELDS,
         auto_decompress=False,
         lingering_time=LINGER_SECONDS,
         read_bufsize=PARSED_BODY_BYTES,
