--- a/tests/test_misbehaving_fleet_clients.py
+++ b/tests/test_misbehaving_fleet_clients.py
@@ -42,6 +42,7 @@
         self.entry = list_processes(description, "entry")[0]
         self.control = list_processes(description, "control")[0]
         self.address = ""
+        self._orders = itertools.count()
 
     def find_address(self, door: tuple[str, str]) -> str:
         """Return the address of a port: of a role, and its name in the settings."""
@@ -54,8 +55,7 @@
 
     async def ask(self, session: ClientSession) -> bool:
         """Return whether an order runs and the daemons report that they live."""
-        self._number = getattr(self, "_number", 0) + 1
-        headers = {"Idempotency-Key": f"ordinary-{self._number}", "Connection": "close"}
+        headers = {"Idempotency-Key": f"ordinary-{next(self._orders)}", "Connection": "close"}
         url = f"http://{self.entry['http']}/rondas"
         async with session.post(url, headers=headers, data=b"x") as response:
             if response.status != 200:
