--- a/tarragonshelf/site/tests/test_endless_responses.py
+++ b/tarragonshelf/site/tests/test_endless_responses.py
@@ -41,8 +41,9 @@
         try:
             await reader.readuntil(b"\r\n\r\n")
             writer.write(self.head)
-            # Limited here too, so that the test fails if the connection is never closed.
-            while self.written < 4 * _exchange.MAXIMUM_RESPONSE_BYTES:
+            # Limited here too, so that the test fails if the connection is never closed. The limit is
+            # above what the buffers of the sockets take.
+            while self.written < 64 * _exchange.MAXIMUM_RESPONSE_BYTES:
                 writer.write(self.part)
                 self.written += len(self.part)
                 await writer.drain()
