--- a/tarragonshelf/site/tests/test_endless_responses.py
+++ b/tarragonshelf/site/tests/test_endless_responses.py
@@ -41,8 +41,8 @@
         try:
             await reader.readuntil(b"\r\n\r\n")
             writer.write(self.head)
-            # Limited here too, so that the test fails if the connection is never closed; above what
-            # the buffers of the sockets take.
+            # Limited here too, so that the test fails if the connection is never closed.
+            # Sockets buffer less.
             while self.written < 64 * _exchange.MAXIMUM_RESPONSE_BYTES:
                 writer.write(self.part)
                 self.written += len(self.part)
