--- a/tarragonshelf/serving/_connections.py
+++ b/tarragonshelf/serving/_connections.py
@@ -65,7 +65,8 @@
 def has_queued_request(handler: web.RequestHandler) -> bool:
     """Return whether a head was parsed whose request has not begun.
 
-    aiohttp has no public attribute for this, either.
+    Unlike with ``has_parsed_head``, the handler may still be writing an earlier response. aiohttp
+    has no public attribute for this, either.
     """
     return bool(handler._messages)
 
