Package exchange holds the connections to targets, for both interfaces

No behaviour changes. TargetConnection, its errors and its quota move out of package site, so that the own interface can read answers by the same code; what they need to know of the platform's headers is ResponseDialect, which HttpDialect extends. The idle connections of ConnectionPool are a class of their own.

--- a/tarragonshelf/site/_exchange.py
+++ b/tarragonshelf/exchange/_connection.py
@@ -15,8 +15,8 @@
 )
 from ..forwarding import AttemptOutcome, TargetAnswer
 from ..transport import set_user_timeout
-from ._interfaces import HttpDialect
 from ._validity import find_malformed_fields, find_malformed_framing, find_malformed_head
+from .base import ResponseDialect
 
 MAXIMUM_HEAD_BYTES = 64 << 10
 # Limits for one response and for all unfinished responses of the process, so that a faulty target
@@ -90,7 +90,7 @@
 
     Parameters
     ----------
-    dialect : HttpDialect
+    dialect : ResponseDialect
         Decides which request a response belongs to and whether it is valid.
     buffer_quota : ResponseBufferQuota
         Limits the memory for unfinished responses on all connections together.
@@ -104,7 +104,7 @@
     is sent once more would otherwise prove that a request did not run which does.
     """
 
-    def __init__(self, dialect: HttpDialect, buffer_quota: ResponseBufferQuota):
+    def __init__(self, dialect: ResponseDialect, buffer_quota: ResponseBufferQuota):
         self.dialect = dialect
         self.buffer_quota = buffer_quota
         self.is_reusable = False
--- a/tarragonshelf/site/_validity.py
+++ b/tarragonshelf/exchange/_validity.py
@@ -2,7 +2,7 @@
 
 import re
 
-from ._interfaces import RawHeaders
+from .base import RawHeaders
 
 MINIMUM_STATUS = 200
 # h11 accepts any status up to 999, but RFC 9110, section 15, defines none above 599, and a caller
--- a/tarragonshelf/site/_edge.py
+++ b/tarragonshelf/site/_edge.py
@@ -27,6 +27,7 @@
     explain_placement,
     plan_stop,
 )
+from ..exchange import ResponseBufferQuota
 from ..forwarding import PermitDecided, PermitNeeded, RelayAttempt, RelayEnded
 from ..hub import HubBeat, HubNews
 from ..registry import TargetEntry
@@ -51,7 +52,6 @@
     create_codec,
 )
 from ._caller_server import CallerServer
-from ._exchange import ResponseBufferQuota
 from ._forwarder import Forwarder
 from ._interfaces import DiscoveryHandler, EdgeQueries, HttpDialect, RequestContent
 from ._pool import ConnectionPool
--- a/tarragonshelf/site/_forwarder.py
+++ b/tarragonshelf/site/_forwarder.py
@@ -8,6 +8,7 @@
 import h11
 
 from ..base import Effect, Message
+from ..exchange import ExchangeFailedError
 from ..forwarding import (
     Attempt,
     AttemptEnded,
@@ -32,7 +33,6 @@
     TimerFired,
 )
 from ..throttling import LimitStatement, PauseStatement
-from ._exchange import ExchangeFailedError
 from ._interfaces import HttpDialect, RequestContent
 from ._pool import ConnectionPool
 
--- a/tarragonshelf/site/_interfaces.py
+++ b/tarragonshelf/site/_interfaces.py
@@ -1,18 +1,16 @@
 """Interfaces to the outer platform's HTTP API, which each platform implements."""
 
 from abc import ABC, abstractmethod
-from collections.abc import Iterable
 from dataclasses import dataclass
 
 from aiohttp import web
 
 from ..base import Message
+from ..exchange import RawHeaders, ResponseDialect
 from ..forwarding import AttemptOutcome, RefusalReason, Refuse, TargetAnswer
 from ..registry import TargetEntry
 from ..throttling import LimitStatement, PauseStatement
 
-RawHeaders = Iterable[tuple[bytes, bytes]]
-
 
 @dataclass(frozen=True, slots=True)
 class CallerFields:
@@ -49,7 +47,7 @@
     has_body: bool
 
 
-class HttpDialect(ABC):
+class HttpDialect(ResponseDialect):
     """Headers and status codes that entries exchange with callers and targets."""
 
     @abstractmethod
@@ -85,18 +83,6 @@
         ``size`` is the length of the body in bytes, or None for a request without a body.
         """
 
-    @abstractmethod
-    def is_response_to(self, headers: RawHeaders, status: int, request_id: bytes) -> bool:
-        """Return whether a response belongs to the request with this id."""
-
-    @abstractmethod
-    def names_request(self, headers: RawHeaders, request_id: bytes) -> bool:
-        """Return whether a response names the request with this id."""
-
-    @abstractmethod
-    def find_problem(self, status: int, headers: RawHeaders) -> str:
-        """Return why a response must not be forwarded to the caller, or an empty string."""
-
     @abstractmethod
     def classify(self, response: TargetAnswer) -> AttemptOutcome:
         """Return the outcome of the attempt that got this response.
@@ -134,10 +120,6 @@
             If the request is malformed.
         """
 
-    @abstractmethod
-    def get_idle_seconds(self, headers: RawHeaders) -> float:
-        """Return for how many seconds a connection may stay idle after a response."""
-
     @abstractmethod
     def filter_response_headers(self, headers: RawHeaders) -> list[tuple[bytes, bytes]]:
         """Return the headers of a target's response that are forwarded to the caller."""
--- a/tarragonshelf/site/_pool.py
+++ b/tarragonshelf/site/_pool.py
@@ -6,9 +6,9 @@
 from dataclasses import dataclass, field
 
 from ..base import Message
+from ..exchange import IdleConnections, ResponseBufferQuota, TargetConnection
 from ..registry import TargetEntry
 from ..relaying import PathDoubted, TargetChecked, TargetConnected
-from ._exchange import ResponseBufferQuota, TargetConnection
 from ._interfaces import HttpDialect
 
 # Connecting to a target in another region takes up to 40 ms. The kernel retransmits a lost SYN
@@ -94,7 +94,7 @@
         self.buffer_quota = buffer_quota or ResponseBufferQuota()
         self.connect_counts: Counter = Counter()
         self._connect_summary = ConnectSummary()
-        self._idle: dict[str, list[TargetConnection]] = {}
+        self._idle = IdleConnections(usable_share=USABLE_IDLE_SHARE)
 
     async def get(self, target: TargetEntry, *, is_repeatable: bool) -> TargetConnection:
         """Return an open connection to a target.
@@ -107,22 +107,10 @@
             If the target does not accept it within ``CONNECT_TIMEOUT_SECONDS``.
         """
         now = asyncio.get_running_loop().time()
-        idle = self._idle.get(_create_pool_key(target), [])
-        while idle:
-            connection = idle.pop()
-            age = now - connection.idle_since
-            limit = connection.idle_seconds * USABLE_IDLE_SHARE
-            if not is_repeatable:
-                limit = min(limit, UNREPEATABLE_IDLE_SECONDS)
-            if connection.is_open and age < limit:
-                return connection
-            if not connection.is_open or age >= connection.idle_seconds * USABLE_IDLE_SHARE:
-                connection.close()
-                continue
-            # Idle for too long for this request, but usable for a repeatable one. All remaining
-            # connections have been idle for longer.
-            idle.append(connection)
-            break
+        maximum_age = float("inf") if is_repeatable else UNREPEATABLE_IDLE_SECONDS
+        idle = self._idle.take(_create_pool_key(target), now, maximum_age)
+        if idle is not None:
+            return idle
         loop = asyncio.get_running_loop()
         doubted = PathDoubted(target.identity)
         timer = loop.call_later(SLOW_CONNECT_SECONDS, self.notify, doubted)
@@ -139,29 +127,13 @@
 
     def put(self, target: TargetEntry, connection: TargetConnection) -> None:
         """Return a connection to the pool after a response."""
-        if not connection.is_reusable or not connection.is_open:
-            connection.close()
-            return
-        idle = self._idle.setdefault(_create_pool_key(target), [])
-        connection.idle_since = asyncio.get_running_loop().time()
-        idle.append(connection)
+        now = asyncio.get_running_loop().time()
         # The limit may have fallen since, as entries were added.
-        while len(idle) > self.get_idle_limit(target):
-            idle.pop(0).close()
+        self._idle.put(_create_pool_key(target), connection, now, self.get_idle_limit(target))
 
     def close_expired(self, now: float) -> None:
         """Close connections whose idle time-out has passed."""
-        for name, idle in list(self._idle.items()):
-            kept = []
-            for item in idle:
-                if item.is_open and now - item.idle_since < item.idle_seconds * USABLE_IDLE_SHARE:
-                    kept.append(item)
-                else:
-                    item.close()
-            if kept:
-                self._idle[name] = kept
-            else:
-                del self._idle[name]
+        self._idle.close_expired(now)
 
     async def check(self, target: TargetEntry) -> TargetChecked:
         """Open a connection to a target, keep it for a later request, and return the result."""
@@ -178,15 +150,11 @@
 
     def close_target(self, target: TargetEntry) -> None:
         """Close the idle connections to a target."""
-        for connection in self._idle.pop(_create_pool_key(target), []):
-            connection.close()
+        self._idle.close_target(_create_pool_key(target))
 
     def close(self) -> None:
         """Close all idle connections."""
-        for idle in self._idle.values():
-            for connection in idle:
-                connection.close()
-        self._idle = {}
+        self._idle.close()
 
     def pop_connect_summary(self) -> ConnectSummary:
         """Return the connections that were opened since the previous call."""
--- a/tarragonshelf/site/_relay_client.py
+++ b/tarragonshelf/site/_relay_client.py
@@ -6,6 +6,7 @@
 from itertools import islice
 
 from ..base import FrameError, Message
+from ..exchange import ResponseBufferQuota, find_malformed_head
 from ..forwarding import (
     AttemptUsage,
     RefusalReason,
@@ -25,9 +26,7 @@
     RelayResponse,
 )
 from ..transport import Connection, Frame, PeerLinks, UnreachableError
-from ._exchange import ResponseBufferQuota
 from ._interfaces import RequestContent
-from ._validity import find_malformed_head
 
 # Opening a connection takes two round trips, the handshake included; 40 ms each between regions.
 CONNECT_TIMEOUT_SECONDS = 0.35
--- a/tarragonshelf/site/_relay_server.py
+++ b/tarragonshelf/site/_relay_server.py
@@ -6,6 +6,7 @@
 
 from ..base import Message
 from ..edge import EdgeNode
+from ..exchange import ResponseBufferQuota
 from ..forwarding import ForwardRequest, RefusalReason, Refuse, RespondWith
 from ..relaying import (
     DeclineReason,
@@ -19,7 +20,6 @@
 )
 from ..transport import Connection, Frame, PeerServer
 from ..utils import compute_short_digest
-from ._exchange import ResponseBufferQuota
 from ._forwarder import Forwarder
 from ._interfaces import RequestContent
 from ._relay_client import send_with_body, split_body
--- a/tarragonshelf/site/tests/test_caller_limits.py
+++ b/tarragonshelf/site/tests/test_caller_limits.py
@@ -13,10 +13,10 @@
     set_state,
 )
 from ...buffering._budget import CONNECTION_BYTES
+from ...exchange import WRITE_BYTES
 from ...forwarding import RespondWith, TargetAnswer
 from ...serving._connections import PIPELINED_BYTES
 from ...serving._memory import TRIM_INTERVAL_SECONDS, MemoryTrimmer
-from .._exchange import WRITE_BYTES
 from .test_caller_server import Fixture, create_request, read_response, run
 
 MEBIBYTE = 1 << 20
--- a/tarragonshelf/site/tests/test_caller_server.py
+++ b/tarragonshelf/site/tests/test_caller_server.py
@@ -547,7 +547,7 @@
         assert (second[0], second[1]) == (503, b"no-target")
         assert float(second[2][b"retry-after"]) > 0
         assert received == 1
-        assert not any(idle.values())
+        assert len(idle) == 0
 
     @pytest.mark.parametrize("value", [b"0", b"yes", b"1\r\nServer-Leaving: 1"])
     def test_malformed_departure_is_reported_and_changes_nothing(self, value):
--- a/tarragonshelf/site/tests/test_endless_responses.py
+++ b/tarragonshelf/site/tests/test_endless_responses.py
@@ -4,11 +4,10 @@
 
 import pytest
 
+from ...exchange import ExchangeFailedError, ResponseBufferQuota, _connection
 from ...forwarding import AttemptOutcome
 from ...platform._entry_http import PlatformDialect
 from ...registry import TargetEntry, TargetState
-from .. import _exchange
-from .._exchange import ExchangeFailedError, ResponseBufferQuota
 from .._pool import ConnectionPool
 from .test_exchange import OWN_HEADERS, exchange
 
@@ -43,7 +42,7 @@
             writer.write(self.head)
             # Limited here too, so that the test fails if the connection is never closed.
             # Sockets buffer less.
-            while self.written < 64 * _exchange.MAXIMUM_RESPONSE_BYTES:
+            while self.written < 64 * _connection.MAXIMUM_RESPONSE_BYTES:
                 writer.write(self.part)
                 self.written += len(self.part)
                 await writer.drain()
@@ -71,7 +70,7 @@
         ids=["garbage", "head", "close-ended", "length", "chunks", "interim", "unrelated"],
     )
     def test_connection_is_closed_and_buffers_are_released(self, head, part, monkeypatch):
-        monkeypatch.setattr(_exchange, "MAXIMUM_RESPONSE_BYTES", MEBIBYTE)
+        monkeypatch.setattr(_connection, "MAXIMUM_RESPONSE_BYTES", MEBIBYTE)
 
         async def test():
             async with EndlessTarget(head, part) as target:
@@ -87,7 +86,7 @@
         asyncio.run(test())
 
     def test_connections_share_one_memory_limit(self, monkeypatch):
-        monkeypatch.setattr(_exchange, "MAXIMUM_BUFFERED_BYTES", MEBIBYTE)
+        monkeypatch.setattr(_connection, "MAXIMUM_BUFFERED_BYTES", MEBIBYTE)
 
         async def test():
             async with EndlessTarget(RESPONSE_HEAD + b"\r\n", b"x" * 65536) as target:
@@ -104,7 +103,7 @@
 class TestResponseBufferQuota:
     def test_released_bytes_can_be_reserved_again(self):
         buffer_quota = ResponseBufferQuota()
-        assert buffer_quota.reserve(_exchange.MAXIMUM_BUFFERED_BYTES)
+        assert buffer_quota.reserve(_connection.MAXIMUM_BUFFERED_BYTES)
         assert not buffer_quota.reserve(1)
-        buffer_quota.release(_exchange.MAXIMUM_BUFFERED_BYTES)
+        buffer_quota.release(_connection.MAXIMUM_BUFFERED_BYTES)
         assert buffer_quota.reserve(1)
--- a/tarragonshelf/site/tests/test_exchange.py
+++ b/tarragonshelf/site/tests/test_exchange.py
@@ -6,10 +6,10 @@
 import h11
 import pytest
 
+from ...exchange import ExchangeFailedError, TargetConnection
 from ...forwarding import AttemptOutcome
 from ...platform._entry_http import PlatformDialect
 from ...registry import TargetEntry, TargetState
-from .._exchange import ExchangeFailedError, TargetConnection
 from .._pool import ConnectionPool
 
 OWN_HEADERS = b"Request-Id: q1\r\nResponse-Stamp: s\r\n"
--- a/tarragonshelf/site/tests/test_malformed_responses.py
+++ b/tarragonshelf/site/tests/test_malformed_responses.py
@@ -7,12 +7,12 @@
 import pytest
 
 from ...avoidance import EvidenceKind
+from ...exchange import ExchangeFailedError
 from ...forwarding import AttemptOutcome, ForwardRequest, RefusalReason, RelayOutcome
 from ...forwarding.tests.fakes import FakeContext, create_route
 from ...platform._entry_http import PlatformDialect
 from ...relaying import RelayHeader, RelayResponse
 from .. import _relay_server
-from .._exchange import ExchangeFailedError
 from .._forwarder import Forwarder
 from .._pool import ConnectionPool
 from .test_exchange import COMPLETE_RESPONSE, OWN_HEADERS, ScriptedTarget, exchange
--- a/tarragonshelf/site/tests/test_relay.py
+++ b/tarragonshelf/site/tests/test_relay.py
@@ -8,6 +8,8 @@
 from ...catalogue import CatalogueCopy, compress_content
 from ...edge import EdgeNode, EdgeSettings, HubReceived
 from ...edge._path import MAXIMUM_RELAYED_BYTES
+from ...exchange import ResponseBufferQuota
+from ...exchange._connection import MAXIMUM_BUFFERED_BYTES
 from ...forwarding import (
     PermitDecided,
     RefusalReason,
@@ -23,7 +25,6 @@
 from ...telemetry import create_clock
 from ...throttling import PauseStatement
 from ...transport import EDGE_PACKAGES, PeerLinks, PeerServer, create_codec
-from .._exchange import MAXIMUM_BUFFERED_BYTES, ResponseBufferQuota
 from .._forwarder import Forwarder
 from .._interfaces import RequestContent
 from .._pool import ConnectionPool
