All responses together take a bounded part of each turn of the event loop

Cause: one read, and each connection, was bounded, but not the work that all connections do in a turn. h11 needs the same time for a chunk of one byte as for one of 64 KiB; a read of 64 KiB holds 3,855 chunks of 12 bytes. Heads and trailers of 64 KiB in 16,000 fields are one event of the parser, which nothing interrupts. Change: what one read brings is parsed at once if it has few fields, and few parts for its size. All else waits in a queue, of which one slice of 0.5 ms is parsed in each turn; targets take turns, so that sound ones are not kept waiting by a faulty one, and nothing is read from a connection whose bytes wait. Heads and trailers have at most 2,048 lines. A response of a declared length above the limit is rejected at its head. One response of a target at a time may go beyond the framing allowance, up to what one-byte chunks need, so that a whole one is served in calm; a target whose response had that place and did not end gets none for 60 s. The test of the same fault over processes passes without the limits on reads and without the allowance, so its docstring now says what it does show.

--- a/tarragonshelf/buffering/__init__.py
+++ b/tarragonshelf/buffering/__init__.py
@@ -1,4 +1,4 @@
-"""Memory and connections that a process holds for callers: who gets them, and who loses them."""
+"""What a process holds for callers and reads from targets: who gets it, and who loses it."""
 
 from ._budget import (
     BufferBudget,
@@ -15,21 +15,37 @@
     FRAMED_CONNECTION_BYTES,
     LARGE_READ_BYTES,
     MAXIMUM_FRAMED_CONNECTIONS,
+    MAXIMUM_FRAMING_SHARE,
     SMALL_READ_BYTES,
+    FramingPlaces,
     choose_read_size,
     exceeds_framing_allowance,
 )
+from ._responses import (
+    MAXIMUM_BUFFERED_BYTES,
+    ResponseBudget,
+    ResponseHolding,
+    ResponseReservation,
+)
+from ._turns import FairQueue
 
 __all__ = [
     "FRAMED_CONNECTION_BYTES",
     "LARGE_READ_BYTES",
+    "MAXIMUM_BUFFERED_BYTES",
     "MAXIMUM_FRAMED_CONNECTIONS",
+    "MAXIMUM_FRAMING_SHARE",
     "SMALL_READ_BYTES",
     "BufferBudget",
     "BufferLimits",
+    "FairQueue",
+    "FramingPlaces",
     "Holding",
     "HoldingState",
     "Reservation",
+    "ResponseBudget",
+    "ResponseHolding",
+    "ResponseReservation",
     "choose_read_size",
     "compute_limits",
     "exceeds_framing_allowance",
--- a/tarragonshelf/exchange/_connection.py
+++ b/tarragonshelf/exchange/_connection.py
@@ -1,99 +1,99 @@
 """Connection to a target that carries one request at a time."""
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
+from enum import StrEnum
 
 import h11
 
 from ..buffering import (
-    LARGE_READ_BYTES,
+    MAXIMUM_FRAMING_SHARE,
     SMALL_READ_BYTES,
-    BufferBudget,
-    Reservation,
+    ResponseHolding,
     choose_read_size,
     exceeds_framing_allowance,
 )
 from ..forwarding import AttemptOutcome, TargetAnswer
 from ..transport import set_user_timeout
+from ._resources import ResponseResources, ResponseSource
 from ._validity import find_malformed_fields, find_malformed_framing, find_malformed_head
 from .base import ResponseDialect
 
 MAXIMUM_HEAD_BYTES = 64 << 10
-# Limits for one response and for all unfinished responses of the process, so that a faulty target
-# that sends without end cannot exhaust the memory.
+# Limit for one response, so that a faulty target that sends without end is noticed.
 MAXIMUM_RESPONSE_BYTES = 16 << 20
-MAXIMUM_BUFFERED_BYTES = 64 << 20
+# Lines of a head or of trailers: h11 parses either at once, and takes about 1 ms for 1,000 fields.
+MAXIMUM_FIELD_LINES = 2048
+# What one read brings is parsed at once if it has few fields, and few parts for its size.
+PROMPT_LINES = 128
+PROMPT_PARTS = 16
+PROMPT_PART_BYTES = 1 << 10
 # Bodies are written in parts of this size when the socket can take them, so that the transport
 # holds no second copy of a large one.
 WRITE_BYTES = 256 << 10
 # Interim responses, and responses to earlier requests, that are skipped before the expected one.
 MAXIMUM_SKIPPED_RESPONSES = 8
+STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 
-class ExchangeFailedError(Exception):
-    """A request was sent at least in part, and no valid response to it was received.
+class ResponseProblem(StrEnum):
+    """Why an exchange failed.
 
-    ``head`` holds status and headers of an incomplete or unusable response to the request, if
-    there is one.
+    ``TOO_LARGE`` is a response of a declared length above the limit, ``UNDELIMITED`` one whose end
+    cannot be distinguished from a broken connection. ``ENDLESS`` exceeded a limit before its end.
     """
 
-    def __init__(self, outcome: AttemptOutcome, reason: str, head: TargetAnswer | None = None):
-        super().__init__(reason)
-        self.outcome = outcome
-        self.head = head
+    BROKEN = "broken"
+    MALFORMED = "malformed"
+    TOO_LARGE = "too-large"
+    UNDELIMITED = "undelimited"
+    ENDLESS = "endless"
+    NO_MEMORY = "no-memory"
 
 
-class ResponseBufferQuota:
-    """Limits the bytes of unfinished responses that the process buffers.
+_OUTCOMES = {
+    ResponseProblem.BROKEN: AttemptOutcome.BROKEN,
+    ResponseProblem.NO_MEMORY: AttemptOutcome.GIVEN_UP,
+}
 
-    Parameters
-    ----------
-    budget : BufferBudget, optional
-        Bounds them together with all other bytes that are held for callers.
-    close_evicted : callable, optional
-        Closes the connections that lose their place for a response.
+
+class ExchangeFailedError(Exception):
+    """A request was sent at least in part, and no valid response to it was received.
+
+    ``problem`` says why, and ``outcome`` what that says about the request. ``head`` holds status
+    and headers of an incomplete or unusable response to the request, if there is one;
+    ``has_received`` is whether any byte arrived.
     """
 
     def __init__(
         self,
-        budget: BufferBudget | None = None,
-        close_evicted: Callable[[Reservation], None] = lambda reservation: None,
+        problem: ResponseProblem,
+        reason: str,
+        head: TargetAnswer | None = None,
+        *,
+        has_received: bool = True,
     ):
-        self.budget = budget
-        self.close_evicted = close_evicted
-        self.reserved_bytes = 0
-        # Shared by all connections, as each read is copied before the next one begins.
-        self.read_buffer = memoryview(bytearray(LARGE_READ_BYTES))
-
-    def reserve(self, size: int) -> bool:
-        """Reserve bytes; return False, and reserve none, if that would exceed the limit."""
-        if self.reserved_bytes + size > MAXIMUM_BUFFERED_BYTES:
-            return False
-        if self.budget is not None:
-            now = asyncio.get_running_loop().time()
-            reservation = self.budget.reserve_response(now, size)
-            self.close_evicted(reservation)
-            if not reservation.is_granted:
-                return False
-        self.reserved_bytes += size
-        return True
-
-    def release(self, size: int) -> None:
-        """Give back bytes that were reserved."""
-        self.reserved_bytes -= size
-        if self.budget is not None:
-            self.budget.release_response(size)
+        super().__init__(reason)
+        self.problem = problem
+        self.outcome = _OUTCOMES.get(problem, AttemptOutcome.UNUSABLE)
+        self.head = head
+        self.has_received = has_received
 
 
-class TargetConnection(asyncio.BufferedProtocol):
+class TargetConnection(asyncio.BufferedProtocol, ResponseSource):
     """Sends requests and accepts only complete responses that belong to them.
 
     Parameters
     ----------
     dialect : ResponseDialect
         Decides which request a response belongs to and whether it is valid.
-    buffer_quota : ResponseBufferQuota
-        Limits the memory for unfinished responses on all connections together.
+    resources : ResponseResources
+        Limits memory and processor time for unfinished responses on all connections together.
+    source : str
+        Name of the target.
+    maximum_response : int, optional
+        Maximum size of a body in bytes.
 
     Notes
     -----
@@ -102,11 +102,24 @@
     the target ends the stream with FIN; after a reset the exchange fails. On a connection that
     carried an earlier request, a response counts only if it names the present one: a refusal that
     is sent once more would otherwise prove that a request did not run which does.
+
+    While received bytes wait to be parsed, nothing more is read.
     """
 
-    def __init__(self, dialect: ResponseDialect, buffer_quota: ResponseBufferQuota):
+    def __init__(
+        self,
+        dialect: ResponseDialect,
+        resources: ResponseResources,
+        source: str,
+        *,
+        maximum_response: int | None = None,
+    ):
         self.dialect = dialect
-        self.buffer_quota = buffer_quota
+        self.resources = resources
+        self.source = source
+        self.maximum_response = (
+            MAXIMUM_RESPONSE_BYTES if maximum_response is None else maximum_response
+        )
         self.is_reusable = False
         self.idle_seconds = 0.0
         self.idle_since = 0.0
@@ -116,12 +129,24 @@
         self._request: h11.Request | None = None
         self._request_id = b""
         self._response_head: h11.Response | None = None
+        self._is_chunked = False
         self._has_history = False
+        self._holding: ResponseHolding | None = None
         self._body = bytearray()
         self._skipped_responses = 0
         # Bytes of the response as they were received, and the size of the next read.
         self._received = 0
         self._read_size = SMALL_READ_BYTES
+        # Pieces that were received and not passed to the parser yet.
+        self._pieces: deque[bytes] = deque()
+        # Size of the last read, and of the body before it.
+        self._last_read = 0
+        self._body_bytes = 0
+        # Parts that were parsed since the last read, and lines received since the last part.
+        self._parts = 0
+        self._lines = 0
+        self._is_scheduled = False
+        self._lost_reason = ""
         # Pending while the transport wants no more to write.
         self._can_write: asyncio.Future | None = None
 
@@ -141,10 +166,11 @@
         self._request, self._request_id = request, request_id
         self.is_reusable = False
         self._skipped_responses = 0
-        self._reset_parser()
-        self._pending_response = asyncio.get_running_loop().create_future()
-        content = self._parser.send(request)
+        self._holding = self.resources.open(self.source)
         try:
+            self._reset_parser()
+            self._pending_response = asyncio.get_running_loop().create_future()
+            content = self._parser.send(request)
             if len(body) > WRITE_BYTES:
                 self._transport.write(content)
                 await self._write_body(body)
@@ -154,9 +180,26 @@
                 self._transport.write(content + self._parser.send(h11.EndOfMessage()))
             return await self._pending_response
         finally:
-            self._pending_response = None
-            self._has_history = True
-            self._release_body()
+            self._end_exchange()
+
+    def _end_exchange(self) -> None:
+        answered = self._pending_response
+        is_complete = (
+            answered is not None
+            and answered.done()
+            and not answered.cancelled()
+            and answered.exception() is None
+        )
+        now = asyncio.get_running_loop().time()
+        self.resources.places.release(now, self.source, self, is_complete=is_complete)
+        self.resources.close(self._holding)
+        if self._is_scheduled:
+            self._is_scheduled = False
+            self.resources.unschedule(self)
+        self._pieces.clear()
+        self._body = bytearray()
+        self._pending_response = None
+        self._has_history = True
 
     async def _write_body(self, body: bytes) -> None:
         """Write a body as the target takes it, until it ends the exchange."""
@@ -181,6 +224,10 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def give_up(self, reason: str) -> None:
+        """End the response for lack of memory, which says nothing about the target."""
+        self._reject(ResponseProblem.NO_MEMORY, reason)
+
     # Protocol
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -190,21 +237,46 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer for the next read, which bounds the work of one turn."""
-        return self.buffer_quota.read_buffer[: self._read_size]
+        return self.resources.read_buffer[: self._read_size]
 
     def buffer_updated(self, size: int) -> None:
-        """Parse received bytes."""
-        if self._pending_response is None or self._pending_response.done():
+        """Parse received bytes, or have them parsed later."""
+        if not self._is_pending:
             self.close()
             return
-        body_bytes = len(self._body)
+        data = bytes(self.resources.read_buffer[:size])
         self._received += size
-        self._parse(bytes(self.buffer_quota.read_buffer[:size]))
-        self._read_size = choose_read_size(size, len(self._body) - body_bytes)
-        is_pending = self._pending_response is not None and not self._pending_response.done()
-        if is_pending and exceeds_framing_allowance(self._received, len(self._body)):
-            self._fail(AttemptOutcome.UNUSABLE, "the response is mostly framing")
-            self.close()
+        self._last_read, self._body_bytes = size, len(self._body)
+        self._parts = 0
+        if not self.resources.reserve(self._holding, size):
+            self.give_up(f"no memory for {self._received} bytes of a response")
+            return
+        has_fields = self._response_head is None or self._is_chunked
+        lines = data.count(b"\n") if has_fields else 0
+        step = SMALL_READ_BYTES if lines > MAXIMUM_FIELD_LINES else size
+        self._pieces.extend(data[at : at + step] for at in range(0, size, step))
+        if lines > PROMPT_LINES or self._parse(self._is_slow):
+            self._schedule()
+
+    def _is_slow(self) -> bool:
+        content = len(self._body) - self._body_bytes
+        return self._parts > PROMPT_PARTS + content // PROMPT_PART_BYTES
+
+    def _schedule(self) -> None:
+        self._is_scheduled = True
+        self._transport.pause_reading()
+        self.resources.schedule(self)
+
+    def parse_slice(self, is_over: Callable[[], bool]) -> bool:
+        """Parse until the slice is over; return whether received bytes are left."""
+        if self._parse(is_over):
+            return True
+        self._is_scheduled = False
+        if self._lost_reason:
+            self._fail(ResponseProblem.BROKEN, self._lost_reason)
+        elif self._is_pending:
+            self._transport.resume_reading()
+        return False
 
     def pause_writing(self) -> None:
         """Write no more until ``resume_writing``."""
@@ -217,38 +289,63 @@
 
     def eof_received(self) -> None:
         """Pass the end of the stream to the parser."""
-        if self._pending_response is not None and not self._pending_response.done():
-            self._parse(b"")
+        if self._is_pending:
+            self._pieces.append(b"")
+            self._parse(lambda: False)
 
     def connection_lost(self, error: Exception | None) -> None:
-        """Fail the outstanding request."""
+        """Fail the outstanding request, once all that was received is parsed."""
         self.is_reusable = False
-        self._fail(AttemptOutcome.BROKEN, f"connection lost: {error or 'closed'}")
+        reason = f"connection lost: {error or 'closed'}"
+        if self._is_scheduled:
+            self._lost_reason = reason
+        else:
+            self._fail(ResponseProblem.BROKEN, reason)
 
     # Parsing
 
+    @property
+    def _is_pending(self) -> bool:
+        return self._pending_response is not None and not self._pending_response.done()
+
     def _reset_parser(self) -> None:
         self._parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAXIMUM_HEAD_BYTES)
         self._response_head = None
-        self._received = 0
-        self._release_body()
-
-    def _release_body(self) -> None:
-        self.buffer_quota.release(len(self._body))
+        self._is_chunked = False
+        self._received = self._lines = 0
         self._body = bytearray()
+        self.resources.shrink(self._holding, 0)
 
-    def _parse(self, data: bytes) -> None:
+    def _parse(self, is_over: Callable[[], bool]) -> bool:
+        """Parse received bytes until it is over; return whether some are left."""
         try:
-            self._parser.receive_data(data)
-            self._process_events()
+            while self._is_pending:
+                if not self._process_events(is_over):
+                    return True
+                if not self._pieces:
+                    self._end_read()
+                    return False
+                self._pass_piece(self._pieces.popleft())
         except h11.RemoteProtocolError as error:
-            self._reject(f"malformed HTTP response: {error}")
+            self._reject(ResponseProblem.MALFORMED, f"malformed HTTP response: {error}")
+        return False
+
+    def _pass_piece(self, piece: bytes) -> None:
+        if self._response_head is None or self._is_chunked:
+            self._lines += piece.count(b"\n")
+        self._parser.receive_data(piece)
 
-    def _process_events(self) -> None:
-        while self._pending_response is not None and not self._pending_response.done():
+    def _process_events(self, is_over: Callable[[], bool]) -> bool:
+        """Process what the parser holds; return False if it is over before the parser is empty."""
+        while self._is_pending:
             event = self._parser.next_event()
-            if event is h11.NEED_DATA or event is h11.PAUSED:
-                return
+            if event is h11.NEED_DATA:
+                if self._lines > MAXIMUM_FIELD_LINES:
+                    reason = f"{self._lines} lines of a head or of trailers"
+                    self._reject(ResponseProblem.ENDLESS, reason)
+                return True
+            self._parts += 1
+            self._lines = 0
             if isinstance(event, h11.Response):
                 self._accept_head(event)
             elif isinstance(event, h11.InformationalResponse):
@@ -258,12 +355,31 @@
             elif isinstance(event, h11.EndOfMessage):
                 problem = find_malformed_fields(event.headers)
                 if problem:
-                    self._reject(f"malformed trailer: {problem}")
-                    return
-                self._complete_response()
+                    self._reject(ResponseProblem.MALFORMED, f"malformed trailer: {problem}")
+                else:
+                    self._complete_response()
             elif isinstance(event, h11.ConnectionClosed):
-                self._fail(AttemptOutcome.BROKEN, "connection closed before a response")
-                return
+                self._fail(ResponseProblem.BROKEN, "connection closed before a response")
+            elif event is h11.PAUSED:
+                self._reject(ResponseProblem.MALFORMED, "the target switched protocols")
+            if is_over():
+                return False
+        return True
+
+    def _end_read(self) -> None:
+        """Adjust the limits once all received bytes were parsed."""
+        if not self._is_pending:
+            return
+        body = len(self._body)
+        is_in_body = self._response_head is not None
+        self.resources.shrink(self._holding, body if is_in_body else self._received)
+        self._read_size = choose_read_size(self._last_read, body - self._body_bytes)
+        if not exceeds_framing_allowance(self._received, body):
+            return
+        now = asyncio.get_running_loop().time()
+        has_place = self.resources.places.take(now, self.source, self)
+        if not has_place or exceeds_framing_allowance(self._received, body, MAXIMUM_FRAMING_SHARE):
+            self._reject(ResponseProblem.ENDLESS, "the response is mostly framing")
 
     def _accept_head(self, head: h11.Response) -> None:
         """Store the head of a response, or fail the exchange if it is malformed.
@@ -274,41 +390,32 @@
             head.http_version, head.reason, head.headers
         )
         if problem:
-            self._reject(f"malformed HTTP response: {problem}")
-        else:
-            self._response_head = head
-
-    def _reject(self, reason: str) -> None:
-        self._fail(AttemptOutcome.UNUSABLE, reason)
-        self.close()
+            self._reject(ResponseProblem.MALFORMED, f"malformed HTTP response: {problem}")
+            return
+        self._response_head = head
+        if self._request.method == b"HEAD" or head.status_code in STATUSES_WITHOUT_BODY:
+            return
+        fields = dict(head.headers)
+        self._is_chunked = b"transfer-encoding" in fields
+        length = fields.get(b"content-length")
+        if length is not None and int(length) > self.maximum_response:
+            reason = f"response of {int(length)} bytes exceeds the limit"
+            self._reject(ResponseProblem.TOO_LARGE, reason)
+        elif length is None and not self._is_chunked and self.dialect.is_length_required:
+            reason = "the response has neither a content length nor chunked encoding"
+            self._reject(ResponseProblem.UNDELIMITED, reason)
 
     def _append_body(self, data: bytes) -> None:
-        """Add a part of the body, or give the response up if it does not fit into the memory.
-
-        Only a response that exceeds its own limit says something about the target.
-        """
-        size = len(self._body) + len(data)
-        if size > MAXIMUM_RESPONSE_BYTES:
-            outcome, reason = (
-                AttemptOutcome.UNUSABLE,
-                f"response exceeds the limit at {size} bytes",
-            )
-        elif not self.buffer_quota.reserve(len(data)):
-            outcome, reason = AttemptOutcome.GIVEN_UP, f"no memory for {size} bytes of a response"
-        else:
-            self._body += data
-            return
-        self._fail(outcome, reason)
-        self.close()
+        self._body += data
+        if len(self._body) > self.maximum_response:
+            reason = f"response exceeds the limit at {len(self._body)} bytes"
+            self._reject(ResponseProblem.ENDLESS, reason)
 
     def _count_skipped(self) -> None:
         self._skipped_responses += 1
         if self._skipped_responses > MAXIMUM_SKIPPED_RESPONSES:
-            self._fail(
-                AttemptOutcome.UNUSABLE,
-                f"{self._skipped_responses} unrelated responses before the expected one",
-            )
-            self.close()
+            reason = f"{self._skipped_responses} unrelated responses before the expected one"
+            self._reject(ResponseProblem.ENDLESS, reason)
 
     def _complete_response(self) -> None:
         head = self._response_head
@@ -320,7 +427,7 @@
         if self._has_history and not self.dialect.names_request(head.headers, self._request_id):
             problem = "the response names no request and may belong to an earlier one"
         if problem:
-            self._reject(problem)
+            self._reject(ResponseProblem.MALFORMED, problem)
             return
         is_sent = self._transport.get_write_buffer_size() == 0
         self.is_reusable = (
@@ -341,8 +448,8 @@
     def _skip_unrelated_response(self, trailing: bytes) -> None:
         """Continue parsing after a response that belongs to another request."""
         if self._parser.their_state is not h11.DONE:
-            self._fail(AttemptOutcome.UNUSABLE, "the only response belongs to another request")
-            self.close()
+            reason = "the only response belongs to another request"
+            self._reject(ResponseProblem.MALFORMED, reason)
             return
         self._count_skipped()
         self._reset_parser()
@@ -351,9 +458,15 @@
         if trailing:
             self._parser.receive_data(trailing)
 
-    def _fail(self, outcome: AttemptOutcome, reason: str) -> None:
-        if self._pending_response is not None and not self._pending_response.done():
-            error = ExchangeFailedError(outcome, reason, self._get_own_head())
+    def _reject(self, problem: ResponseProblem, reason: str) -> None:
+        self._fail(problem, reason)
+        self.close()
+
+    def _fail(self, problem: ResponseProblem, reason: str) -> None:
+        if self._is_pending:
+            error = ExchangeFailedError(
+                problem, reason, self._get_own_head(), has_received=self._received > 0
+            )
             self._pending_response.set_exception(error)
 
     def _get_own_head(self) -> TargetAnswer | None:
--- /dev/null
+++ b/tarragonshelf/exchange/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the connections to targets."""
--- a/tarragonshelf/site/_edge.py
+++ b/tarragonshelf/site/_edge.py
@@ -27,7 +27,7 @@
     explain_placement,
     plan_stop,
 )
-from ..exchange import ResponseBufferQuota
+from ..exchange import ResponseResources
 from ..forwarding import PermitDecided, PermitNeeded, RelayAttempt, RelayEnded
 from ..hub import HubBeat, HubNews
 from ..registry import TargetEntry
@@ -135,12 +135,12 @@
             self.node.get_idle_limit,
             self._handle_path_message,
             source=addresses.source,
-            buffer_quota=ResponseBufferQuota(
+            resources=ResponseResources(
                 self.budget,
                 lambda reservation: self.caller_server.connections.close_evicted(reservation),
             ),
         )
-        self.relay_client = RelayClient(self.links, self.pool.buffer_quota)
+        self.relay_client = RelayClient(self.links, self.pool.resources)
         forwarder = Forwarder(
             context=self.node,
             pool=self.pool,
@@ -165,7 +165,7 @@
                 maximum_handshakes=compute_maximum_handshakes(addresses.maximum_descriptors),
                 **handlers,
             ),
-            buffer_quota=self.pool.buffer_quota,
+            resources=self.pool.resources,
         )
         self.caller_server = CallerServer(
             node=self.node,
--- a/tarragonshelf/site/_pool.py
+++ b/tarragonshelf/site/_pool.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from ..base import Message
-from ..exchange import IdleConnections, ResponseBufferQuota, TargetConnection
+from ..exchange import IdleConnections, ResponseResources, TargetConnection
 from ..registry import TargetEntry
 from ..relaying import PathDoubted, TargetChecked, TargetConnected
 from ._interfaces import HttpDialect
@@ -74,8 +74,8 @@
         Receives ``TargetConnected`` and ``PathDoubted``.
     source : str, optional
         IP address from which connections are opened; by default the kernel chooses.
-    buffer_quota : ResponseBufferQuota, optional
-        Limits the memory for unfinished responses.
+    resources : ResponseResources, optional
+        Limits memory and processor time for unfinished responses.
     """
 
     def __init__(
@@ -85,13 +85,13 @@
         notify: Callable[[Message], None] = lambda message: None,
         *,
         source: str = "",
-        buffer_quota: ResponseBufferQuota | None = None,
+        resources: ResponseResources | None = None,
     ):
         self.dialect = dialect
         self.get_idle_limit = get_idle_limit
         self.notify = notify
         self.source_address = (source, 0) if source else None
-        self.buffer_quota = buffer_quota or ResponseBufferQuota()
+        self.resources = resources or ResponseResources()
         self.connect_counts: Counter = Counter()
         self._connect_summary = ConnectSummary()
         self._idle = IdleConnections(usable_share=USABLE_IDLE_SHARE)
@@ -181,7 +181,7 @@
         host, _, port = target.address.rpartition(":")
         try:
             _, connection = await asyncio.get_running_loop().create_connection(
-                lambda: TargetConnection(self.dialect, self.buffer_quota),
+                lambda: TargetConnection(self.dialect, self.resources, target.identity),
                 host,
                 int(port),
                 local_addr=self.source_address,
--- a/tarragonshelf/site/_relay_client.py
+++ b/tarragonshelf/site/_relay_client.py
@@ -6,7 +6,8 @@
 from itertools import islice
 
 from ..base import FrameError, Message
-from ..exchange import ResponseBufferQuota, find_malformed_head
+from ..buffering import ResponseHolding
+from ..exchange import ResponseResources, find_malformed_head
 from ..forwarding import (
     AttemptUsage,
     RefusalReason,
@@ -48,6 +49,7 @@
 
     attempt: RelayAttempt
     result: asyncio.Future
+    holding: ResponseHolding
     response: RelayResponse | None = None
     body: bytearray = field(default_factory=bytearray)
 
@@ -68,13 +70,13 @@
     ----------
     links : PeerLinks
         Opens connections to other processes.
-    buffer_quota : ResponseBufferQuota
+    resources : ResponseResources
         Limits the memory for unfinished responses of targets and relays together.
     """
 
-    def __init__(self, links: PeerLinks, buffer_quota: ResponseBufferQuota):
+    def __init__(self, links: PeerLinks, resources: ResponseResources):
         self.links = links
-        self.buffer_quota = buffer_quota
+        self.resources = resources
         # Highest version of the catalogue that a relay reported.
         self.latest_version = 0
         self._number = 0
@@ -96,7 +98,10 @@
         loop = asyncio.get_running_loop()
         self._number += 1
         number, opened.used_at = self._number, loop.time()
-        opened.pending[number] = pending = _PendingRelay(attempt, loop.create_future())
+        # Responses of one relay come from many targets, so each counts as a source of its own.
+        source = f"{attempt.relay.address} {number}"
+        holding = self.resources.open(source)
+        opened.pending[number] = pending = _PendingRelay(attempt, loop.create_future(), holding)
         try:
             remaining_seconds = attempt.deadline - loop.time()
             message = _create_request(number, attempt, content, remaining_seconds, minimum_version)
@@ -108,7 +113,7 @@
         finally:
             opened.pending.pop(number, None)
             opened.used_at = loop.time()
-            self.buffer_quota.release(len(pending.body))
+            self.resources.close(pending.holding)
 
     def close_idle(self, now: float) -> None:
         """Close connections that no request has used for a while."""
@@ -184,13 +189,18 @@
         """Add a part of the response, or give it up if it does not fit into the memory."""
         if pending.result.done():
             return
-        if not self.buffer_quota.reserve(len(data)):
-            opened.connection.send(RelayCancel(number))
-            _finish(pending, RelayEnded(pending.attempt.number, RelayOutcome.GIVEN_UP))
+        if not self.resources.reserve(pending.holding, len(data)):
+            self._give_up(opened, number)
             return
         pending.body += data
         self._finish_if_complete(pending)
 
+    def _give_up(self, opened: _RelayConnection, number: int) -> None:
+        """End an attempt for lack of memory."""
+        pending = opened.pending[number]
+        opened.connection.send(RelayCancel(number))
+        _finish(pending, RelayEnded(pending.attempt.number, RelayOutcome.GIVEN_UP))
+
     def _finish_if_complete(self, pending: _PendingRelay) -> None:
         message = pending.response
         if message is None or len(pending.body) < message.size:
--- a/tarragonshelf/site/_relay_server.py
+++ b/tarragonshelf/site/_relay_server.py
@@ -6,7 +6,7 @@
 
 from ..base import Message
 from ..edge import EdgeNode
-from ..exchange import ResponseBufferQuota
+from ..exchange import ResponseResources
 from ..forwarding import ForwardRequest, RefusalReason, Refuse, RespondWith
 from ..relaying import (
     DeclineReason,
@@ -53,7 +53,7 @@
         Logs an event, given by its name and fields.
     create_server : callable
         Returns a ``PeerServer`` for a frame handler and a handler of closed connections.
-    buffer_quota : ResponseBufferQuota, optional
+    resources : ResponseResources, optional
         Limits the memory for requests of other entries together with responses.
     """
 
@@ -64,12 +64,12 @@
         forwarder: Forwarder,
         report: Callable[..., None],
         create_server: Callable[..., PeerServer],
-        buffer_quota: ResponseBufferQuota | None = None,
+        resources: ResponseResources | None = None,
     ):
         self.node = node
         self.forwarder = forwarder
         self.report = report
-        self.buffer_quota = buffer_quota or ResponseBufferQuota()
+        self.resources = resources or ResponseResources()
         self.server = create_server(handler=self._receive, on_close=self._close)
         self._incoming: dict[Connection, dict[int, _Incoming]] = {}
 
@@ -108,7 +108,7 @@
     ) -> None:
         """Take a request, or decline it before its body has arrived."""
         reason = self.node.find_decline_reason(message.minimum_version, message.size)
-        if reason is None and not self.buffer_quota.reserve(message.size):
+        if reason is None and not self.resources.reserve_request(message.size):
             reason = DeclineReason.BUSY
         if reason is not None:
             self._decline(connection, message, reason)
@@ -194,7 +194,7 @@
 
     def _release(self, message: RelayRequest) -> None:
         self.node.path.release_relayed(message.size)
-        self.buffer_quota.release(message.size)
+        self.resources.release_request(message.size)
 
     def _close(self, connection: Connection) -> None:
         """Abandon the requests of an entry whose connection was closed."""
--- a/tarragonshelf/site/tests/test_endless_responses.py
+++ b/tarragonshelf/site/tests/test_endless_responses.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from ...exchange import ExchangeFailedError, ResponseBufferQuota, _connection
+from ...exchange import ExchangeFailedError, ResponseResources, _connection
 from ...forwarding import AttemptOutcome
 from ...platform._entry_http import PlatformDialect
 from ...registry import TargetEntry, TargetState
@@ -80,30 +80,34 @@
                     await exchange(target, connection)
                 await asyncio.wait_for(target.is_closed.wait(), 2.0)
                 assert failure.value.outcome == AttemptOutcome.UNUSABLE
-                assert pool.buffer_quota.reserved_bytes == 0
+                assert pool.resources.reserved_bytes == 0
                 assert not connection.is_open
 
         asyncio.run(test())
 
-    def test_connections_share_one_memory_limit(self, monkeypatch):
-        monkeypatch.setattr(_connection, "MAXIMUM_BUFFERED_BYTES", MEBIBYTE)
-
+    def test_connections_share_one_memory_limit(self):
         async def test():
             async with EndlessTarget(RESPONSE_HEAD + b"\r\n", b"x" * 65536) as target:
-                pool = ConnectionPool(PlatformDialect(), lambda target: 4)
+                resources = ResponseResources(maximum_bytes=MEBIBYTE)
+                pool = ConnectionPool(PlatformDialect(), lambda target: 4, resources=resources)
                 connections = [await pool.get(target.target, is_repeatable=True) for _ in range(4)]
                 exchanges = [exchange(target, connection) for connection in connections]
                 results = await asyncio.gather(*exchanges, return_exceptions=True)
                 assert all(isinstance(item, ExchangeFailedError) for item in results)
-                assert pool.buffer_quota.reserved_bytes == 0
+                assert pool.resources.reserved_bytes == 0
 
         asyncio.run(test())
 
 
-class TestResponseBufferQuota:
+class TestResponseResources:
     def test_released_bytes_can_be_reserved_again(self):
-        buffer_quota = ResponseBufferQuota()
-        assert buffer_quota.reserve(_connection.MAXIMUM_BUFFERED_BYTES)
-        assert not buffer_quota.reserve(1)
-        buffer_quota.release(_connection.MAXIMUM_BUFFERED_BYTES)
-        assert buffer_quota.reserve(1)
+        async def test():
+            resources = ResponseResources(maximum_bytes=MEBIBYTE)
+            first = resources.open("i-1")
+            second = resources.open("i-2")
+            assert resources.reserve(first, MEBIBYTE)
+            assert not resources.reserve(first, 1)
+            resources.close(first)
+            assert resources.reserve(second, 1)
+
+        asyncio.run(test())
--- a/tarragonshelf/site/tests/test_relay.py
+++ b/tarragonshelf/site/tests/test_relay.py
@@ -5,11 +5,11 @@
 
 import pytest
 
+from ...buffering import MAXIMUM_BUFFERED_BYTES
 from ...catalogue import CatalogueCopy, compress_content
 from ...edge import EdgeNode, EdgeSettings, HubReceived
 from ...edge._path import MAXIMUM_RELAYED_BYTES
-from ...exchange import ResponseBufferQuota
-from ...exchange._connection import MAXIMUM_BUFFERED_BYTES
+from ...exchange import ResponseResources
 from ...forwarding import (
     PermitDecided,
     RefusalReason,
@@ -129,7 +129,7 @@
         )
         port = await self.server.server.start("127.0.0.1", 0)
         self.relay = RelayRecord(f"127.0.0.1:{port}", "z")
-        self.quota = ResponseBufferQuota()
+        self.quota = ResponseResources()
         self.client = RelayClient(self.links, self.quota)
         return self
 
@@ -191,7 +191,7 @@
     def test_response_that_does_not_fit_into_the_memory_is_given_up(self):
         async def run():
             async with Fixture(Target()) as fixture:
-                fixture.quota.reserve(MAXIMUM_BUFFERED_BYTES - CHUNK_BYTES)
+                fixture.quota.reserve_request(MAXIMUM_BUFFERED_BYTES - CHUNK_BYTES)
                 ended = await fixture.send(create_content(bytes(LARGE_BODY_BYTES)))
                 assert ended.outcome == RelayOutcome.GIVEN_UP
                 await wait_until(lambda: fixture.server.in_flight == 0)
--- a/tests/test_callers_beyond_limits.py
+++ b/tests/test_callers_beyond_limits.py
@@ -354,7 +354,10 @@
 
 @pytest.mark.process
 def test_entry_survives_endless_responses_in_one_byte_chunks(tmp_path, modules):
-    """Guards against an entry that does nothing but parse the responses of a broken target."""
+    """Guards against an entry that outgrows its memory, or stops, for the responses of a target.
+
+    What their chunks may take from a turn of the event loop is tested at package exchange.
+    """
     request = HEAD.replace(b"crowd\r\n", b"endless\r\nContent-Length: 0\r\n\r\n")
     site = Site(tmp_path, modules, MEMORY_MB, MAXIMUM_BODY_BYTES)
     try:
