Memory for responses goes to those of other targets first, and one endless one is seen

Callers saw responses of sound targets fail for lack of memory beside a faulty target whose bodies have no end, and that target was chosen again. Cause: once all responses together reached their limit, the one that asked next was given up, whoever it belonged to. Change: the bytes of each target are counted. If memory is short, responses of the target that holds most are given up, never its largest, for one that holds less, or for that largest one. So other targets are not displaced, and the largest goes on to its limit and counts.

--- a/tarragonshelf/buffering/_responses.py
+++ b/tarragonshelf/buffering/_responses.py
@@ -1,5 +1,6 @@
-"""Memory for the unfinished responses of targets."""
+"""Memory for the unfinished responses of targets: who gets it, and whose response is given up."""
 
+from collections import defaultdict
 from dataclasses import dataclass
 
 from ._budget import BufferBudget, Holding, Reservation
@@ -16,7 +17,7 @@
     Attributes
     ----------
     source : str
-        Target that sends it.
+        Target that sends it; the bytes of one source are compared with those of others.
     size : int
         Bytes that are reserved.
     """
@@ -35,10 +36,13 @@
         Whether the bytes were reserved.
     evicted : tuple of Holding
         Connections of callers that must be closed.
+    given_up : tuple of ResponseHolding
+        Responses that must be given up.
     """
 
     is_granted: bool
     evicted: tuple[Holding, ...] = ()
+    given_up: tuple[ResponseHolding, ...] = ()
 
 
 class ResponseBudget:
@@ -50,6 +54,13 @@
         Bounds them together with all other bytes that are held for callers.
     maximum_bytes : int
         Limit for all responses together.
+
+    Notes
+    -----
+    If memory is short, a response of the source that holds most is given up, so that a faulty
+    target cannot displace responses of others. The largest of that source stays: it is the first
+    to exceed the limit for one response, which is evidence against the target, while to be given
+    up is none.
     """
 
     def __init__(
@@ -74,9 +85,19 @@
     def reserve(self, now: float, holding: ResponseHolding, size: int) -> ResponseReservation:
         """Reserve bytes for a response."""
         reservation = self.take(now, size)
+        evicted = reservation.evicted
+        given_up: list[ResponseHolding] = []
+        victims = [] if reservation.is_granted else self._list_victims(holding, size)
+        for victim in victims:
+            given_up.append(victim)
+            self.close(victim)
+            reservation = self.take(now, size)
+            evicted += reservation.evicted
+            if reservation.is_granted:
+                break
         if reservation.is_granted:
             holding.size += size
-        return ResponseReservation(reservation.is_granted, reservation.evicted)
+        return ResponseReservation(reservation.is_granted, evicted, tuple(given_up))
 
     def shrink(self, holding: ResponseHolding, size: int) -> None:
         """Release the bytes of a response beyond ``size``."""
@@ -100,3 +121,20 @@
         if reservation.is_granted:
             self.held_bytes += size
         return reservation
+
+    def _list_victims(self, holding: ResponseHolding, size: int) -> list[ResponseHolding]:
+        """Return the responses to give up in turn until ``size`` bytes are free.
+
+        There are none if the response that asks is itself the one to give up.
+        """
+        totals: dict[str, int] = defaultdict(int)
+        for item in self._holdings:
+            totals[item.source] += item.size
+        totals[holding.source] += size
+        heaviest = max(totals, key=totals.get)
+        items = [item for item in self._holdings if item.source == heaviest]
+        items.sort(key=lambda item: -item.size)
+        if holding.source == heaviest and holding is not items[0]:
+            return []
+        victims = items[1:] if holding.source == heaviest else [*items[1:], items[0]]
+        return victims if sum(item.size for item in victims) >= size else []
--- a/tarragonshelf/exchange/_connection.py
+++ b/tarragonshelf/exchange/_connection.py
@@ -166,7 +166,7 @@
         self._request, self._request_id = request, request_id
         self.is_reusable = False
         self._skipped_responses = 0
-        self._holding = self.resources.open(self.source)
+        self._holding = self.resources.open(self.source, self.give_up)
         try:
             self._reset_parser()
             self._pending_response = asyncio.get_running_loop().create_future()
--- a/tarragonshelf/exchange/_resources.py
+++ b/tarragonshelf/exchange/_resources.py
@@ -36,6 +36,10 @@
     def parse_slice(self, is_over: Callable[[], bool]) -> bool:
         """Parse until the slice is over; return whether received bytes are left."""
 
+    @abstractmethod
+    def give_up(self, reason: str) -> None:
+        """End the response, for which this process has no memory left."""
+
 
 class ResponseResources:
     """Limits what unfinished responses take from a process.
@@ -74,6 +78,7 @@
         self.read_buffer = memoryview(bytearray(LARGE_READ_BYTES))
         self._queue: FairQueue[ResponseSource] = FairQueue()
         self._is_scheduled = False
+        self._owners: dict[ResponseHolding, Callable[[str], None]] = {}
 
     @property
     def reserved_bytes(self) -> int:
@@ -82,14 +87,18 @@
 
     # Memory
 
-    def open(self, source: str) -> ResponseHolding:
-        """Return the holding of a response."""
-        return self.budget.open(source)
+    def open(self, source: str, give_up: Callable[[str], None]) -> ResponseHolding:
+        """Return the holding of a response; ``give_up`` ends it if memory becomes short."""
+        holding = self.budget.open(source)
+        self._owners[holding] = give_up
+        return holding
 
     def reserve(self, holding: ResponseHolding, size: int) -> bool:
         """Reserve bytes for a response; return False, and reserve none, if memory is short."""
         reservation = self.budget.reserve(_read_time(), holding, size)
         self.close_evicted(Reservation(reservation.is_granted, reservation.evicted))
+        for victim in reservation.given_up:
+            self._owners[victim]("no memory for the rest of a response")
         return reservation.is_granted
 
     def shrink(self, holding: ResponseHolding, size: int) -> None:
@@ -99,6 +108,7 @@
     def close(self, holding: ResponseHolding) -> None:
         """Release all bytes of a response."""
         self.budget.close(holding)
+        self._owners.pop(holding, None)
 
     def reserve_request(self, size: int) -> bool:
         """Reserve bytes for a request of another entry, which keeps them until it ends."""
--- a/tarragonshelf/exchange/tests/test_endless_responses.py
+++ b/tarragonshelf/exchange/tests/test_endless_responses.py
@@ -261,3 +261,23 @@
             assert (response.status, response.body) == (200, b"xxxxx")
 
         asyncio.run(test())
+
+
+class TestSharedMemory:
+    def test_faulty_target_displaces_no_response_of_another(self):
+        """Guards against responses that are given up for those of a faulty target."""
+
+        async def test():
+            resources = ResponseResources(maximum_bytes=MEBIBYTE)
+            sound = resources.open("sound", lambda reason: None)
+            assert resources.reserve(sound, BLOCK_BYTES)
+            async with ScriptedTarget(HEAD + b"\r\n", b"x") as target:
+                sent = [send(target, resources, "faulty") for _ in range(CONNECTIONS)]
+                tasks = [asyncio.create_task(item) for item in sent]
+                while resources.reserved_bytes <= MEBIBYTE - BLOCK_BYTES:
+                    await asyncio.sleep(0)
+                assert resources.reserve(sound, 2 * BLOCK_BYTES)
+                await asyncio.wait(tasks, timeout=30.0)
+                assert all(task.result().problem == ResponseProblem.NO_MEMORY for task in tasks)
+
+        asyncio.run(test())
--- a/tarragonshelf/site/_relay_client.py
+++ b/tarragonshelf/site/_relay_client.py
@@ -100,7 +100,7 @@
         number, opened.used_at = self._number, loop.time()
         # Responses of one relay come from many targets, so each counts as a source of its own.
         source = f"{attempt.relay.address} {number}"
-        holding = self.resources.open(source)
+        holding = self.resources.open(source, lambda reason: self._give_up(opened, number))
         opened.pending[number] = pending = _PendingRelay(attempt, loop.create_future(), holding)
         try:
             remaining_seconds = attempt.deadline - loop.time()
--- a/tarragonshelf/site/tests/test_endless_responses.py
+++ b/tarragonshelf/site/tests/test_endless_responses.py
@@ -103,8 +103,8 @@
     def test_released_bytes_can_be_reserved_again(self):
         async def test():
             resources = ResponseResources(maximum_bytes=MEBIBYTE)
-            first = resources.open("i-1")
-            second = resources.open("i-2")
+            first = resources.open("i-1", lambda reason: None)
+            second = resources.open("i-2", lambda reason: None)
             assert resources.reserve(first, MEBIBYTE)
             assert not resources.reserve(first, 1)
             resources.close(first)
