The own interface reads answers by the code and the limits of the platform's ports

Operators saw, on systems like ours, machines run out of memory for bytes that were no answer and had no end. Cause: each answer had its limit (maximum_answer), all together none, and aiohttp's client reads interim responses without end, all that a read holds in one turn of the event loop, until the request's deadline. An endless answer even counted as a good one: UNUSABLE is evidence of a working target. Ruled out: limits in front of aiohttp's client (it needs its private protocol, and would be a second mechanism beside the one that counts, paces and judges already); its own settings (they bound a line and the fields of one head). Change: Upstream sends by TargetConnection of package exchange, with a dialect of its own, and its answers draw on the budget of the process. Idle connections, the retry of an idle one that breaks, the time for connecting and the result of each fault are as before, but for two new results: ENDLESS, for an answer that exceeds a limit before its end, counts against its target and is tried elsewhere if that is allowed; GIVEN_UP, for lack of memory here, counts against nobody. A request that HTTP cannot express is refused as not run, and counts against no target. TestUpstream: 100 interim responses were read until the time-out, an endless chunked answer was UNUSABLE.

--- a/tarragonshelf/daemons/_entry.py
+++ b/tarragonshelf/daemons/_entry.py
@@ -8,6 +8,7 @@
 from ..base import Effect
 from ..control import Chunks, Done, FetchChunks, Follow, Followed, StatusRequest
 from ..entry import ConfigurationActivated, EntryNode, RequestChunks, SendEvidence, SubmitCommand
+from ..exchange import ResponseResources
 from ..health import EvidenceDigest
 from ..membership import EntryRecord, EntryState, Gossip, SendGossip
 from ..serving import AdministrationServer
@@ -86,7 +87,10 @@
         addresses = [control.address for control in settings.controls]
         self.controls = rank_by_rendezvous(settings.vm, addresses)
         self.submitter = CommandSubmitter(LeaderClient(self.links, addresses), report=self._report)
-        self.upstream = Upstream(maximum_answer=settings.maximum_answer)
+        self.upstream = Upstream(
+            maximum_answer=settings.maximum_answer,
+            resources=ResponseResources(self.connections.budget, self.connections.close_evicted),
+        )
         self.caller_server = CallerServer(
             node=self.node,
             runner=RequestRunner(
@@ -117,7 +121,6 @@
 
     async def on_start(self) -> None:
         """Start listening for peers, callers and administration requests."""
-        await self.upstream.start()
         host, _, port = self.settings.peer.rpartition(":")
         await self.server.start(host, int(port))
         await self.caller_server.start(self.settings.http)
@@ -129,7 +132,7 @@
         await self.submitter.wait_until_acknowledged(self.settings.stop_seconds)
         await self.server.stop()
         await self.administration.stop()
-        await self.upstream.stop()
+        self.upstream.stop()
         self.links.close()
         self.logger.msg("entry_stopped")
 
@@ -156,6 +159,7 @@
             if now - checked_at >= CHECK_SECONDS:
                 checked_at = now
                 self.connections.check(now, CHECK_SECONDS)
+                self.upstream.close_expired(now)
                 self.log_budget.report_dropped()
             await asyncio.sleep(TICK_INTERVAL_SECONDS)
 
--- a/tarragonshelf/daemons/_upstream.py
+++ b/tarragonshelf/daemons/_upstream.py
@@ -1,30 +1,33 @@
 """HTTP client that sends attempts to targets."""
 
-from dataclasses import dataclass
-
-from aiohttp import (
-    ClientConnectorError,
-    ClientError,
-    ClientResponse,
-    ClientSession,
-    ClientTimeout,
-    ConnectionTimeoutError,
-    TCPConnector,
-    TraceConfig,
-)
-from aiohttp.connector import Connection
+import asyncio
+from contextlib import suppress
+from urllib.parse import quote
+
+import h11
 from multidict import CIMultiDict
-from yarl import URL
 
+from ..exchange import (
+    ExchangeFailedError,
+    IdleConnections,
+    RawHeaders,
+    ResponseDialect,
+    ResponseProblem,
+    ResponseResources,
+    TargetConnection,
+)
 from ..execution import Attempt, AttemptEnded, AttemptResult, Request
+from ..forwarding import TargetAnswer
 from ..ledger import Answer, Header
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 IDLE_CONNECTION_SECONDS = 15.0
-# aiohttp passes on any status of three digits; RFC 9110, section 15, defines none outside 100 to
-# 599, and none below 200 ends a request.
-MINIMUM_STATUS = 200
-MAXIMUM_STATUS = 599
+# Requests that may be sent again if an idle connection breaks before any byte of an answer.
+IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"})
+# Requests that need no length if they have no body.
+METHODS_WITHOUT_BODY = frozenset({"GET", "HEAD", "OPTIONS", "TRACE"})
+# Characters of a path that are sent as they are: all that are printable in ASCII.
+PATH_CHARACTERS = "".join(map(chr, range(0x21, 0x7F)))
 HOP_BY_HOP_HEADERS = frozenset(
     {
         "connection",
@@ -41,36 +44,22 @@
 REMOVED_HEADERS = HOP_BY_HOP_HEADERS | {"content-length", "host"}
 
 
-class UnusableAnswerError(Exception):
-    """A target's answer is too large, or it cannot be verified to be complete."""
-
-
-class InvalidStatusError(ValueError):
-    """A target's answer has a status that HTTP does not define."""
-
-
-class _CheckedResponse(ClientResponse):
-    """A response with a valid status."""
+class _Dialect(ResponseDialect):
+    """Answers name no request: only the connection relates them, so it is never shared."""
 
-    async def start(self, connection: Connection) -> ClientResponse:
-        """Receive the head; close the connection and raise an error if the status is invalid.
+    is_length_required = True
 
-        The library gives a connection back as soon as it has received an empty body, so it has to
-        be closed by its protocol.
-        """
-        protocol = connection.protocol
-        await super().start(connection)
-        if not MINIMUM_STATUS <= self.status <= MAXIMUM_STATUS:
-            protocol.close()
-            raise InvalidStatusError(f"status {self.status} is not valid")
-        return self
+    def is_response_to(self, headers: RawHeaders, status: int, request_id: bytes) -> bool:
+        return True
 
+    def names_request(self, headers: RawHeaders, request_id: bytes) -> bool:
+        return True
 
-@dataclass(slots=True)
-class _Progress:
-    """Records whether a request was sent on any of the connections that the library tried."""
+    def find_problem(self, status: int, headers: RawHeaders) -> str:
+        return ""
 
-    is_sent: bool = False
+    def get_idle_seconds(self, headers: RawHeaders) -> float:
+        return IDLE_CONNECTION_SECONDS
 
 
 class Upstream:
@@ -80,6 +69,8 @@
     ----------
     maximum_answer : int
         Maximum size of an answer's body in bytes.
+    resources : ResponseResources, optional
+        Limits memory and processor time for unfinished answers.
 
     Notes
     -----
@@ -89,23 +80,19 @@
     that the order was not run.
     """
 
-    def __init__(self, *, maximum_answer: int):
+    def __init__(self, *, maximum_answer: int, resources: ResponseResources | None = None):
         self.maximum_answer = maximum_answer
-        self._pooled_session: ClientSession | None = None
-        self._unpooled_session: ClientSession | None = None
-
-    async def start(self) -> None:
-        """Create the HTTP sessions."""
-        pooled = TCPConnector(limit=0, keepalive_timeout=IDLE_CONNECTION_SECONDS)
-        unpooled = TCPConnector(limit=0, force_close=True)
-        self._pooled_session = _create_session(pooled)
-        self._unpooled_session = _create_session(unpooled)
-
-    async def stop(self) -> None:
-        """Close the HTTP sessions."""
-        for session in (self._pooled_session, self._unpooled_session):
-            if session is not None:
-                await session.close()
+        self.resources = resources or ResponseResources()
+        self._dialect = _Dialect()
+        self._idle = IdleConnections()
+
+    def close_expired(self, now: float) -> None:
+        """Close connections that have been idle for too long."""
+        self._idle.close_expired(now)
+
+    def stop(self) -> None:
+        """Close all idle connections."""
+        self._idle.close()
 
     async def run(
         self, request: Request, attempt: Attempt, headers: CIMultiDict, body: bytes
@@ -114,41 +101,83 @@
 
         Only connecting has a time-out; the code that awaits the attempt cancels it in time.
         """
-        session = self._unpooled_session if request.route.not_repeatable else self._pooled_session
-        progress = _Progress()
-        url = URL(f"http://{attempt.target.address}{request.path}", encoded=True)
+        address = attempt.target.address
+        try:
+            head = _create_head(request, address, headers, len(body))
+        except h11.LocalProtocolError:
+            # No target can be asked this; as after a refusal, nothing ran and nobody failed.
+            return AttemptEnded(attempt.number, AttemptResult.REFUSED)
+        idle = None
+        if not request.route.not_repeatable:
+            idle = self._idle.take(address, _read_time())
+        if idle is not None:
+            with suppress(_BrokenIdleError):
+                return await self._exchange(request, attempt, idle, head, body, is_idle=True)
         try:
-            async with session.request(
-                request.method,
-                url,
-                headers=headers,
-                data=body or None,
-                allow_redirects=False,
-                trace_request_ctx=progress,
-            ) as response:
-                answer = await self._read_answer(request, response)
-        except (ClientConnectorError, ConnectionTimeoutError):
-            kind = AttemptResult.BROKEN if progress.is_sent else AttemptResult.NOT_SENT
+            connection = await self._connect(address)
+        except (OSError, ValueError, OverflowError):
+            kind = AttemptResult.NOT_SENT if idle is None else AttemptResult.BROKEN
             return AttemptEnded(attempt.number, kind)
-        except UnusableAnswerError:
-            return AttemptEnded(attempt.number, AttemptResult.UNUSABLE)
-        except (ClientError, OSError, ValueError):
-            return AttemptEnded(attempt.number, AttemptResult.BROKEN)
-        is_refusal = answer.status in request.service.refusal_statuses
+        return await self._exchange(request, attempt, connection, head, body)
+
+    async def _connect(self, address: str) -> TargetConnection:
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+            _, connection = await loop.create_connection(
+                lambda: TargetConnection(
+                    self._dialect,
+                    self.resources,
+                    address,
+                    maximum_response=self.maximum_answer,
+                ),
+                host,
+                int(port),
+            )
+        return connection
+
+    async def _exchange(
+        self,
+        request: Request,
+        attempt: Attempt,
+        connection: TargetConnection,
+        head: h11.Request,
+        body: bytes,
+        *,
+        is_idle: bool = False,
+    ) -> AttemptEnded:
+        """Send a request on a connection and return how that ended."""
+        try:
+            response = await connection.exchange(head, body, b"")
+        except ExchangeFailedError as error:
+            connection.close()
+            is_unanswered = error.problem == ResponseProblem.BROKEN and not error.has_received
+            if is_idle and is_unanswered and request.method in IDEMPOTENT_METHODS:
+                raise _BrokenIdleError from error
+            kind = _RESULTS.get(error.problem, AttemptResult.BROKEN)
+            return AttemptEnded(attempt.number, kind)
+        except BaseException:
+            connection.close()
+            raise
+        if request.route.not_repeatable:
+            connection.close()
+        else:
+            self._idle.put(attempt.target.address, connection, _read_time())
+        is_refusal = response.status in request.service.refusal_statuses
         kind = AttemptResult.REFUSED if is_refusal else AttemptResult.ANSWERED
-        return AttemptEnded(attempt.number, kind, answer)
+        return AttemptEnded(attempt.number, kind, _create_answer(response))
+
 
-    async def _read_answer(self, request: Request, response: ClientResponse) -> Answer:
-        if not _is_delimited(request, response):
-            raise UnusableAnswerError("answer has neither a content length nor chunked encoding")
-        if (response.content_length or 0) > self.maximum_answer and request.method != "HEAD":
-            raise UnusableAnswerError(f"answer exceeds {self.maximum_answer} bytes")
-        body = bytearray()
-        async for part in response.content.iter_any():
-            body += part
-            if len(body) > self.maximum_answer:
-                raise UnusableAnswerError(f"answer exceeds {self.maximum_answer} bytes")
-        return Answer(response.status, _create_answer_headers(response.headers), bytes(body))
+class _BrokenIdleError(Exception):
+    """The target closed an idle connection before it answered."""
+
+
+_RESULTS = {
+    ResponseProblem.TOO_LARGE: AttemptResult.UNUSABLE,
+    ResponseProblem.UNDELIMITED: AttemptResult.UNUSABLE,
+    ResponseProblem.ENDLESS: AttemptResult.ENDLESS,
+    ResponseProblem.NO_MEMORY: AttemptResult.GIVEN_UP,
+}
 
 
 def filter_headers(headers) -> CIMultiDict:
@@ -162,30 +191,31 @@
     )
 
 
-def _create_answer_headers(headers) -> tuple[Header, ...]:
-    return tuple(Header(name, value) for name, value in filter_headers(headers).items())
-
-
-def _is_delimited(request: Request, response: ClientResponse) -> bool:
-    """Return whether the end of the answer can be distinguished from a broken connection."""
-    if request.method == "HEAD" or response.status in (204, 304):
-        return True
-    is_chunked = "chunked" in response.headers.get("Transfer-Encoding", "").lower()
-    return is_chunked or response.content_length is not None
+def _create_head(request: Request, address: str, headers: CIMultiDict, size: int) -> h11.Request:
+    fields = [("Host", address), *headers.items()]
+    if size or request.method not in METHODS_WITHOUT_BODY:
+        fields.append(("Content-Length", str(size)))
+    if request.route.not_repeatable:
+        fields.append(("Connection", "close"))
+    return h11.Request(
+        method=request.method,
+        target=quote(request.path, PATH_CHARACTERS, errors="surrogateescape"),
+        headers=[(name, value.encode("utf-8", "surrogateescape")) for name, value in fields],
+    )
 
 
-async def _record_sent(session, context, parameters) -> None:
-    context.trace_request_ctx.is_sent = True
+def _create_answer(response: TargetAnswer) -> Answer:
+    headers = CIMultiDict(
+        (name.decode("ascii"), value.decode("utf-8", "surrogateescape"))
+        for name, value in response.headers
+    )
+    kept = filter_headers(headers).items()
+    return Answer(
+        response.status,
+        tuple(Header(name, value) for name, value in kept),
+        bytes(response.body),
+    )
 
 
-def _create_session(connector: TCPConnector) -> ClientSession:
-    trace = TraceConfig()
-    trace.on_request_headers_sent.append(_record_sent)
-    return ClientSession(
-        connector=connector,
-        trace_configs=[trace],
-        response_class=_CheckedResponse,
-        auto_decompress=False,
-        timeout=ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_SECONDS),
-        skip_auto_headers=("Accept", "Accept-Encoding", "User-Agent", "Content-Type"),
-    )
+def _read_time() -> float:
+    return asyncio.get_running_loop().time()
--- a/tarragonshelf/daemons/tests/test_upstream.py
+++ b/tarragonshelf/daemons/tests/test_upstream.py
@@ -78,7 +78,6 @@
     """Run attempts one after another and return how each ended."""
     address = await target.start()
     upstream = Upstream(maximum_answer=1000)
-    await upstream.start()
     ended = []
     try:
         for number in range(count):
@@ -86,7 +85,7 @@
             request = create_request(route, key="k")
             ended.append(await run_with_timeout(upstream, request, attempt))
     finally:
-        await upstream.stop()
+        upstream.stop()
         await target.stop()
     return ended
 
@@ -147,18 +146,17 @@
             address = await target.start()
             await target.stop()
             upstream = Upstream(maximum_answer=1000)
-            await upstream.start()
             attempt = Attempt(1, create_target(address), 5.0, 5.0)
             try:
                 return await upstream.run(create_request(LOOKUP), attempt, CIMultiDict(), b"")
             finally:
-                await upstream.stop()
+                upstream.stop()
 
         assert asyncio.run(check()).kind == AttemptResult.NOT_SENT
 
     def test_a_broken_reused_connection_does_not_prove_that_the_request_was_not_run(self):
-        # The HTTP library retries on a new connection, which is refused, but it had already sent
-        # the request on the first one.
+        # The request is sent again on a new connection, which is refused, but it had already been
+        # sent on the first one.
         target = FakeTarget(COMPLETE, b"end")
         first, second = run(target, count=2)
         assert first.kind == AttemptResult.ANSWERED
@@ -179,3 +177,18 @@
         large = b"HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" + b"x" * 2000
         (ended,) = run(FakeTarget(large))
         assert (ended.kind, ended.answer) == (AttemptResult.UNUSABLE, None)
+
+    # Guards against answers that are read until the deadline and count as good ones.
+    @pytest.mark.parametrize(
+        "answer",
+        [
+            b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" * 100,
+            b"HTTP/1.1 200 OK\r\n" + b"a:\r\n" * 5000,
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * 2000,
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + b"a:\r\n" * 5000,
+        ],
+        ids=["interim", "fields", "chunks", "trailers"],
+    )
+    def test_an_answer_without_end_ends_the_attempt(self, answer):
+        (ended,) = run(FakeTarget(answer))
+        assert (ended.kind, ended.answer) == (AttemptResult.ENDLESS, None)
--- a/tarragonshelf/execution/_messages.py
+++ b/tarragonshelf/execution/_messages.py
@@ -100,7 +100,9 @@
     """How an attempt ended; the first two prove that the target did not run the request.
 
     ``UNUSABLE`` is an answer that is too large, or one with neither a content length nor chunked
-    encoding, whose end cannot be distinguished from a broken connection.
+    encoding, whose end cannot be distinguished from a broken connection. ``ENDLESS`` is an answer
+    that exceeded a limit before its end. ``GIVEN_UP`` is an attempt that this entry ended for a
+    reason of its own, which says nothing about the target.
     """
 
     NOT_SENT = "not-sent"
@@ -109,6 +111,8 @@
     BROKEN = "broken"
     TIMED_OUT = "timed-out"
     UNUSABLE = "unusable"
+    ENDLESS = "endless"
+    GIVEN_UP = "given-up"
 
 
 @dataclass(frozen=True, slots=True)
--- a/tarragonshelf/execution/_request.py
+++ b/tarragonshelf/execution/_request.py
@@ -103,7 +103,8 @@
             outcome = Outcome.FAILED if is_failure else Outcome.ANSWERED
         else:
             outcome = _OUTCOMES_BY_RESULT[ended.kind]
-        self._record(now, attempt.target, outcome)
+        if outcome is not None:
+            self._record(now, attempt.target, outcome)
         if ended.kind == AttemptResult.BROKEN:
             self.context.record_crash(now, self.request.digest, attempt.target)
 
@@ -125,10 +126,12 @@
         return self._reject(503, ExecutionOutcome.NOT_RUN, reason, RETRY_AFTER_SECONDS)
 
 
-_OUTCOMES_BY_RESULT = {
+_OUTCOMES_BY_RESULT: dict[AttemptResult, Outcome | None] = {
     AttemptResult.NOT_SENT: Outcome.FAILED,
     AttemptResult.REFUSED: Outcome.SHED,
     AttemptResult.BROKEN: Outcome.FAILED,
     AttemptResult.TIMED_OUT: Outcome.HUNG,
     AttemptResult.UNUSABLE: Outcome.ANSWERED,
+    AttemptResult.ENDLESS: Outcome.FAILED,
+    AttemptResult.GIVEN_UP: None,
 }
--- a/tarragonshelf/execution/tests/test_lookup.py
+++ b/tarragonshelf/execution/tests/test_lookup.py
@@ -1,5 +1,7 @@
 """Lookups are retried within the budget and never return another request's answer."""
 
+import pytest
+
 from ...execution import (
     Attempt,
     AttemptEnded,
@@ -53,6 +55,19 @@
         (end,) = machine.handle(0.5, AttemptEnded(first.number, AttemptResult.BROKEN))
         assert (end.status, end.outcome) == (502, ExecutionOutcome.UNKNOWN)
 
+    @pytest.mark.parametrize(
+        ("kind", "outcomes"),
+        [(AttemptResult.ENDLESS, [Outcome.FAILED]), (AttemptResult.GIVEN_UP, [])],
+    )
+    def test_endless_answer_counts_against_its_target_and_lack_of_memory_does_not(
+        self, kind, outcomes
+    ):
+        machine, first, context = start_lookup()
+        (second,) = machine.handle(0.1, AttemptEnded(first.number, kind))
+        assert second.target.address != first.target.address
+        assert [outcome for _, outcome in context.outcomes] == outcomes
+        assert context.crashes == []
+
     def test_not_run_needs_proof_of_every_attempt(self):
         machine, first, _ = start_lookup(retries=1)
         (second,) = machine.handle(0.1, AttemptEnded(first.number, AttemptResult.BROKEN))
