The log says which limit a failed attempt met

The last but one counts against the target, the last does not; before, both read as a number of bytes.

--- a/tarragonshelf/site/_forwarder.py
+++ b/tarragonshelf/site/_forwarder.py
@@ -132,7 +132,11 @@
         except ExchangeFailedError as error:
             connection.close()
             self._report_failure(
-                execution, attempt, loop.time() - started_at, str(error.outcome), str(error)
+                execution,
+                attempt,
+                loop.time() - started_at,
+                str(error.outcome),
+                f"{error.problem}: {error}",
             )
             pause = None if error.head is None else self._read_pause(error.head)
             seconds = loop.time() - started_at
