All large responses together read a bounded number of bytes in a turn

Cause: each connection with a large response reads up to 64 KiB in a turn of the event loop, and parses up to 80 chunks of it at once, whatever the number of connections. Ruled out: parsing all large responses in slices (two system calls more for each read). Change: they share 512 KiB of a turn, and what is parsed at once is 16 parts and one for each 8 KiB. A relay's part in an endless response has a test.

--- a/tarragonshelf/exchange/_connection.py
+++ b/tarragonshelf/exchange/_connection.py
@@ -8,6 +8,7 @@
 import h11
 
 from ..buffering import (
+    LARGE_READ_BYTES,
     MAXIMUM_FRAMING_SHARE,
     SMALL_READ_BYTES,
     ResponseHolding,
@@ -28,7 +29,7 @@
 # What one read brings is parsed at once if it has few fields, and few parts for its size.
 PROMPT_LINES = 128
 PROMPT_PARTS = 16
-PROMPT_PART_BYTES = 1 << 10
+PROMPT_PART_BYTES = 8 << 10
 # Bodies are written in parts of this size when the socket can take them, so that the transport
 # holds no second copy of a large one.
 WRITE_BYTES = 256 << 10
@@ -134,9 +135,8 @@
         self._holding: ResponseHolding | None = None
         self._body = bytearray()
         self._skipped_responses = 0
-        # Bytes of the response as they were received, and the size of the next read.
+        # Bytes of the response as they were received.
         self._received = 0
-        self._read_size = SMALL_READ_BYTES
         # Pieces that were received and not passed to the parser yet.
         self._pieces: deque[bytes] = deque()
         # Size of the last read, and of the body before it.
@@ -193,6 +193,7 @@
         now = asyncio.get_running_loop().time()
         self.resources.places.release(now, self.source, self, is_complete=is_complete)
         self.resources.close(self._holding)
+        self.resources.set_large(self, False)
         if self._is_scheduled:
             self._is_scheduled = False
             self.resources.unschedule(self)
@@ -237,7 +238,7 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer for the next read, which bounds the work of one turn."""
-        return self.resources.read_buffer[: self._read_size]
+        return self.resources.get_read_buffer(self)
 
     def buffer_updated(self, size: int) -> None:
         """Parse received bytes, or have them parsed later."""
@@ -373,7 +374,8 @@
         body = len(self._body)
         is_in_body = self._response_head is not None
         self.resources.shrink(self._holding, body if is_in_body else self._received)
-        self._read_size = choose_read_size(self._last_read, body - self._body_bytes)
+        read_size = choose_read_size(self._last_read, body - self._body_bytes)
+        self.resources.set_large(self, read_size == LARGE_READ_BYTES)
         if not exceeds_framing_allowance(self._received, body):
             return
         now = asyncio.get_running_loop().time()
--- a/tarragonshelf/exchange/_resources.py
+++ b/tarragonshelf/exchange/_resources.py
@@ -8,6 +8,7 @@
 from ..buffering import (
     LARGE_READ_BYTES,
     MAXIMUM_BUFFERED_BYTES,
+    SMALL_READ_BYTES,
     BufferBudget,
     FairQueue,
     FramingPlaces,
@@ -19,6 +20,8 @@
 # Time for parsing in one turn of the event loop. A request passes about ten turns on its way
 # through an entry, which may add 6.6 ms to 99 of 100 requests.
 SLICE_SECONDS = 0.0005
+# Bytes that all connections with large responses may read in one turn; each is copied five times.
+TURN_READ_BYTES = 512 << 10
 
 
 class ResponseSource(ABC):
@@ -76,6 +79,8 @@
         self.places = FramingPlaces()
         # Shared by all connections, as each read is copied before the next one begins.
         self.read_buffer = memoryview(bytearray(LARGE_READ_BYTES))
+        # Connections whose responses are large.
+        self._large: set[ResponseSource] = set()
         self._queue: FairQueue[ResponseSource] = FairQueue()
         self._is_scheduled = False
         self._owners: dict[ResponseHolding, Callable[[str], None]] = {}
@@ -122,6 +127,20 @@
 
     # Processor time
 
+    def get_read_buffer(self, item: ResponseSource) -> memoryview:
+        """Return the buffer for the next read of a connection."""
+        size = SMALL_READ_BYTES
+        if item in self._large:
+            size = min(LARGE_READ_BYTES, max(size, TURN_READ_BYTES // len(self._large)))
+        return self.read_buffer[:size]
+
+    def set_large(self, item: ResponseSource, is_large: bool) -> None:
+        """Record whether the response on a connection is large."""
+        if is_large:
+            self._large.add(item)
+        else:
+            self._large.discard(item)
+
     def schedule(self, item: ResponseSource) -> None:
         """Parse the bytes that a connection has received in one of the next turns."""
         self._queue.push(item.source, item)
--- a/tarragonshelf/exchange/tests/test_endless_responses.py
+++ b/tarragonshelf/exchange/tests/test_endless_responses.py
@@ -14,7 +14,7 @@
     ResponseResources,
     TargetConnection,
 )
-from .._resources import SLICE_SECONDS
+from .._resources import SLICE_SECONDS, TURN_READ_BYTES
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -169,6 +169,17 @@
 
         asyncio.run(test())
 
+    def test_large_responses_together_read_a_bounded_number_of_bytes(self):
+        resources = ResponseResources()
+        connections = [TargetConnection(OpenDialect(), resources, "t") for _ in range(60)]
+        for connection in connections:
+            resources.set_large(connection, True)
+        sizes = [len(resources.get_read_buffer(item)) for item in connections]
+        assert sum(sizes) <= TURN_READ_BYTES
+        for connection in connections[1:]:
+            resources.set_large(connection, False)
+        assert len(resources.get_read_buffer(connections[0])) == BLOCK_BYTES
+
     def test_a_response_beside_endless_ones_of_another_target_is_served(self):
         whole = CHUNKED + chunk(12) * 20_000 + b"0\r\n\r\n"
 
--- a/tarragonshelf/site/tests/test_relay.py
+++ b/tarragonshelf/site/tests/test_relay.py
@@ -62,9 +62,12 @@
 class Target:
     """A target that returns the body of each request after some time, or closes without one."""
 
-    def __init__(self, *, work_seconds: float = 0.0, is_broken: bool = False):
+    def __init__(
+        self, *, work_seconds: float = 0.0, is_broken: bool = False, is_endless: bool = False
+    ):
         self.work_seconds = work_seconds
         self.is_broken = is_broken
+        self.is_endless = is_endless
         self.received: list[bytes] = []
         self.interrupted = 0
 
@@ -74,13 +77,21 @@
             size = int(head.lower().partition(b"content-length: ")[2].partition(b"\r\n")[0])
             body = await reader.readexactly(size)
             self.received.append(body)
-            if not self.is_broken:
+            if self.is_endless:
+                await self._send_without_end(writer)
+            elif not self.is_broken:
                 await self._respond(reader, writer, body)
-        except asyncio.IncompleteReadError:
+        except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
             writer.close()
 
+    async def _send_without_end(self, writer) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\nRequest-Id: q1\r\nResponse-Stamp: s\r\n\r\n")
+        while True:
+            writer.write(bytes(CHUNK_BYTES))
+            await writer.drain()
+
     async def _respond(self, reader, writer, body: bytes) -> None:
         end_of_stream = asyncio.create_task(reader.read())
         done, _ = await asyncio.wait([end_of_stream], timeout=self.work_seconds)
@@ -198,6 +209,18 @@
 
         asyncio.run(run())
 
+    def test_relay_refuses_a_response_without_end(self):
+        """Guards against a target that fills the memory of the relay and of the first entry."""
+
+        async def run():
+            async with Fixture(Target(is_endless=True)) as fixture:
+                ended = await fixture.send(create_content(), seconds=30.0)
+                assert (ended.outcome, ended.refusal.has_run) == (RelayOutcome.REFUSED, True)
+                assert fixture.quota.reserved_bytes == fixture.pool.resources.reserved_bytes == 0
+                assert "attempt_failed" in fixture.events
+
+        asyncio.run(run())
+
     def test_requests_on_one_connection_do_not_wait_for_each_other(self):
         async def run():
             async with Fixture(Target(work_seconds=0.2)) as fixture:
