Entries of the own interface keep records of a limited number of targets

Anyone who reaches the port can announce targets; a record was kept for 300 s, and nothing limited their number (open since the issue of misbehaving clients). Change: the limit of the hubs, 16,384 or a quarter of the memory at 4 KiB each. An unknown target beyond it gets 503 with Retry-After, and target_refused in the log; known ones are heard as before. Records that other entries gossip are taken: each of them has the same limit.

--- a/tarragonshelf/buffering/__init__.py
+++ b/tarragonshelf/buffering/__init__.py
@@ -27,6 +27,7 @@
     ResponseHolding,
     ResponseReservation,
 )
+from ._targets import compute_maximum_targets
 from ._turns import FairQueue
 
 __all__ = [
@@ -48,6 +49,7 @@
     "ResponseReservation",
     "choose_read_size",
     "compute_limits",
+    "compute_maximum_targets",
     "exceeds_framing_allowance",
     "is_stalled",
     "record_progress",
--- a/tarragonshelf/daemons/_caller_server.py
+++ b/tarragonshelf/daemons/_caller_server.py
@@ -23,6 +23,8 @@
 MAXIMUM_ANNOUNCEMENT_BYTES = 8192
 # Stalled requests have lost their place by then.
 NO_MEMORY_RETRY_AFTER_SECONDS = 2.0
+# Records of targets that have left are kept for minutes.
+TARGET_RETRY_AFTER_SECONDS = 10.0
 # Longer deadlines, in milliseconds, are ignored.
 MAXIMUM_DEADLINE_DIGITS = 15
 NO_BODY = Ok(b"")
@@ -137,11 +139,20 @@
         except ValidationError as error:
             problems = [f"{item['loc']}: {item['msg']}" for item in error.errors()]
             return web.json_response({"findings": problems}, status=400)
+        if not self.node.has_room_for(announcement.address):
+            return self._refuse_target(announcement)
         self.execute_effects(self.node.handle(_read_time(), announcement))
         known = self.node.gossip.targets.get_record(announcement.address)
         incarnation = known.incarnation if known else announcement.incarnation
         return web.json_response({"registrar": self.node.own_vm, "incarnation": incarnation})
 
+    def _refuse_target(self, announcement: Announcement) -> web.Response:
+        maximum = self.node.maximum_targets
+        self.report("target_refused", target=announcement.address, maximum=maximum)
+        reason = f"there are {maximum} targets already"
+        retry_after = TARGET_RETRY_AFTER_SECONDS
+        return _create_rejection(Reject(503, ExecutionOutcome.NOT_RUN, reason, retry_after))
+
     async def _serve_request(self, request: web.BaseRequest, now: float) -> web.Response:
         head = _read_head(request)
         admission = self.request_admission.check(now, head)
--- a/tarragonshelf/daemons/_entry.py
+++ b/tarragonshelf/daemons/_entry.py
@@ -6,6 +6,7 @@
 from mode import Service
 
 from ..base import Effect
+from ..buffering import compute_maximum_targets
 from ..control import Chunks, Done, FetchChunks, Follow, Followed, StatusRequest
 from ..entry import ConfigurationActivated, EntryNode, RequestChunks, SendEvidence, SubmitCommand
 from ..exchange import ResponseResources
@@ -65,7 +66,10 @@
         self.log_budget = LogRateLimiter(self.logger)
         self.connections = create_connections(settings, report=self._report, metrics=self.metrics)
         self.node = EntryNode(
-            own=_create_record(settings), seeds=settings.entries, random=SystemRandom()
+            own=_create_record(settings),
+            seeds=settings.entries,
+            random=SystemRandom(),
+            maximum_targets=compute_maximum_targets(self.connections.budget.limits.maximum_bytes),
         )
         self.links = PeerLinks(
             vm=settings.vm,
--- a/tarragonshelf/entry/_node.py
+++ b/tarragonshelf/entry/_node.py
@@ -1,5 +1,6 @@
 """One entry: gossip, configuration, health evidence, and the context of its requests."""
 
+from math import inf
 from random import Random
 
 from ..base import Effect, Message, StateMachine
@@ -55,10 +56,20 @@
         Peer addresses of other entries.
     random : Random
         Chooses peers and targets.
+    maximum_targets : int, optional
+        Number of targets to keep records of, departed ones included.
     """
 
-    def __init__(self, *, own: EntryRecord, seeds: tuple[str, ...], random: Random):
+    def __init__(
+        self,
+        *,
+        own: EntryRecord,
+        seeds: tuple[str, ...],
+        random: Random,
+        maximum_targets: int | None = None,
+    ):
         self.own_vm = own.vm
+        self.maximum_targets = inf if maximum_targets is None else maximum_targets
         self.gossip = GossipNode(own=own, seeds=seeds, random=random)
         self.follower = ConfigurationFollower()
         self.balancer = Balancer(
@@ -139,6 +150,11 @@
             ejections=self._ejections,
         )
 
+    def has_room_for(self, address: str) -> bool:
+        """Return whether the target at an address is known, or can become so."""
+        targets = self.gossip.targets
+        return targets.get_record(address) is not None or targets.count < self.maximum_targets
+
     # Commands
 
     def handle(self, now: float, message: Message) -> list[Effect]:
--- a/tarragonshelf/entry/tests/test_fleet.py
+++ b/tarragonshelf/entry/tests/test_fleet.py
@@ -32,6 +32,17 @@
             fleet.record(vm, address, Outcome.HUNG if is_failing else Outcome.ANSWERED, count)
 
 
+class TestAnnouncements:
+    def test_unknown_targets_are_refused_beyond_the_limit(self):
+        """Guards against announcements of targets that do not exist, without end."""
+        fleet = create_fleet()
+        entry = fleet.entries["e0"]
+        assert entry.has_room_for("unknown")
+        entry.maximum_targets = len(fleet.targets)
+        assert not entry.has_room_for("unknown")
+        assert all(entry.has_room_for(address) for address in fleet.targets)
+
+
 class TestDetection:
     def test_failing_target_is_ejected_everywhere(self):
         fleet = create_fleet()
--- a/tarragonshelf/hub/__init__.py
+++ b/tarragonshelf/hub/__init__.py
@@ -31,7 +31,6 @@
             "SubscriberReceived",
         ),
         "_node": ("HubNode", "create_first_membership"),
-        "_targets": ("compute_maximum_targets",),
         "_state": ("FIRST_INCARNATION", "NO_RETRY_BUDGET", "SAVED_MESSAGE_NAMES"),
     },
 )
@@ -62,6 +61,5 @@
     "Subscribe",
     "SubscriberLost",
     "SubscriberReceived",
-    "compute_maximum_targets",
     "create_first_membership",
 ]
--- a/tarragonshelf/hub/_targets.py
+++ b/tarragonshelf/hub/_targets.py
@@ -18,12 +18,6 @@
 )
 from ._state import TARGETS_FILE, HubState
 
-# Targets that hubs keep records of at most, departed ones included, and the share of the memory
-# that these may take. The size to design for is 3,900 targets.
-MAXIMUM_TARGETS = 1 << 14
-TARGETS_SHARE = 0.25
-# Memory of a record with long names, in the registry and in messages on their way.
-TARGET_BYTES = 4 << 10
 # All targets are requested from a peer after this number of digest mismatches in a row.
 MISMATCH_THRESHOLD = 2
 # A request to one peer postpones those to the others for this long, up to so many mismatches.
@@ -31,13 +25,6 @@
 MAXIMUM_MISMATCHES = 4
 
 
-def compute_maximum_targets(free_bytes: int | None) -> int:
-    """Return how many targets a hub may keep records of, given its memory without any."""
-    if free_bytes is None:
-        return MAXIMUM_TARGETS
-    return min(MAXIMUM_TARGETS, int(free_bytes * TARGETS_SHARE) // TARGET_BYTES)
-
-
 class TargetsMixin(HubState):
     """Handles announcements of targets and reconciles targets with the other hubs."""
 
--- a/tarragonshelf/membership/_targets.py
+++ b/tarragonshelf/membership/_targets.py
@@ -40,6 +40,11 @@
 
     # Queries
 
+    @property
+    def count(self) -> int:
+        """Number of targets, departed ones included."""
+        return len(self._records)
+
     def list_records(self) -> tuple[TargetRecord, ...]:
         """Return all records."""
         return tuple(self._records.values())
--- a/tarragonshelf/site/_hub.py
+++ b/tarragonshelf/site/_hub.py
@@ -10,7 +10,7 @@
 from ..allowances import AllowanceRequest
 from ..avoidance import EvidenceNews
 from ..base import Effect, Message
-from ..buffering import BufferBudget, BufferLimits, compute_limits
+from ..buffering import BufferBudget, BufferLimits, compute_limits, compute_maximum_targets
 from ..catalogue import CallerLimits, CatalogueReader
 from ..consensus import Send, Timing
 from ..forwarding import RetryBudgetSettings
@@ -26,7 +26,6 @@
     Subscribe,
     SubscriberLost,
     SubscriberReceived,
-    compute_maximum_targets,
     create_first_membership,
 )
 from ..registry import TargetEntry, TargetNews
