Bodies of orders whose callers have left count until the orders end

An order of the own interface runs to its end though its caller disconnects, and its body with it; the connection's bytes were released at once, so that such bodies, at most maximum_requests of maximum_body, were in no budget. Change: what a caller leaves behind is counted until its order ends. Entries of the own interface report caller_bytes_held, as those of the platform.

--- a/tarragonshelf/buffering/_budget.py
+++ b/tarragonshelf/buffering/_budget.py
@@ -195,6 +195,10 @@
             self.held_bytes += size
         return reservation
 
+    def hold(self, size: int) -> None:
+        """Count bytes that are in use whatever the limit; ``release_response`` returns them."""
+        self.held_bytes += size
+
     def release_response(self, size: int) -> None:
         """Release bytes of a response."""
         self.held_bytes -= size
--- a/tarragonshelf/daemons/_caller_server.py
+++ b/tarragonshelf/daemons/_caller_server.py
@@ -73,6 +73,7 @@
         self.execute_effects = execute_effects
         self.report = report
         self.metrics = metrics
+        self.connections = connections
         self.body_seconds = body_seconds
         self.maximum_body = maximum_body
         self.request_admission = RequestAdmission(node, maximum_body=maximum_body)
@@ -175,11 +176,21 @@
             is_order_started = True
             self._order_tasks.add(task)
             task.add_done_callback(self._finish_order)
-            return self._respond(request, await asyncio.shield(task))
+            try:
+                return self._respond(request, await asyncio.shield(task))
+            except asyncio.CancelledError:
+                self._keep_counting(task, len(body.ok))
+                raise
         finally:
             if not is_order_started:
                 self.admission_controller.release()
 
+    def _keep_counting(self, task: asyncio.Task, size: int) -> None:
+        """Count the body of an order whose caller has disconnected until the order ends."""
+        budget = self.connections.budget
+        budget.hold(size)
+        task.add_done_callback(lambda _: budget.release_response(size))
+
     def _finish_order(self, task: asyncio.Task) -> None:
         self._order_tasks.discard(task)
         self.admission_controller.release()
--- a/tarragonshelf/daemons/_entry.py
+++ b/tarragonshelf/daemons/_entry.py
@@ -301,6 +301,7 @@
         self.metrics.set("control_is_reached", int(status.is_control_reached))
         self.metrics.set("requests_under_way", self.caller_server.under_way)
         self.metrics.set("commands_under_way", self.submitter.under_way)
+        self.metrics.set("caller_bytes_held", self.connections.budget.held_bytes)
         alive = sum(1 for item in status.entries if item.state == EntryState.ALIVE)
         self.metrics.set("entries_alive", alive)
         for view in status.services:
--- a/tests/test_misbehaving_fleet_clients.py
+++ b/tests/test_misbehaving_fleet_clients.py
@@ -29,6 +29,9 @@
 MANY = 2 * MAXIMUM_DESCRIPTORS
 MAXIMUM_BODY_BYTES = 1 << 20
 
+# For how long targets work on an order whose caller leaves.
+ORDER_SECONDS = 4.0
+
 HEAD = b"POST /rondas HTTP/1.1\r\nHost: h\r\nIdempotency-Key: crowd\r\n"
 
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
@@ -137,6 +140,40 @@
     assert '"kind":"broken"' not in log
 
 
+async def read_held_bytes(fleet: OpenFleet, session: ClientSession) -> float:
+    """Return how many bytes the entry holds for callers."""
+    url = f"http://{fleet.entry['administration']}/metrics"
+    async with session.get(url) as response:
+        lines = (await response.text()).splitlines()
+    values = [line.split()[-1] for line in lines if "caller_bytes_held" in line and line[0] != "#"]
+    return float(values[0])
+
+
+async def leave_order(fleet: OpenFleet) -> None:
+    fleet.address = fleet.entry["http"]
+    async with ClientSession() as session:
+        _, writer = await fleet.connect()
+        writer.write(HEAD + DECLARED + bytes(MAXIMUM_BODY_BYTES))
+        await writer.drain()
+        await asyncio.sleep(ORDER_SECONDS / 4)
+        writer.transport.abort()
+        await asyncio.sleep(ORDER_SECONDS / 4)
+        assert await read_held_bytes(fleet, session) >= MAXIMUM_BODY_BYTES
+
+        async def is_released() -> bool:
+            return await read_held_bytes(fleet, session) < MAXIMUM_BODY_BYTES
+
+        await wait_for(is_released)
+
+
+@pytest.mark.process
+def test_body_of_an_order_counts_until_the_order_ends():
+    """Guards against memory for orders whose callers have left, which nobody counts."""
+    options = (*LIMITS, "--work", str(ORDER_SECONDS))
+    with start_fleet(controls=1, entries=1, targets=4, options=options) as description:
+        asyncio.run(leave_order(OpenFleet(description)))
+
+
 async def play(fleet: OpenFleet, door: tuple[str, str], callers: int, send) -> None:
     fleet.address = fleet.find_address(door)
     timeout = ClientTimeout(total=HANG_SECONDS)
