An entry does not go back to its own catalogue after a relay had a newer one

Cause: an entry that is cut from its targets is relayed by one with a newer catalogue; with its path back it routed by its own, while the control that it follows is frozen. Ruled out: a faster change of controls (shortens the time only); refusing (not needed: the relays that had the version are there). Change: while the entry lacks a version that a relay had in force, it goes on relaying if a relay takes the request.

--- a/tarragonshelf/edge/_node.py
+++ b/tarragonshelf/edge/_node.py
@@ -423,6 +423,11 @@
         if self.path.is_lost:
             relay = None if request.is_relayed else self.path.choose_relay(now, tried)
             return relay or RefusalReason.NO_PATH
+        if self.path.relay_version > self.version and not request.is_relayed:
+            # Callers may have seen the effect of a version that this entry has not received.
+            relay = self.path.choose_relay(now, tried)
+            if relay is not None:
+                return relay
         return self.balancer.choose(now, request, self._get_profile(request.service), tried)
 
     def find_overload(
--- a/tarragonshelf/edge/tests/test_isolation.py
+++ b/tarragonshelf/edge/tests/test_isolation.py
@@ -4,9 +4,13 @@
 
 import pytest
 
-from ...forwarding import RefusalReason
+from ...catalogue import CatalogueCopy, compress_content
+from ...forwarding import ForwardRequest, RefusalReason
+from ...forwarding.tests.fakes import create_route
+from ...relaying import RelayNews, RelayRecord
 from .._path import MAXIMUM_RELAYED_REQUESTS
 from .fakes import FakeFleet, PathFault
+from .test_leaving import TARGET, create_node, receive
 
 SIZES = [6, 100]
 CUT_SECONDS = 12.0
@@ -18,6 +22,7 @@
 ALLOWED_FAILURE_SHARE = 1 / 50
 # An entry has to notice its own cut within this time.
 NOTICE_SECONDS = 1.0
+RELAY = RelayRecord("e1:90", "z0")
 # The timers of the simulation fire up to one step late.
 DEADLINE_TOLERANCE_SECONDS = 0.02
 # Targets that work may look slow by chance; the simulated response times vary that much.
@@ -255,3 +260,26 @@
         assert tries.cut
         assert not tries.is_rule_broken, tries
         assert find_broken_promises(fleet) == []
+
+
+class TestVersionOfRelays:
+    """Once a relay had a newer catalogue in force, an entry does not go back to its own."""
+
+    def test_requests_are_relayed_until_the_entry_has_that_version(self):
+        """Guards against an entry that routes by an older catalogue once its path is back."""
+        node = create_node(TARGET)
+        receive(node, 0.0, RelayNews((RELAY,)))
+        assert node.choose_target(1.0, create_request(), frozenset()) == TARGET
+        node.record_relay_version(4)
+        assert node.choose_target(1.0, create_request(), frozenset()) == RELAY
+        # A relay that does not answer is no reason to refuse, and relayed requests stay here.
+        excluded = frozenset({RELAY.address})
+        assert node.choose_target(1.0, create_request(), excluded) == TARGET
+        relayed = create_request(is_relayed=True)
+        assert node.choose_target(1.0, relayed, frozenset()) == TARGET
+        receive(node, 2.0, CatalogueCopy(4, compress_content(b"4")))
+        assert node.choose_target(2.0, create_request(), frozenset()) == TARGET
+
+
+def create_request(**fields) -> ForwardRequest:
+    return ForwardRequest("q", create_route(is_repeatable=True), "s", 1.0, 5.0, **fields)
