--- a/tarragonshelf/exchange/tests/test_endless_responses.py
+++ b/tarragonshelf/exchange/tests/test_endless_responses.py
@@ -43,6 +43,7 @@
     "status-line": (b"HTTP/1.1 200 ", b"x", ResponseProblem.MALFORMED),
     "interim": (b"", b"HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n", ResponseProblem.ENDLESS),
     "interim-fields": (b"HTTP/1.1 103 Early Hints\r\n", SMALL_FIELD, ResponseProblem.ENDLESS),
+    "switching-protocols": (b"HTTP/1.1 101 Switching\r\n\r\n", b"x", ResponseProblem.MALFORMED),
     "field-name": (HEAD, b"x", ResponseProblem.MALFORMED),
     "field-value": (HEAD + b"A: ", b"x", ResponseProblem.MALFORMED),
     "folded-value": (HEAD + b"A: b\r\n", b" b\r\n", ResponseProblem.ENDLESS),
