An announcement of an unknown service takes no target out of use

Cause: an announcement of another writer with a later start replaced the record of the identity, or of the address, whatever service it named; the target's own announcements counted as those of an earlier incarnation from then on. Ruled out: refusing every unknown service (targets may start before their document). Change: it displaces no usable target of a service that the catalogue has.

--- a/tarragonshelf/hub/_allowances.py
+++ b/tarragonshelf/hub/_allowances.py
@@ -8,8 +8,6 @@
     Share,
 )
 from ..base import Message
-from ..catalogue import ClientAccount, UnreadableCatalogueError, decompress_content
-from ..replication import EmitEvent
 from ._messages import PushToSubscriber, SendToPeer
 from ._state import HubState
 
@@ -64,7 +62,7 @@
         """Decide a request; only a leader that has contact with a quorum grants any."""
         if not self.replica.has_committed_in_term or not self.is_current(now):
             return AllowanceReply(request.number)
-        self._read_accounts()
+        self._read_catalogue()
         if self._accounts is None:
             return AllowanceReply(request.number)
         account = self._accounts.get(request.account)
@@ -75,24 +73,6 @@
             now, request, rate=account.rate, burst=account.burst, term=self.replica.term
         )
 
-    def _read_accounts(self) -> None:
-        """Read the accounts of the newest committed catalogue, once a version."""
-        version = self._saved_catalogue.version
-        if version == self._accounts_version:
-            return
-        self._accounts_version, self._accounts = version, None
-        try:
-            catalogue = self.reader.read(decompress_content(self._saved_catalogue.content))
-        except UnreadableCatalogueError as error:
-            fields = {"version": version, "problem": str(error)}
-            self._effects.append(EmitEvent("catalogue_unreadable", fields))
-            return
-        # Digests of keys are not needed here, and take most of the memory.
-        self._accounts = {
-            item.name: ClientAccount(item.name, (), item.rate, item.burst)
-            for item in catalogue.accounts or ()
-        }
-
     def _record_entry_count(self, now: float) -> None:
         if now - self._entries_counted_at >= COUNT_INTERVAL_SECONDS:
             self._entries_counted_at = now
--- a/tarragonshelf/hub/_state.py
+++ b/tarragonshelf/hub/_state.py
@@ -10,11 +10,13 @@
     CatalogueReader,
     CatalogueRegister,
     ClientAccount,
+    UnreadableCatalogueError,
+    decompress_content,
 )
 from ..consensus import HardState, LogEntry, Snapshot, Timing
 from ..forwarding import RetryBudgetSettings
 from ..registry import TargetEntry, TargetNews, TargetRegistry, TargetState
-from ..replication import ReplicatedNode
+from ..replication import EmitEvent, ReplicatedNode
 from ..throttling import DeclaredLimits, PermitAllocator
 from ._batches import DistantEvidenceBatch, EvidenceBatch, TargetBatch
 from ._drains import PendingDrains
@@ -92,7 +94,9 @@
         self.allowance_requests = AllowanceRequests(random, ALLOWANCE_TIMEOUT_SECONDS)
         # Accounts of the version read last; None if this build cannot read it.
         self._accounts: dict[str, ClientAccount] | None = None
-        self._accounts_version = 0
+        # Services of the same version, by which announcements are checked.
+        self._services: frozenset[str] = frozenset()
+        self._read_version = 0
         self._entries_counted_at = float("-inf")
         self._drains = PendingDrains(record.vm)
         # Evidence of local entries goes to entries and hubs, evidence of other hubs to entries
@@ -122,6 +126,25 @@
         self._edges_changed = False
         self._edges_pushed_at = 0.0
 
+    def _read_catalogue(self) -> None:
+        """Read accounts and services of the newest committed catalogue, once a version."""
+        version = self._saved_catalogue.version
+        if version == self._read_version:
+            return
+        self._read_version, self._accounts, self._services = version, None, frozenset()
+        try:
+            catalogue = self.reader.read(decompress_content(self._saved_catalogue.content))
+        except UnreadableCatalogueError as error:
+            fields = {"version": version, "problem": str(error)}
+            self._effects.append(EmitEvent("catalogue_unreadable", fields))
+            return
+        # Digests of keys are not needed here, and take most of the memory.
+        self._accounts = {
+            item.name: ClientAccount(item.name, (), item.rate, item.burst)
+            for item in catalogue.accounts or ()
+        }
+        self._services = frozenset(item.name for item in catalogue.services)
+
     def _merge_target(self, now: float, entry: TargetEntry) -> bool:
         """Add or update a target and return whether it changed.
 
--- a/tarragonshelf/hub/_targets.py
+++ b/tarragonshelf/hub/_targets.py
@@ -28,6 +28,21 @@
 class TargetsMixin(HubState):
     """Handles announcements of targets and reconciles targets with the other hubs."""
 
+    def _find_displaced(self, announced: TargetEntry) -> TargetEntry | None:
+        """Return the target in use that an announcement of an unknown service would displace.
+
+        Such an announcement may come from another writer. A target that really changes its
+        service is heard once the catalogue names that service.
+        """
+        for held in (self.targets.get(announced.identity), self.targets.get_at(announced.address)):
+            if held is None or not held.is_usable or not announced.service:
+                continue
+            if announced.service != held.service:
+                self._read_catalogue()
+                if held.service in self._services and announced.service not in self._services:
+                    return held
+        return None
+
     def _handle_announcement(self, now: float, call: int, message: AnnounceTarget) -> None:
         announced = message.target
         is_known = self.targets.get(announced.identity) is not None
@@ -37,6 +52,15 @@
             self._effects.append(EmitEvent("target_refused", fields))
             self._reply(call, Refused(RefusedReason.BUSY, detail=detail))
             return
+        held = self._find_displaced(announced)
+        if held is not None:
+            fields = {"target": held.identity, "service": announced.service}
+            self._effects.append(EmitEvent("announcement_ignored", fields))
+            detail = (
+                f"no service {announced.service!r}; {held.identity} is one of {held.service!r}"
+            )
+            self._reply(call, Refused(RefusedReason.BUSY, detail=detail))
+            return
         is_leaving = announced.state != TargetState.READY
         if is_leaving:
             self._emit_departure(announced)
--- a/tarragonshelf/hub/tests/test_expiry.py
+++ b/tarragonshelf/hub/tests/test_expiry.py
@@ -147,3 +147,29 @@
         site.call("vm0", AnnounceTarget(left))
         targets.advance(TARGET_TIMEOUT_SECONDS + SETTLE_SECONDS)
         assert count_usable(site) == [TARGETS - 1] * 4
+
+
+class TestAnnouncementsOfOthers:
+    """An announcement that names no service takes no target out of use."""
+
+    @pytest.mark.parametrize("changes", [{}, {"identity": "i-other"}], ids=["identity", "address"])
+    def test_unknown_service_displaces_no_target(self, changes):
+        """Guards against a single announcement of another writer that takes a target for good."""
+        site, targets = create_site()
+        assert site.put(1)
+        targets.advance(3.0)
+        later = targets.entries["i-0"].started + 1000
+        other = replace(targets.entries["i-0"], started=later, service="unknown", **changes)
+        site.call("vm0", AnnounceTarget(other))
+        targets.advance(6.0)
+        assert count_usable(site) == [TARGETS] * 4
+
+    def test_restart_with_an_unknown_service_is_heard_once_the_target_has_left(self):
+        site, targets = create_site()
+        assert site.put(1)
+        targets.silent.add("i-0")
+        targets.advance(TARGET_TIMEOUT_SECONDS + HEARTBEAT_SECONDS)
+        restarted = replace(targets.entries["i-0"], started=2000, service="later")
+        site.call("vm0", AnnounceTarget(restarted))
+        targets.advance(3.0)
+        assert all(node.targets.list_usable("later") for node in site.nodes.values())
--- a/tarragonshelf/registry/_registry.py
+++ b/tarragonshelf/registry/_registry.py
@@ -69,6 +69,10 @@
         """Return the record of an identity, or None."""
         return self._by_identity.get(identity)
 
+    def get_at(self, address: str) -> TargetEntry | None:
+        """Return the record of an address, or None."""
+        return self._by_identity.get(self._by_address.get(address, ""))
+
     def list_all(self) -> tuple[TargetEntry, ...]:
         """Return all targets, including departed ones."""
         return tuple(self._by_identity.values())
@@ -159,7 +163,7 @@
         """
         if not entry.address:
             return entry
-        other = self._by_identity.get(self._by_address.get(entry.address, ""))
+        other = self.get_at(entry.address)
         if other is None or other.identity == entry.identity or other.address != entry.address:
             self._by_address[entry.address] = entry.identity
             return entry
