A connection is read again after a response that was parsed in slices

Callers would have seen, after a response of a target in small chunks, the next request on the same connection hang until its deadline. Cause: reading stops while received bytes wait for a slice, and went on only if the response was not complete; a connection whose response completed there, or within the last event before it would have waited, was kept and not read any more. Change: reading goes on once nothing waits, whatever became of the response.

--- a/tarragonshelf/exchange/_connection.py
+++ b/tarragonshelf/exchange/_connection.py
@@ -197,6 +197,7 @@
         if self._is_scheduled:
             self._is_scheduled = False
             self.resources.unschedule(self)
+            self._transport.resume_reading()
         self._pieces.clear()
         self._body = bytearray()
         self._pending_response = None
@@ -275,8 +276,8 @@
         self._is_scheduled = False
         if self._lost_reason:
             self._fail(ResponseProblem.BROKEN, self._lost_reason)
-        elif self._is_pending:
-            self._transport.resume_reading()
+        # The connection may be used again.
+        self._transport.resume_reading()
         return False
 
     def pause_writing(self) -> None:
@@ -364,7 +365,7 @@
             elif event is h11.PAUSED:
                 self._reject(ResponseProblem.MALFORMED, "the target switched protocols")
             if is_over():
-                return False
+                return not self._is_pending
         return True
 
     def _end_read(self) -> None:
--- a/tarragonshelf/exchange/tests/test_endless_responses.py
+++ b/tarragonshelf/exchange/tests/test_endless_responses.py
@@ -1,6 +1,7 @@
 """Targets that send without end, at each place of a response: bounded work, and a verdict."""
 
 import asyncio
+import contextlib
 
 import h11
 import pytest
@@ -264,6 +265,33 @@
 
         asyncio.run(test())
 
+    @pytest.mark.parametrize("chunks", [17, 18, 100, 5000])
+    def test_connection_is_used_again_after_a_response_in_small_chunks(self, chunks):
+        """Guards against a connection that is kept, but not read any more."""
+        whole = CHUNKED + chunk(1) * chunks + b"0\r\n\r\n"
+
+        async def serve(reader, writer):
+            with contextlib.suppress(asyncio.IncompleteReadError):
+                while await reader.readuntil(b"\r\n\r\n"):
+                    writer.write(whole)
+            writer.close()
+
+        async def test():
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            address = server.sockets[0].getsockname()
+            _, connection = await asyncio.get_running_loop().create_connection(
+                lambda: TargetConnection(OpenDialect(), ResponseResources(), "t"), *address
+            )
+            request = h11.Request(method="GET", target="/x", headers=[("Host", "h")])
+            for _ in range(3):
+                exchange = connection.exchange(request, b"", b"")
+                response = await asyncio.wait_for(exchange, 30.0)
+                assert (len(response.body), connection.is_reusable) == (chunks, True)
+            connection.close()
+            server.close()
+
+        asyncio.run(test())
+
     @pytest.mark.parametrize("fields", [SMALL_FIELD * 2000, b"a: %s\r\n" % (b"x" * 1000) * 60])
     def test_large_head_and_large_trailers_are_served(self, fields):
         async def test():
