--- a/tarragonshelf/exchange/_connection.py
+++ b/tarragonshelf/exchange/_connection.py
@@ -137,8 +137,8 @@
         self._skipped_responses = 0
         # Bytes of the response as they were received.
         self._received = 0
-        # Pieces that were received and not passed to the parser yet.
-        self._pieces: deque[bytes] = deque()
+        # Pieces that were received and not passed to the parser yet, with their numbers of lines.
+        self._pieces: deque[tuple[bytes, int]] = deque()
         # Size of the last read, and of the body before it.
         self._last_read = 0
         self._body_bytes = 0
@@ -253,10 +253,14 @@
         if not self.resources.reserve(self._holding, size):
             self.give_up(f"no memory for {self._received} bytes of a response")
             return
-        has_fields = self._response_head is None or self._is_chunked
-        lines = data.count(b"\n") if has_fields else 0
-        step = SMALL_READ_BYTES if lines > MAXIMUM_FIELD_LINES else size
-        self._pieces.extend(data[at : at + step] for at in range(0, size, step))
+        lines = 0
+        if self._response_head is None or self._is_chunked:
+            lines = _count_lines(data)
+        if lines > MAXIMUM_FIELD_LINES:
+            parts = (data[at : at + SMALL_READ_BYTES] for at in range(0, size, SMALL_READ_BYTES))
+            self._pieces.extend((part, _count_lines(part)) for part in parts)
+        else:
+            self._pieces.append((data, lines))
         if lines > PROMPT_LINES or self._parse(self._is_slow):
             self._schedule()
 
@@ -292,7 +296,7 @@
     def eof_received(self) -> None:
         """Pass the end of the stream to the parser."""
         if self._is_pending:
-            self._pieces.append(b"")
+            self._pieces.append((b"", 0))
             self._parse(lambda: False)
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -327,16 +331,13 @@
                 if not self._pieces:
                     self._end_read()
                     return False
-                self._pass_piece(self._pieces.popleft())
+                piece, lines = self._pieces.popleft()
+                self._lines += lines
+                self._parser.receive_data(piece)
         except h11.RemoteProtocolError as error:
             self._reject(ResponseProblem.MALFORMED, f"malformed HTTP response: {error}")
         return False
 
-    def _pass_piece(self, piece: bytes) -> None:
-        if self._response_head is None or self._is_chunked:
-            self._lines += piece.count(b"\n")
-        self._parser.receive_data(piece)
-
     def _process_events(self, is_over: Callable[[], bool]) -> bool:
         """Process what the parser holds; return False if it is over before the parser is empty."""
         while self._is_pending:
@@ -482,3 +483,9 @@
         if self._has_history and not self.dialect.names_request(head.headers, request_id):
             return None
         return TargetAnswer(head.status_code, tuple(head.headers.raw_items()), b"")
+
+
+def _count_lines(data: bytes) -> int:
+    """Return the number of line ends; large chunks have few, and few are found sooner."""
+    lines = len(data.split(b"\n", PROMPT_LINES + 1)) - 1
+    return lines if lines <= PROMPT_LINES else data.count(b"\n")
