--- a/tarragonshelf/daemons/_upstream.py
+++ b/tarragonshelf/daemons/_upstream.py
@@ -131,7 +131,7 @@
                     address,
                     maximum_response=self.maximum_answer,
                 ),
-                host,
+                host.strip("[]"),
                 int(port),
             )
         return connection
