--- a/tarragonshelf/exchange/_connection.py
+++ b/tarragonshelf/exchange/_connection.py
@@ -17,7 +17,7 @@
 )
 from ..forwarding import AttemptOutcome, TargetAnswer
 from ..transport import set_user_timeout
-from ._resources import ResponseResources, ResponseSource
+from ._resources import ResponseReader, ResponseResources
 from ._validity import find_malformed_fields, find_malformed_framing, find_malformed_head
 from .base import ResponseDialect
 
@@ -82,7 +82,7 @@
         self.has_received = has_received
 
 
-class TargetConnection(asyncio.BufferedProtocol, ResponseSource):
+class TargetConnection(asyncio.BufferedProtocol, ResponseReader):
     """Sends requests and accepts only complete responses that belong to them.
 
     Parameters
--- a/tarragonshelf/exchange/_resources.py
+++ b/tarragonshelf/exchange/_resources.py
@@ -24,8 +24,8 @@
 TURN_READ_BYTES = 512 << 10
 
 
-class ResponseSource(ABC):
-    """A connection whose received bytes wait to be parsed.
+class ResponseReader(ABC):
+    """A connection that reads responses, whose received bytes may wait to be parsed.
 
     Attributes
     ----------
@@ -39,10 +39,6 @@
     def parse_slice(self, is_over: Callable[[], bool]) -> bool:
         """Parse until the slice is over; return whether received bytes are left."""
 
-    @abstractmethod
-    def give_up(self, reason: str) -> None:
-        """End the response, for which this process has no memory left."""
-
 
 class ResponseResources:
     """Limits what unfinished responses take from a process.
@@ -80,8 +76,8 @@
         # Shared by all connections, as each read is copied before the next one begins.
         self.read_buffer = memoryview(bytearray(LARGE_READ_BYTES))
         # Connections whose responses are large.
-        self._large: set[ResponseSource] = set()
-        self._queue: FairQueue[ResponseSource] = FairQueue()
+        self._large: set[ResponseReader] = set()
+        self._queue: FairQueue[ResponseReader] = FairQueue()
         self._is_scheduled = False
         self._owners: dict[ResponseHolding, Callable[[str], None]] = {}
 
@@ -93,7 +89,10 @@
     # Memory
 
     def open(self, source: str, give_up: Callable[[str], None]) -> ResponseHolding:
-        """Return the holding of a response; ``give_up`` ends it if memory becomes short."""
+        """Return the holding of a response; ``give_up`` ends it if memory becomes short.
+
+        It is called with the reason.
+        """
         holding = self.budget.open(source)
         self._owners[holding] = give_up
         return holding
@@ -127,26 +126,26 @@
 
     # Processor time
 
-    def get_read_buffer(self, item: ResponseSource) -> memoryview:
+    def get_read_buffer(self, item: ResponseReader) -> memoryview:
         """Return the buffer for the next read of a connection."""
         size = SMALL_READ_BYTES
         if item in self._large:
             size = min(LARGE_READ_BYTES, max(size, TURN_READ_BYTES // len(self._large)))
         return self.read_buffer[:size]
 
-    def set_large(self, item: ResponseSource, is_large: bool) -> None:
+    def set_large(self, item: ResponseReader, is_large: bool) -> None:
         """Record whether the response on a connection is large."""
         if is_large:
             self._large.add(item)
         else:
             self._large.discard(item)
 
-    def schedule(self, item: ResponseSource) -> None:
+    def schedule(self, item: ResponseReader) -> None:
         """Parse the bytes that a connection has received in one of the next turns."""
         self._queue.push(item.source, item)
         self._schedule_slice()
 
-    def unschedule(self, item: ResponseSource) -> None:
+    def unschedule(self, item: ResponseReader) -> None:
         """Parse no more of the bytes that a scheduled connection has received."""
         self._queue.remove(item.source, item)
 
