Two runs of the tests at once have addresses of their own for the processes of a site

Cause, by its logs: all five processes ended at their start, "Address already in use" at the fixed ports for metrics, where the other run had those of the same test. Ruled out: a fault of the processes (none of them ran). Change: the test takes a loopback network that no other run uses, as the crowd tests do. Evidence: two runs of it at the same time pass.

--- a/tests/test_site_processes.py
+++ b/tests/test_site_processes.py
@@ -13,9 +13,13 @@
 
 from soak._site import find_free_port
 
+from .test_callers_beyond_limits import take_network
+
 COLUMNS = ["name", "host", "path_prefix", "kind", "timeout", "service", "max_attempts"]
-CONTROLS = ("127.0.0.2", "127.0.0.3", "127.0.0.4")
-ENTRIES = ("127.0.0.5", "127.0.0.6")
+# Metrics have fixed ports, so that two runs at the same time need addresses of their own.
+_LOCK, _NETWORK = take_network()
+CONTROLS = tuple(f"{_NETWORK}.{number}" for number in (2, 3, 4))
+ENTRIES = tuple(f"{_NETWORK}.{number}" for number in (5, 6))
 TIMEOUT_SECONDS = 20.0
 
 
