--- a/tarragonshelf/hub/_targets.py
+++ b/tarragonshelf/hub/_targets.py
@@ -52,13 +52,11 @@
             self._effects.append(EmitEvent("target_refused", fields))
             self._reply(call, Refused(RefusedReason.BUSY, detail=detail))
             return
-        held = self._find_displaced(announced)
-        if held is not None:
-            fields = {"target": held.identity, "service": announced.service}
+        displaced = self._find_displaced(announced)
+        if displaced is not None:
+            fields = {"target": displaced.identity, "service": announced.service}
             self._effects.append(EmitEvent("announcement_ignored", fields))
-            detail = (
-                f"no service {announced.service!r}; {held.identity} is one of {held.service!r}"
-            )
+            detail = f"{displaced.identity} is in use, and no service is {announced.service!r}"
             self._reply(call, Refused(RefusedReason.BUSY, detail=detail))
             return
         is_leaving = announced.state != TargetState.READY
