--- a/review/stand_ins_3/backend.py
+++ b/review/stand_ins_3/backend.py
@@ -46,6 +46,8 @@
         self.call_addresses = []
         self.work_seconds = 0.05
         self.writers = set()
+        # Addresses of machines that are partitioned from this backend.
+        self.cut_off = set()
 
     async def start(self, host, port, call_addresses):
         """Listen and begin to announce."""
@@ -95,7 +97,17 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
+    def cut(self, machine):
+        """Partition a machine: reset its connections and refuse new ones."""
+        self.cut_off.add(machine)
+        for writer in list(self.writers):
+            if _get_source(writer) == machine:
+                writer.transport.abort()
+
     async def _serve(self, reader, writer):
+        if _get_source(writer) in self.cut_off:
+            writer.transport.abort()
+            return
         self.writers.add(writer)
         try:
             while True:
@@ -121,6 +133,11 @@
             writer.close()
 
 
+def _get_source(writer):
+    """Return the address of the other end of a connection."""
+    return (writer.get_extra_info("peername") or [""])[0]
+
+
 async def read_body(arrival, reader):
     """Read the body that the head of a request declares."""
     if arrival.headers.get("transfer-encoding", "").lower() == "chunked":
--- a/review/stand_ins_3/site.py
+++ b/review/stand_ins_3/site.py
@@ -62,7 +62,7 @@
 class Site:
     """Controls and entries of a small deployment."""
 
-    def __init__(self, *, controls=3, entries=2, bounds=None, limits=None):
+    def __init__(self, *, controls=3, entries=2, bounds=None, limits=None, tells_sources=False):
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.network = find_network()
         self.controls = [f"127.{self.network}.1.{n + 2}" for n in range(controls)]
@@ -73,6 +73,9 @@
         self.limits = {**LIMITS, **(limits or {})}
         self.roles = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]
         self.processes = {}
+        # Whether backends can tell the entries apart by the addresses of their connections, as on
+        # real machines; all addresses here belong to one machine.
+        self.tells_sources = tells_sources
         self.is_bootstrap = True
 
     def call_addresses(self):
@@ -141,6 +144,7 @@
             "fault_tolerance": {"machines": 1, "zones": 0, "regions": 0},
             "bounds": [f"{name}={value}" for name, value in self.bounds.items()],
             "config_mode": "highest",
+            **({"source_ip": vm} if self.tells_sources and not is_control else {}),
         }
 
     def signal(self, vm, number):
