--- a/review/13/check.py
+++ b/review/13/check.py
@@ -17,10 +17,10 @@
     """Play the case and return the violations."""
     version = 0 if HAS_TROUBLE else 1
     document = create_document(
-        version, [create_route("r-1", "/termin/", "unsafe", "termin-buch")], ["termin-buch"]
+        version, [create_route("r-1", "/control/", "unsafe", "sessiond")], ["sessiond"]
     )
     case.site.start()
-    await case.add_backend("termin-buch", "norte-a", 0)
+    await case.add_backend("sessiond", "amman-a", 0)
     await case.put(document, seconds=30)
     await asyncio.sleep(CONFIG_APPLY_SECONDS)
     read = {}
@@ -42,4 +42,4 @@
 
 
 if __name__ == "__main__":
-    run_case(Path(__file__).parent, play, entries=1)
+    run_case(Path(__file__).parent / "record.txt", play, entries=1)
--- a/review/stand_ins_3/case.py
+++ b/review/stand_ins_3/case.py
@@ -35,7 +35,7 @@
 
 
 class Journal:
-    """What was sent, answered and run; written to ``record.txt``."""
+    """What was sent, answered and run; written to the record of the case."""
 
     def __init__(self):
         self.started_at = time.monotonic()
@@ -81,8 +81,8 @@
 class Case:
     """A site with backends, an operator and a record."""
 
-    def __init__(self, folder, **options):
-        self.folder = Path(folder)
+    def __init__(self, record, **options):
+        self.record = Path(record)
         self.journal = Journal()
         self.site = Site(**options)
         self.backends = []
@@ -153,14 +153,17 @@
         for backend in self.backends:
             await backend.stop()
         self.site.stop()
-        (self.folder / "record.txt").write_text("\n".join(self.journal.lines) + "\n")
+        self.record.write_text("\n".join(self.journal.lines) + "\n")
 
 
-def run_case(folder, play, **options):
-    """Play a case; exit with 1 if ``play`` returns violations, 0 if not, 2 if it cannot run."""
+def run_case(record, play, **options):
+    """Play a case and write its record.
+
+    The script exits with 1 if ``play`` returns violations, 0 if not, 2 if it cannot run.
+    """
 
     async def run():
-        case = Case(folder, **options)
+        case = Case(record, **options)
         try:
             async with asyncio.timeout(115):
                 violations = await play(case)
