Review case 11: two stopped controls and two lost disks lose the configuration

Cause: a control that is asked to stop gives its seat back as long as three voters remain, whatever fault_tolerance says. On a site of six controls two stops leave four voters; two lost disks then leave two of four, and the stopped controls come back without a seat. The stand-ins take the zones of the site, and how many machines it bears to lose.

--- a/review/stand_ins_3/site.py
+++ b/review/stand_ins_3/site.py
@@ -64,7 +64,7 @@
 class Site:
     """Controls and entries of a small deployment."""
 
-    def __init__(self, *, controls=3, entries=2, tells_sources=False):
+    def __init__(self, *, controls=3, entries=2, tells_sources=False, zones=ZONES, tolerance=1):
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.network = find_network()
         self.controls = [f"127.{self.network}.1.{n + 2}" for n in range(controls)]
@@ -76,6 +76,9 @@
         # Whether backends can tell the entries apart by the addresses of their connections, as on
         # real machines; all addresses here belong to one machine.
         self.tells_sources = tells_sources
+        self.zones = zones
+        # Number of controls that may be lost at the same time.
+        self.tolerance = tolerance
         self.is_bootstrap = True
 
     def call_addresses(self):
@@ -115,7 +118,7 @@
 
     def _create_settings(self, vm, is_control):
         number = (self.controls if is_control else self.entries).index(vm)
-        zone = list(ZONES)[number % len(ZONES)]
+        zone = list(self.zones)[number % len(self.zones)]
         if is_control:
             listen = {"control": f"{vm}:{self.call_port}"}
         else:
@@ -128,8 +131,8 @@
             "serves": ["control"] if is_control else ["front", "directory"],
             "ip": vm,
             "zone": zone,
-            "region": ZONES[zone],
-            "zones": ZONES,
+            "region": self.zones[zone],
+            "zones": self.zones,
             "listen": listen,
             "internal_ports": self.internal_ports,
             "seeds": [f"{item}:{self.call_port}" for item in self.controls[:3]],
@@ -141,12 +144,16 @@
             "entry": "directory",
             "heartbeat": "1500ms",
             "contracts": ["base", "drain", "config", "cost", "retry", "recover", "health"],
-            "fault_tolerance": {"machines": 1, "zones": 0, "regions": 0},
+            "fault_tolerance": {"machines": self.tolerance, "zones": 0, "regions": 0},
             "bounds": [f"{name}={value}" for name, value in BOUNDS.items()],
             "config_mode": "highest",
             **({"source_ip": vm} if self.tells_sources and not is_control else {}),
         }
 
+    def lose_disk(self, vm):
+        """Delete the data of a VM whose process is not running."""
+        shutil.rmtree(self.folder / f"disk-{vm}", ignore_errors=True)
+
     def signal(self, vm, number):
         """Send a signal to the process of a VM."""
         if self.processes[vm].poll() is None:
